--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/relay/GroupService.java
@@ -0,0 +1,16 @@
+package org.chicorylane.internal.relay;
+
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.outcome.Outcome;
+
+/** Serves requests to database groups, wherever their homes are. */
+@FunctionalInterface
+public interface GroupService {
+
+  /**
+   * Submits a request.
+   *
+   * @return completes with the outcome, never exceptionally, by the request's deadline
+   */
+  CompletableFuture<Outcome> submit(GroupRequest request);
+}
