--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayServer.java
@@ -0,0 +1,138 @@
+package org.chicorylane.internal.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.time.InstantSource;
+import org.chicorylane.internal.relay.generated.ProbeAnswerMessage;
+import org.chicorylane.internal.relay.generated.RelayFrame;
+import org.tinylog.Logger;
+
+/**
+ * Accepts relay connections of other instances and answers their questions.
+ *
+ * <pre>{@code
+ * RelayServer server = RelayServer.start(group, address, handler, clock);
+ * int port = server.port();
+ * server.close();
+ * }</pre>
+ *
+ * <p>Answers go out in the order in which they are ready; each carries the id of its question.
+ * Thread-safe.
+ */
+public final class RelayServer implements AutoCloseable {
+  private final Channel channel;
+  private final ChannelGroup connections;
+
+  private RelayServer(Channel channel, ChannelGroup connections) {
+    this.channel = channel;
+    this.connections = connections;
+  }
+
+  /**
+   * Binds and starts to answer.
+   *
+   * @param loops the event loops to run on; not shut down by {@link #close()}
+   * @param address where to listen; port 0 takes a free one
+   * @param handler what to do for other instances
+   * @param clock counts deadlines
+   */
+  public static RelayServer start(
+      EventLoopGroup loops, InetSocketAddress address, RelayHandler handler, InstantSource clock) {
+    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loops)
+            .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    connections.add(ch);
+                    RelayPipeline.addCodecs(ch.pipeline());
+                    ch.pipeline().addLast(new ServerHandler(handler, clock));
+                  }
+                });
+    Channel bound = bootstrap.bind(address).syncUninterruptibly().channel();
+    return new RelayServer(bound, connections);
+  }
+
+  /** Returns the port that was bound. */
+  public int port() {
+    return ((InetSocketAddress) channel.localAddress()).getPort();
+  }
+
+  /** Stops listening and closes every connection. */
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+    connections.close().awaitUninterruptibly();
+  }
+
+  /** Answers the frames of one connection. */
+  private static final class ServerHandler extends SimpleChannelInboundHandler<RelayFrame> {
+    private final RelayHandler handler;
+    private final InstantSource clock;
+
+    ServerHandler(RelayHandler handler, InstantSource clock) {
+      this.handler = handler;
+      this.clock = clock;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, RelayFrame frame) {
+      RelayFrame.Builder answer = RelayFrame.newBuilder().setId(frame.getId());
+      switch (frame.getBodyCase()) {
+        case REQUEST:
+          handler
+              .onRequest(RelayCodec.toRequest(frame.getRequest(), clock.instant()))
+              .thenAccept(o -> send(ctx, answer.setOutcome(RelayCodec.toMessage(o)).build()));
+          break;
+        case PROBE:
+          handler
+              .onProbe(frame.getProbe().getGroup(), frame.getProbe().getServer())
+              .thenAccept(v -> send(ctx, answer.setProbeAnswer(toMessage(v)).build()));
+          break;
+        case PULL:
+          send(ctx, answer.setDeclarations(handler.onPull(frame.getPull().getRevision())).build());
+          break;
+        case TAKE_HOME:
+          handler.onTakeHome(frame.getTakeHome().getGroup());
+          send(ctx, answer.setTaken(true).build());
+          break;
+        case PING:
+          send(ctx, answer.setPong(true).build());
+          break;
+        default:
+          Logger.warn("relay frame {} of {} asks nothing", frame.getId(), ctx.channel());
+          ctx.close();
+      }
+    }
+
+    private static void send(ChannelHandlerContext ctx, RelayFrame frame) {
+      ctx.channel().writeAndFlush(frame, ctx.voidPromise());
+    }
+
+    private static ProbeAnswerMessage toMessage(ProbeVerdict v) {
+      return ProbeAnswerMessage.newBuilder().setReachable(v.reachable()).setTerm(v.term()).build();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      Logger.warn("relay connection {} closed: {}", ctx.channel(), cause.toString());
+      ctx.close();
+    }
+  }
+}
