--- a/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayCodec.java
@@ -129,24 +129,27 @@
    * @throws IllegalArgumentException if the message holds no outcome or an unknown reason
    */
   public static Outcome toOutcome(OutcomeMessage message) {
-    switch (message.getKindCase()) {
-      case COMPLETED:
-        return completed(message.getCompleted());
-      case REJECTED:
-        RejectedMessage r = message.getRejected();
-        return new Outcome.Rejected(r.getSqlState(), r.getMessage(), r.getStatementIndex());
-      case NOT_RUN:
-        NotRunMessage n = message.getNotRun();
-        return new Outcome.NotRun(
-            NotRunReason.valueOf(n.getReason()),
-            Duration.ofMillis(n.getRetryAfterMillis()),
-            n.getDetail());
-      case UNKNOWN:
-        UnknownMessage u = message.getUnknown();
-        return new Outcome.Unknown(Duration.ofMillis(u.getRetryAfterMillis()), u.getDetail());
-      default:
-        throw new IllegalArgumentException("an outcome message without an outcome");
-    }
+    return switch (message.getKindCase()) {
+      case COMPLETED -> completed(message.getCompleted());
+      case REJECTED -> rejected(message.getRejected());
+      case NOT_RUN -> notRun(message.getNotRun());
+      case UNKNOWN ->
+          new Outcome.Unknown(
+              Duration.ofMillis(message.getUnknown().getRetryAfterMillis()),
+              message.getUnknown().getDetail());
+      default -> throw new IllegalArgumentException("an outcome message without an outcome");
+    };
+  }
+
+  private static Outcome rejected(RejectedMessage m) {
+    return new Outcome.Rejected(m.getSqlState(), m.getMessage(), m.getStatementIndex());
+  }
+
+  private static Outcome notRun(NotRunMessage m) {
+    return new Outcome.NotRun(
+        NotRunReason.valueOf(m.getReason()),
+        Duration.ofMillis(m.getRetryAfterMillis()),
+        m.getDetail());
   }
 
   /** Returns the message of {@code results}, as the request ledger stores them. */
@@ -237,19 +240,13 @@
   }
 
   private static SqlValue toValue(ValueMessage m) {
-    switch (m.getKindCase()) {
-      case BOOL_VALUE:
-        return new SqlValue.Bool(m.getBoolValue());
-      case INT_VALUE:
-        return new SqlValue.Int(m.getIntValue());
-      case REAL_VALUE:
-        return new SqlValue.Real(m.getRealValue());
-      case DECIMAL_VALUE:
-        return new SqlValue.Decimal(new BigDecimal(m.getDecimalValue()));
-      case TEXT_VALUE:
-        return new SqlValue.Text(m.getTextValue());
-      default:
-        return SqlValue.NULL;
-    }
+    return switch (m.getKindCase()) {
+      case BOOL_VALUE -> new SqlValue.Bool(m.getBoolValue());
+      case INT_VALUE -> new SqlValue.Int(m.getIntValue());
+      case REAL_VALUE -> new SqlValue.Real(m.getRealValue());
+      case DECIMAL_VALUE -> new SqlValue.Decimal(new BigDecimal(m.getDecimalValue()));
+      case TEXT_VALUE -> new SqlValue.Text(m.getTextValue());
+      default -> SqlValue.NULL;
+    };
   }
 }
