--- a/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayCodec.java
@@ -27,7 +27,7 @@
  * Translates requests and outcomes to the messages that instances exchange, and back.
  *
  * <pre>{@code
- * RequestMessage message = RelayCodec.toMessage(request, now);
+ * RequestMessage message = RelayCodec.requestMessage(request, now);
  * GroupRequest same = RelayCodec.toRequest(message, now);
  * }</pre>
  *
@@ -38,7 +38,7 @@
   private RelayCodec() {}
 
   /** Returns the message of {@code request}; its deadline is counted from {@code now}. */
-  public static RequestMessage toMessage(GroupRequest request, Instant now) {
+  public static RequestMessage requestMessage(GroupRequest request, Instant now) {
     RequestMessage.Builder b =
         RequestMessage.newBuilder()
             .setRequestId(request.requestId())
@@ -49,7 +49,7 @@
             .setDeadlineMillis(millisLeft(request.deadline(), now));
     for (Statement s : request.statements()) {
       StatementMessage.Builder sb = StatementMessage.newBuilder().setSql(s.sql());
-      s.parameters().forEach(v -> sb.addParameters(toMessage(v)));
+      s.parameters().forEach(v -> sb.addParameters(valueMessage(v)));
       b.addStatements(sb);
     }
     if (request.maximumAge() != null) {
@@ -59,7 +59,7 @@
       b.setSessionId(request.sessionId());
     }
     if (request.floor() != null) {
-      b.setFloor(toMessage(request.floor()));
+      b.setFloor(positionMessage(request.floor()));
     }
     if (request.idempotencyKey() != null) {
       b.setIdempotencyKey(request.idempotencyKey());
@@ -98,7 +98,7 @@
   }
 
   /** Returns the message of {@code outcome}. */
-  public static OutcomeMessage toMessage(Outcome outcome) {
+  public static OutcomeMessage outcomeMessage(Outcome outcome) {
     OutcomeMessage.Builder b = OutcomeMessage.newBuilder();
     if (outcome instanceof Outcome.Completed c) {
       b.setCompleted(completedMessage(c));
@@ -153,14 +153,14 @@
   }
 
   /** Returns the message of {@code results}, as the request ledger stores them. */
-  public static List<ResultMessage> toMessages(List<StatementResult> results) {
+  public static List<ResultMessage> resultMessages(List<StatementResult> results) {
     List<ResultMessage> messages = new ArrayList<>(results.size());
     for (StatementResult r : results) {
       ResultMessage.Builder b =
           ResultMessage.newBuilder().addAllColumns(r.columns()).setAffectedRows(r.affectedRows());
       for (List<SqlValue> row : r.rows()) {
         RowMessage.Builder rb = RowMessage.newBuilder();
-        row.forEach(v -> rb.addValues(toMessage(v)));
+        row.forEach(v -> rb.addValues(valueMessage(v)));
         b.addRows(rb);
       }
       messages.add(b.build());
@@ -186,12 +186,12 @@
   private static CompletedMessage completedMessage(Outcome.Completed c) {
     CompletedMessage.Builder b =
         CompletedMessage.newBuilder()
-            .addAllResults(toMessages(c.results()))
+            .addAllResults(resultMessages(c.results()))
             .setReplayed(c.replayed())
             .setServedBy(c.servedBy())
             .setFromReplica(c.fromReplica());
     if (c.position() != null) {
-      b.setPosition(toMessage(c.position()));
+      b.setPosition(positionMessage(c.position()));
     }
     if (c.transaction() != null) {
       b.setTransaction(c.transaction());
@@ -213,7 +213,7 @@
     return Math.max(0, Duration.between(now, deadline).toMillis());
   }
 
-  private static PositionMessage toMessage(LogPosition p) {
+  private static PositionMessage positionMessage(LogPosition p) {
     return PositionMessage.newBuilder().setTerm(p.term()).setOffset(p.offset()).build();
   }
 
@@ -221,7 +221,7 @@
     return new LogPosition(m.getTerm(), m.getOffset());
   }
 
-  private static ValueMessage toMessage(SqlValue value) {
+  private static ValueMessage valueMessage(SqlValue value) {
     ValueMessage.Builder b = ValueMessage.newBuilder();
     if (value instanceof SqlValue.Bool v) {
       b.setBoolValue(v.value());
--- a/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/relay/RelayServer.java
@@ -16,6 +16,7 @@
 import java.time.InstantSource;
 import org.chicorylane.internal.relay.generated.ProbeAnswerMessage;
 import org.chicorylane.internal.relay.generated.RelayFrame;
+import org.chicorylane.internal.relay.generated.RequestMessage;
 import org.tinylog.Logger;
 
 /**
@@ -95,32 +96,35 @@
     protected void channelRead0(ChannelHandlerContext ctx, RelayFrame frame) {
       RelayFrame.Builder answer = RelayFrame.newBuilder().setId(frame.getId());
       switch (frame.getBodyCase()) {
-        case REQUEST:
-          handler
-              .onRequest(RelayCodec.toRequest(frame.getRequest(), clock.instant()))
-              .thenAccept(o -> send(ctx, answer.setOutcome(RelayCodec.toMessage(o)).build()));
-          break;
-        case PROBE:
-          handler
-              .onProbe(frame.getProbe().getGroup(), frame.getProbe().getServer())
-              .thenAccept(v -> send(ctx, answer.setProbeAnswer(toMessage(v)).build()));
-          break;
-        case PULL:
-          send(ctx, answer.setDeclarations(handler.onPull(frame.getPull().getRevision())).build());
-          break;
-        case TAKE_HOME:
+        case REQUEST -> answerRequest(ctx, frame.getRequest(), answer);
+        case PROBE ->
+            handler
+                .onProbe(frame.getProbe().getGroup(), frame.getProbe().getServer())
+                .thenAccept(v -> send(ctx, answer.setProbeAnswer(toMessage(v)).build()));
+        case PULL -> {
+          long revision = frame.getPull().getRevision();
+          send(ctx, answer.setDeclarations(handler.onPull(revision)).build());
+        }
+        case TAKE_HOME -> {
           handler.onTakeHome(frame.getTakeHome().getGroup());
           send(ctx, answer.setTaken(true).build());
-          break;
-        case PING:
-          send(ctx, answer.setPong(true).build());
-          break;
-        default:
+        }
+        case PING -> send(ctx, answer.setPong(true).build());
+        default -> {
           Logger.warn("relay frame {} of {} asks nothing", frame.getId(), ctx.channel());
           ctx.close();
+        }
       }
     }
 
+    private void answerRequest(
+        ChannelHandlerContext ctx, RequestMessage message, RelayFrame.Builder answer) {
+      GroupRequest request = RelayCodec.toRequest(message, clock.instant());
+      handler
+          .onRequest(request)
+          .thenAccept(o -> send(ctx, answer.setOutcome(RelayCodec.outcomeMessage(o)).build()));
+    }
+
     private static void send(ChannelHandlerContext ctx, RelayFrame frame) {
       ctx.channel().writeAndFlush(frame, ctx.voidPromise());
     }
