Run requests as transactions on backend connections

Cause: the home needs one place that turns a request into statements. A key costs one more round trip (insert first, store results with the commit); a request without one is a single pipelined round trip. A lost connection outweighs a refused statement in the outcome.

--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
@@ -0,0 +1,81 @@
+package org.chicorylane.internal.backend;
+
+import io.vertx.core.Vertx;
+import io.vertx.pgclient.PgConnectOptions;
+import io.vertx.pgclient.PgConnection;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.declaration.BackendServer;
+import org.chicorylane.internal.declaration.DatabaseGroup;
+
+/**
+ * Opens connections to backend servers.
+ *
+ * <pre>{@code
+ * connector.open(group, server, ConnectionPurpose.WORK).thenAccept(result -> ...);
+ * }</pre>
+ *
+ * <p>Thread-safe.
+ */
+public final class ServerConnector {
+  private static final int PIPELINING_LIMIT = 256;
+  private static final int PREPARED_STATEMENTS = 256;
+
+  private final Vertx vertx;
+  private final Duration connectTimeout;
+
+  /**
+   * Makes a connector.
+   *
+   * @param vertx the client's runtime; not closed by this class
+   * @param connectTimeout how long opening may take
+   */
+  public ServerConnector(Vertx vertx, Duration connectTimeout) {
+    this.vertx = vertx;
+    this.connectTimeout = connectTimeout;
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @return completes with the result, never exceptionally, within the connect timeout
+   */
+  public CompletableFuture<ConnectResult> open(
+      DatabaseGroup group, BackendServer server, ConnectionPurpose purpose) {
+    CompletableFuture<ConnectResult> result = new CompletableFuture<>();
+    long timer =
+        vertx.setTimer(
+            connectTimeout.toMillis(),
+            id -> result.complete(new ConnectResult.Failed("no answer within " + connectTimeout)));
+    PgConnection.connect(vertx, options(group, server, purpose))
+        .onComplete(
+            r -> {
+              vertx.cancelTimer(timer);
+              if (r.failed()) {
+                result.complete(new ConnectResult.Failed(String.valueOf(r.cause().getMessage())));
+                return;
+              }
+              ServerConnection opened = new ServerConnection(r.result());
+              if (!result.complete(new ConnectResult.Opened(opened))) {
+                opened.close();
+              }
+            });
+    return result;
+  }
+
+  private PgConnectOptions options(
+      DatabaseGroup group, BackendServer server, ConnectionPurpose purpose) {
+    PgConnectOptions options =
+        new PgConnectOptions()
+            .setHost(server.host())
+            .setPort(server.port())
+            .setDatabase(group.database())
+            .setUser(group.user())
+            .setPassword(group.password())
+            .setPipeliningLimit(PIPELINING_LIMIT)
+            .setCachePreparedStatements(true)
+            .setPreparedStatementCacheMaxSize(PREPARED_STATEMENTS);
+    options.addProperty("application_name", purpose.applicationName());
+    return options;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/backend/package-info.java
@@ -0,0 +1,5 @@
+/** Connections to backend servers through the PostgreSQL client. */
+@NullMarked
+package org.chicorylane.internal.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/StatementGuard.java
@@ -0,0 +1,67 @@
+package org.chicorylane.internal.home;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.chicorylane.internal.statement.Statement;
+
+/**
+ * Refuses statements that would break out of their transaction or leave state behind in a pooled
+ * connection, so that statements of different requests never mix.
+ *
+ * <pre>{@code
+ * StatementGuard.firstObjection(statements).ifPresent(objection -> refuse(objection));
+ * }</pre>
+ *
+ * <p>It looks at the first word and at calls of server-administration functions; it does not parse
+ * SQL. Text that looks like such a call within a string literal is refused too: bind it as a
+ * parameter. Stateless and thread-safe.
+ */
+final class StatementGuard {
+  private static final Set<String> ALLOWED_FIRST_WORDS =
+      Set.of("SELECT", "INSERT", "UPDATE", "DELETE", "MERGE", "WITH", "VALUES", "TABLE", "EXPLAIN");
+
+  private static final Pattern LEADING_BLANKS_AND_COMMENTS =
+      Pattern.compile("\\A(?:\\s|--[^\\n]*(?:\\n|\\z)|/\\*.*?\\*/)*", Pattern.DOTALL);
+
+  private static final Pattern FIRST_WORD = Pattern.compile("\\A\\(*\\s*([A-Za-z]+)");
+
+  private static final Pattern ADMINISTRATION_CALL =
+      Pattern.compile("\\b(pg_\\w+|set_config|dblink\\w*)\"?\\s*\\(", Pattern.CASE_INSENSITIVE);
+
+  private StatementGuard() {}
+
+  /** Returns what is wrong with the first statement that is not allowed, if any. */
+  static Optional<String> firstObjection(List<Statement> statements) {
+    for (int i = 0; i < statements.size(); i++) {
+      String objection = objection(statements.get(i).sql());
+      if (!objection.isEmpty()) {
+        return Optional.of(objection + " at $.statements[" + i + "].sql");
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static String objection(String sql) {
+    String bare = LEADING_BLANKS_AND_COMMENTS.matcher(sql).replaceFirst("");
+    var word = FIRST_WORD.matcher(bare);
+    if (!word.find()) {
+      return "the statement does not begin with a word";
+    }
+    String first = word.group(1).toUpperCase(Locale.ROOT);
+    if (!ALLOWED_FIRST_WORDS.contains(first)) {
+      return "\"" + first + "\" is not allowed; allowed are " + sortedWords();
+    }
+    var call = ADMINISTRATION_CALL.matcher(bare);
+    if (call.find()) {
+      return "the function \"" + call.group(1) + "\" is not allowed";
+    }
+    return "";
+  }
+
+  private static String sortedWords() {
+    return String.join(", ", ALLOWED_FIRST_WORDS.stream().sorted().toList());
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/TransactionRunner.java
@@ -0,0 +1,213 @@
+package org.chicorylane.internal.home;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.backend.LogSequenceNumber;
+import org.chicorylane.internal.backend.ServerConnection;
+import org.chicorylane.internal.backend.StatementOutcome;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.statement.SqlValue;
+import org.chicorylane.internal.statement.Statement;
+import org.chicorylane.internal.statement.StatementResult;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs requests as transactions on a backend connection, in as few round trips as their ledger
+ * entry allows: one without an idempotency key, two with one.
+ *
+ * <p>The connection is clean afterwards unless the execution is in doubt or still open. Stateless
+ * and thread-safe.
+ */
+final class TransactionRunner {
+  private static final String UNIQUE_VIOLATION = "23505";
+  private static final Statement BEGIN = plain("BEGIN");
+  private static final Statement BEGIN_READ_ONLY =
+      plain("BEGIN ISOLATION LEVEL REPEATABLE READ READ ONLY");
+  private static final Statement COMMIT = plain("COMMIT");
+  private static final Statement ROLLBACK = plain("ROLLBACK");
+  private static final Statement CURRENT_LSN = plain("SELECT pg_current_wal_lsn()::text");
+
+  private TransactionRunner() {}
+
+  /** Runs a READ; a single statement on a replica needs no transaction around it. */
+  static CompletableFuture<Execution> read(
+      ServerConnection connection, GroupRequest request, boolean onReplica) {
+    List<Statement> statements = request.statements();
+    if (onReplica && statements.size() == 1) {
+      return connection.run(statements).thenApply(o -> committedUnlessFailed(o, 0, 1, 0));
+    }
+    int n = statements.size();
+    return connection
+        .run(surrounded(BEGIN_READ_ONLY, statements, List.of(COMMIT)))
+        .thenApply(o -> committedUnlessFailed(o, 1, n, 0));
+  }
+
+  /** Runs a WRITE in one transaction. */
+  static CompletableFuture<Execution> write(
+      ServerConnection connection, GroupRequest request, Instant now) {
+    if (request.idempotencyKey() != null) {
+      return begin(connection, request, now)
+          .thenCompose(
+              e ->
+                  e instanceof Execution.StillOpen open
+                      ? commit(connection, request.idempotencyKey(), open.results())
+                      : CompletableFuture.completedFuture(e));
+    }
+    int n = request.statements().size();
+    return connection
+        .run(surrounded(BEGIN, request.statements(), List.of(COMMIT, CURRENT_LSN)))
+        .thenApply(o -> committedWithOffset(o, 1, n));
+  }
+
+  /** Opens a transaction, enters the idempotency key if there is one, and runs the statements. */
+  static CompletableFuture<Execution> begin(
+      ServerConnection connection, GroupRequest request, Instant now) {
+    String key = request.idempotencyKey();
+    if (key == null) {
+      int n = request.statements().size();
+      return connection
+          .run(surrounded(BEGIN, request.statements(), List.of()))
+          .thenCompose(o -> openUnlessFailed(connection, o, 1, n));
+    }
+    String fingerprint = RequestLedger.fingerprint(request);
+    List<Statement> all = new ArrayList<>();
+    all.add(BEGIN);
+    all.add(RequestLedger.insert(key, fingerprint, now));
+    all.addAll(request.statements());
+    return connection
+        .run(all)
+        .thenCompose(
+            o -> {
+              if (o.get(1) instanceof StatementOutcome.Refused r
+                  && r.sqlState().equals(UNIQUE_VIOLATION)) {
+                return replay(connection, key, fingerprint);
+              }
+              return openUnlessFailed(connection, o, 2, request.statements().size());
+            });
+  }
+
+  /** Runs statements within an open transaction. */
+  static CompletableFuture<Execution> proceed(
+      ServerConnection connection, List<Statement> statements) {
+    return connection
+        .run(statements)
+        .thenCompose(o -> openUnlessFailed(connection, o, 0, statements.size()));
+  }
+
+  /** Commits an open transaction, storing {@code results} under its key if it has one. */
+  static CompletableFuture<Execution> commit(
+      ServerConnection connection, @Nullable String key, List<StatementResult> results) {
+    List<Statement> last = new ArrayList<>();
+    if (key != null) {
+      last.add(RequestLedger.store(key, results));
+    }
+    int ledgerEntries = last.size();
+    last.add(COMMIT);
+    last.add(CURRENT_LSN);
+    return connection
+        .run(last)
+        .thenApply(
+            o -> {
+              Execution e = committedWithOffset(o, ledgerEntries, 0);
+              return e instanceof Execution.Committed c
+                  ? new Execution.Committed(results, c.offset(), false)
+                  : e;
+            });
+  }
+
+  /** Rolls an open transaction back. */
+  static CompletableFuture<Execution> rollback(ServerConnection connection) {
+    return connection.run(List.of(ROLLBACK)).thenApply(o -> committedUnlessFailed(o, 0, 0, 0));
+  }
+
+  private static CompletableFuture<Execution> replay(
+      ServerConnection connection, String key, String fingerprint) {
+    return connection
+        .run(List.of(ROLLBACK, RequestLedger.find(key), CURRENT_LSN))
+        .thenApply(
+            o -> {
+              if (firstLost(o) instanceof StatementOutcome.Lost lost) {
+                return new Execution.InDoubt(lost.reason());
+              }
+              if (!(o.get(1) instanceof StatementOutcome.Ran found)
+                  || found.result().rows().isEmpty()) {
+                return new Execution.InDoubt("the ledger entry of the key is gone");
+              }
+              List<SqlValue> row = found.result().rows().get(0);
+              if (!row.get(0).equals(new SqlValue.Text(fingerprint))) {
+                return new Execution.KeyReused();
+              }
+              String stored = row.get(1) instanceof SqlValue.Text t ? t.value() : "";
+              return new Execution.Committed(RequestLedger.results(stored), offset(o.get(2)), true);
+            });
+  }
+
+  private static CompletableFuture<Execution> openUnlessFailed(
+      ServerConnection connection, List<StatementOutcome> outcomes, int from, int count) {
+    Execution e = committedUnlessFailed(outcomes, from, count, 0);
+    if (e instanceof Execution.Committed c) {
+      return CompletableFuture.completedFuture(new Execution.StillOpen(c.results()));
+    }
+    if (e instanceof Execution.Refused) {
+      return connection.run(List.of(ROLLBACK)).thenApply(o -> e);
+    }
+    return CompletableFuture.completedFuture(e);
+  }
+
+  private static Execution committedWithOffset(
+      List<StatementOutcome> outcomes, int from, int count) {
+    Execution e = committedUnlessFailed(outcomes, from, count, 0);
+    if (!(e instanceof Execution.Committed c)) {
+      return e;
+    }
+    return new Execution.Committed(c.results(), offset(outcomes.get(outcomes.size() - 1)), false);
+  }
+
+  /** A lost connection outweighs a refused statement: what followed the refusal is not known. */
+  private static Execution committedUnlessFailed(
+      List<StatementOutcome> outcomes, int from, int count, long offset) {
+    if (firstLost(outcomes) instanceof StatementOutcome.Lost lost) {
+      return new Execution.InDoubt(lost.reason());
+    }
+    for (int i = 0; i < outcomes.size(); i++) {
+      if (outcomes.get(i) instanceof StatementOutcome.Refused r) {
+        int index = Math.max(0, Math.min(i - from, count - 1));
+        return new Execution.Refused(r.sqlState(), r.message(), index);
+      }
+    }
+    List<StatementResult> results = new ArrayList<>(count);
+    for (StatementOutcome o : outcomes.subList(from, from + count)) {
+      results.add(((StatementOutcome.Ran) o).result());
+    }
+    return new Execution.Committed(results, offset, false);
+  }
+
+  private static StatementOutcome firstLost(List<StatementOutcome> outcomes) {
+    for (StatementOutcome o : outcomes) {
+      if (o instanceof StatementOutcome.Lost) {
+        return o;
+      }
+    }
+    return outcomes.get(0);
+  }
+
+  private static long offset(StatementOutcome lsn) {
+    SqlValue value = ((StatementOutcome.Ran) lsn).result().rows().get(0).get(0);
+    return LogSequenceNumber.parse(((SqlValue.Text) value).value());
+  }
+
+  private static List<Statement> surrounded(
+      Statement first, List<Statement> statements, List<Statement> last) {
+    List<Statement> all = new ArrayList<>(statements.size() + 1 + last.size());
+    all.add(first);
+    all.addAll(statements);
+    all.addAll(last);
+    return all;
+  }
+
+  private static Statement plain(String sql) {
+    return new Statement(sql, List.of());
+  }
+}
