Add the stand-in platform and the clients of key-value service and instance list

Cause: group records, declarations and the seeds of membership live in the platform, whose answers get lost after their effect and which has outages. Change: a stand-in that speaks etcd v3's JSON mapping and EndpointSlice with faults set at run time; an asynchronous client whose failures are results; SettledSwap, which settles a lost answer by the writer's id in the key's present and past values; one contract test for fake and client. Ruled out: sending an unsettled creation again. After somebody's deletion it would take effect twice; it is looked for instead and may stay unsettled.

--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/platform/EtcdKeyValueStoreFunctionalTest.java
@@ -0,0 +1,134 @@
+package org.chicorylane.internal.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.chicorylane.standin.platform.CallKind;
+import org.chicorylane.standin.platform.KeyValueEngine;
+import org.chicorylane.standin.platform.PlatformInstance;
+import org.chicorylane.standin.platform.StandInPlatform;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class EtcdKeyValueStoreFunctionalTest extends KeyValueStoreContract {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+  private final StandInPlatform platform = StandInPlatform.builder().seed(1).start();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final URI endpoint = URI.create("http://127.0.0.1:" + platform.port());
+  private final EtcdKeyValueStore store =
+      new EtcdKeyValueStore(
+          List.of(endpoint),
+          new EtcdKeyValueStore.Options(TIMEOUT, Duration.ofMillis(300), Duration.ofMillis(20)),
+          metrics);
+
+  @AfterEach
+  void close() {
+    store.close();
+    platform.close();
+  }
+
+  @Override
+  KeyValueStore store() {
+    return store;
+  }
+
+  @Override
+  KeyValueEngine engine() {
+    return platform.engine();
+  }
+
+  @Override
+  void loseNextAnswers(int count) {
+    platform.faults().loseNextAnswers(count);
+  }
+
+  @Override
+  void setDown(boolean down) {
+    if (down) {
+      platform.faults().down();
+    } else {
+      platform.faults().heal();
+    }
+  }
+
+  @Test
+  void testFrozenStoreTimesOutAndWriteMayHaveApplied() {
+    platform.faults().freeze();
+    WriteResult.Unavailable result =
+        (WriteResult.Unavailable) store.compareAndSwap("/k", 0, "a").join();
+    assertThat(result.mayHaveApplied()).isTrue();
+  }
+
+  @Test
+  void testRefusedConnectionNeverSentTheWrite() {
+    platform.close();
+    WriteResult.Unavailable result =
+        (WriteResult.Unavailable) store.compareAndSwap("/k", 0, "a").join();
+    assertThat(result.mayHaveApplied()).isFalse();
+  }
+
+  @Test
+  void testTurnsToTheNextEndpoint() {
+    StandInPlatform other = StandInPlatform.builder().start();
+    int deadPort = other.port();
+    other.close();
+    URI dead = URI.create("http://127.0.0.1:" + deadPort);
+    try (EtcdKeyValueStore two =
+        new EtcdKeyValueStore(
+            List.of(dead, endpoint), EtcdKeyValueStore.Options.DEFAULT, metrics)) {
+      assertThat(two.get("/k").join()).isInstanceOf(ReadResult.Unavailable.class);
+      assertThat(two.get("/k").join()).isInstanceOf(ReadResult.Read.class);
+    }
+  }
+
+  @Test
+  void testWatchSurvivesOutageWithoutLoss() throws InterruptedException {
+    BlockingQueue<WatchListener.Change> seen = new LinkedBlockingQueue<>();
+    store.watch("/t/", 1, queueing(seen));
+    long first = applied(store.compareAndSwap("/t/1", 0, "a"));
+    assertThat(seen.poll(10, TimeUnit.SECONDS).entry().modRevision()).isEqualTo(first);
+    platform.faults().down();
+    platform.faults().heal();
+    settled().swap("/t/1", first, "b by w1", "w1").join();
+    assertThat(seen.poll(10, TimeUnit.SECONDS).entry().value()).isEqualTo("b by w1");
+  }
+
+  @Test
+  void testCallsAreCountedOnBothSides() {
+    store.get("/k").join();
+    store.compareAndSwap("/k", 0, "a").join();
+    assertThat(platform.counts().of(CallKind.RANGE)).isEqualTo(1);
+    assertThat(platform.counts().of(CallKind.TXN)).isEqualTo(1);
+    assertThat(metrics.counter("platform.calls.transaction").getCount()).isEqualTo(1);
+  }
+
+  @Test
+  void testInstanceListShowsInstancesAndLeaving() {
+    platform.register(new PlatformInstance("i1", "127.0.0.1", 7001, 7002, "hall-liben"));
+    platform.register(new PlatformInstance("i2", "127.0.0.1", 7003, 7004, "hall-chodov"));
+    platform.leaving("i2");
+    InstanceList list = new EndpointSliceInstanceList(List.of(endpoint), TIMEOUT, metrics);
+    assertThat(list.list().join())
+        .isEqualTo(
+            new InstanceList.Listed(
+                List.of(
+                    new ListedInstance("i1", "127.0.0.1", 7001, 7002, "hall-liben", false),
+                    new ListedInstance("i2", "127.0.0.1", 7003, 7004, "hall-chodov", true))));
+  }
+
+  @Test
+  void testInstanceListLags() {
+    platform.setListLag(Duration.ofDays(1));
+    platform.register(new PlatformInstance("i1", "127.0.0.1", 7001, 7002, "hall-liben"));
+    InstanceList list = new EndpointSliceInstanceList(List.of(endpoint), TIMEOUT, metrics);
+    assertThat(list.list().join()).isEqualTo(new InstanceList.Listed(List.of()));
+  }
+}
