Read declared resources with all findings at once

Operators' documents need a strict reader that both the resource API and the instances use. Gson's JsonParser was ruled out for the tree: a repeated key silently replaces the earlier one; so the tree is read with its strict JsonReader, and a schema validator was ruled out because its messages don't carry the bad value beside our limits.

--- a/chicorylane/src/main/java/org/chicorylane/internal/declaration/DatabaseGroup.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/DatabaseGroup.java
@@ -19,7 +19,8 @@
     String user,
     String password,
     String initialPrimary,
-    List<BackendServer> servers) {
+    List<BackendServer> servers)
+    implements Spec {
 
   /** Copies the servers. */
   public DatabaseGroup {
--- a/chicorylane/src/main/java/org/chicorylane/internal/declaration/Objective.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/Objective.java
@@ -12,4 +12,5 @@
  * @param window the time over which the share is taken
  */
 public record Objective(
-    String name, String requestClass, double target, Duration latency, Duration window) {}
+    String name, String requestClass, double target, Duration latency, Duration window)
+    implements Spec {}
--- a/chicorylane/src/main/java/org/chicorylane/internal/declaration/ReadClass.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/ReadClass.java
@@ -8,4 +8,4 @@
  * @param name unique among read classes
  * @param maximumAge the oldest data accepted; zero asks for the primary
  */
-public record ReadClass(String name, Duration maximumAge) {}
+public record ReadClass(String name, Duration maximumAge) implements Spec {}
--- a/chicorylane/src/main/java/org/chicorylane/internal/declaration/RequestClass.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/RequestClass.java
@@ -10,4 +10,5 @@
  * @param keyRequired whether a write of the class needs an idempotency key
  */
 public record RequestClass(
-    String name, int weight, int reservedSlots, boolean repeatable, boolean keyRequired) {}
+    String name, int weight, int reservedSlots, boolean repeatable, boolean keyRequired)
+    implements Spec {}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/ResourceKind.java
@@ -0,0 +1,73 @@
+package org.chicorylane.internal.declaration;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Optional;
+
+/** The kinds of resources, each of which reads its own spec. */
+public enum ResourceKind {
+  /** A primary and its replicas. */
+  DATABASE_GROUP("DatabaseGroup") {
+    @Override
+    Spec readSpec(String name, ObjectFields spec) {
+      return DatabaseGroupReader.read(name, spec);
+    }
+  },
+  /** A kind of read and the age of data that it accepts. */
+  READ_CLASS("ReadClass") {
+    @Override
+    Spec readSpec(String name, ObjectFields spec) {
+      int millis = spec.integer("maximumAgeMillis", 0, DAY_MILLIS);
+      return new ReadClass(name, Duration.ofMillis(millis));
+    }
+  },
+  /** A class of requests: its share under load and whether it may be repeated. */
+  REQUEST_CLASS("RequestClass") {
+    @Override
+    Spec readSpec(String name, ObjectFields spec) {
+      return new RequestClass(
+          name,
+          spec.integer("weight", 1, MAX_WEIGHT, 1),
+          spec.integer("reservedSlots", 0, DatabaseGroupReader.MAX_SLOTS, 0),
+          spec.flag("repeatable", false),
+          spec.flag("keyRequired", false));
+    }
+  },
+  /** A service level objective of a request class. */
+  SERVICE_LEVEL_OBJECTIVE("ServiceLevelObjective") {
+    @Override
+    Spec readSpec(String name, ObjectFields spec) {
+      return new Objective(
+          name,
+          spec.name("requestClass"),
+          spec.between("target", 0, 1),
+          Duration.ofMillis(spec.integer("latencyMillis", 1, HOUR_MILLIS)),
+          Duration.ofMinutes(spec.integer("windowMinutes", 1, QUARTER_MINUTES, MONTH_MINUTES)));
+    }
+  };
+
+  private static final int HOUR_MILLIS = 3_600_000;
+  private static final int DAY_MILLIS = 24 * HOUR_MILLIS;
+  private static final int MONTH_MINUTES = 30 * 24 * 60;
+  private static final int QUARTER_MINUTES = 3 * MONTH_MINUTES;
+  private static final int MAX_WEIGHT = 1_000;
+
+  private final String kindName;
+
+  ResourceKind(String kindName) {
+    this.kindName = kindName;
+  }
+
+  /** Returns the name that documents give as {@code kind}. */
+  public String kindName() {
+    return kindName;
+  }
+
+  /** Returns the kind of that name, if there is one. */
+  public static Optional<ResourceKind> ofName(String kindName) {
+    return Arrays.stream(values()).filter(k -> k.kindName.equals(kindName)).findFirst();
+  }
+
+  /** Reads the spec; what it returns is valid only if no finding was added. */
+  abstract Spec readSpec(String name, ObjectFields spec);
+}
