Decide home ownership, confirmation and failover in pure cores

First version of the events, actions and rules of one database group, so that adapters can be written against them.

--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ConfirmationTracker.java
@@ -0,0 +1,161 @@
+package org.chicorylane.internal.failover;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.chicorylane.internal.position.LogPosition;
+
+/**
+ * Decides when a write may be acknowledged: once a majority of the group's voters holds the log up
+ * to the write's position, in the term in which it was written.
+ *
+ * <pre>{@code
+ * tracker.open(openWrites.term(), openWrites.voters());
+ * settle(tracker.submit("request-7", position, deadline));
+ * if (tracker.wantsObservation()) {
+ *   run(machine.on(new HomeEvent.ObserveNow(), now));
+ * }
+ * settle(tracker.held(logHeld.server(), logHeld.term(), logHeld.offset()));
+ * }</pre>
+ *
+ * <p>Offsets come from {@link HomeAction.LogHeld} only: each was read on the connection that holds
+ * the server's lock. That a server held an offset in a term stays true, so an answer that comes
+ * late counts.
+ *
+ * <p>Not thread-safe.
+ */
+public final class ConfirmationTracker {
+
+  /**
+   * The end of a write's wait.
+   *
+   * @param id the write's id, as submitted
+   * @param confirmed true if it may be acknowledged; false if its outcome is unknown
+   */
+  public record Settlement(String id, boolean confirmed) {}
+
+  private record Pending(String id, long offset, Instant deadline) {}
+
+  private final HeldLog heldLog = new HeldLog();
+  private final Map<String, Pending> byId = new HashMap<>();
+  private final TreeMap<Long, List<Pending>> byOffset = new TreeMap<>();
+  private List<String> voters = List.of();
+
+  /** Creates a tracker without a term, in which nothing is confirmed. */
+  public ConfirmationTracker() {}
+
+  /**
+   * Begins or goes on with a term, after {@link HomeAction.OpenWrites}.
+   *
+   * @return the writes of the term before, which are unknown now
+   */
+  public List<Settlement> open(long term, Collection<String> newVoters) {
+    voters = List.copyOf(newVoters);
+    if (term == heldLog.term()) {
+      return settleConfirmed();
+    }
+    List<Settlement> ended = end();
+    heldLog.begin(term);
+    return ended;
+  }
+
+  /**
+   * Adds a write whose commit the primary has answered.
+   *
+   * @param id unique among the pending writes
+   * @param position where its commit record ends
+   * @param deadline when it becomes unknown
+   * @return its settlement, if it is known at once
+   * @throws IllegalArgumentException if the id is pending already
+   */
+  public List<Settlement> submit(String id, LogPosition position, Instant deadline) {
+    if (position.term() != heldLog.term()) {
+      return List.of(new Settlement(id, false));
+    }
+    Pending pending = new Pending(id, position.offset(), deadline);
+    if (byId.putIfAbsent(id, pending) != null) {
+      throw new IllegalArgumentException("write \"" + id + "\" is pending already");
+    }
+    byOffset.computeIfAbsent(position.offset(), offset -> new ArrayList<>()).add(pending);
+    return settleConfirmed();
+  }
+
+  /**
+   * Notes how far a server holds the log, after {@link HomeAction.LogHeld}.
+   *
+   * @return the writes that are confirmed now
+   */
+  public List<Settlement> held(String server, long term, long offset) {
+    heldLog.add(server, term, offset);
+    return settleConfirmed();
+  }
+
+  /**
+   * Ends the term, after a {@link HomeAction.CloseWrites} whose reason {@linkplain
+   * CloseReason#endsPending ends pending writes}.
+   *
+   * @return all pending writes, as unknown
+   */
+  public List<Settlement> end() {
+    List<Settlement> settled = new ArrayList<>();
+    for (List<Pending> pending : byOffset.values()) {
+      pending.forEach(p -> settled.add(new Settlement(p.id(), false)));
+    }
+    byId.clear();
+    byOffset.clear();
+    heldLog.begin(0);
+    return settled;
+  }
+
+  /** Returns the writes whose deadline has passed, as unknown; they are pending no longer. */
+  public List<Settlement> expire(Instant now) {
+    List<Settlement> settled = new ArrayList<>();
+    for (Pending pending : List.copyOf(byId.values())) {
+      if (!now.isBefore(pending.deadline())) {
+        remove(pending);
+        settled.add(new Settlement(pending.id(), false));
+      }
+    }
+    return settled;
+  }
+
+  /** Returns whether writes wait, so that an observation should not wait for the heartbeat. */
+  public boolean wantsObservation() {
+    return !byId.isEmpty();
+  }
+
+  /** Returns how many writes wait. */
+  public int pendingCount() {
+    return byId.size();
+  }
+
+  private List<Settlement> settleConfirmed() {
+    if (byOffset.isEmpty()) {
+      return List.of();
+    }
+    long confirmed = heldLog.confirmedOffset(voters);
+    List<Settlement> settled = new ArrayList<>();
+    for (List<Pending> pending : List.copyOf(byOffset.headMap(confirmed, true).values())) {
+      for (Pending p : List.copyOf(pending)) {
+        remove(p);
+        settled.add(new Settlement(p.id(), true));
+      }
+    }
+    return settled;
+  }
+
+  private void remove(Pending pending) {
+    byId.remove(pending.id());
+    List<Pending> others = byOffset.get(pending.offset());
+    if (others != null) {
+      others.remove(pending);
+      if (others.isEmpty()) {
+        byOffset.remove(pending.offset());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/RecordUpkeep.java
@@ -0,0 +1,105 @@
+package org.chicorylane.internal.failover;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.chicorylane.internal.declaration.BackendServer;
+import org.chicorylane.internal.position.TermHistory;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Changes the group's record for every cause but a new primary: creates it, corrects the term after
+ * a promotion, takes voters in and out, and fences older swaps. Not thread-safe.
+ */
+final class RecordUpkeep {
+  private final HomeContext context;
+  private final RecordKeeper keeper;
+  private final GroupView view;
+  private final Repair repair;
+
+  RecordUpkeep(HomeContext context, RecordKeeper keeper, GroupView view, Repair repair) {
+    this.context = context;
+    this.keeper = keeper;
+    this.view = view;
+    this.repair = repair;
+  }
+
+  /** Does what is due; only while no replacement of the primary is under way. */
+  void step() {
+    if (!keeper.canSwap()) {
+      return;
+    }
+    GroupRecord next = nextRecord();
+    if (next != null) {
+      keeper.swap(next.by(context.newPromoter()));
+    }
+  }
+
+  private @Nullable GroupRecord nextRecord() {
+    GroupRecord record = keeper.record();
+    if (record == null) {
+      return firstRecord();
+    }
+    ServerControl primary = context.control(record.primary());
+    ServerObservation seen = primary == null ? null : primary.observation();
+    if (seen != null && !seen.inRecovery() && seen.timeline() > record.term()) {
+      return withTerm(record, seen.timeline());
+    }
+    GroupRecord changed = withChangedVoter(record);
+    if (changed != null) {
+      context.report(HomeReport.VOTERS_CHANGED, record.voters() + " to " + changed.voters());
+      return changed;
+    }
+    return repair.isFenceWanted() ? record : null;
+  }
+
+  private @Nullable GroupRecord firstRecord() {
+    String name = context.group().initialPrimary();
+    ServerControl primary = context.control(name);
+    ServerObservation seen = primary == null ? null : primary.observation();
+    if (seen == null || seen.inRecovery()) {
+      return null;
+    }
+    List<String> voters = context.group().servers().stream().map(BackendServer::name).toList();
+    return new GroupRecord(seen.timeline(), name, "", TermHistory.first(seen.timeline()), voters);
+  }
+
+  private static GroupRecord withTerm(GroupRecord record, long term) {
+    List<TermHistory.Entry> entries = new ArrayList<>(record.history().entries());
+    TermHistory.Entry last = entries.remove(entries.size() - 1);
+    entries.add(new TermHistory.Entry(term, last.startOffset()));
+    return new GroupRecord(
+        term, record.primary(), record.promoter(), TermHistory.of(entries), record.voters());
+  }
+
+  /**
+   * Returns the record with one voter more or less. The majority of the voters in force must hold
+   * the term's log and their locks since the record was read, so that no other home still counts
+   * the voters before that.
+   */
+  private @Nullable GroupRecord withChangedVoter(GroupRecord record) {
+    boolean isSettled =
+        view.holding(record.voters()).stream().filter(this::isObservedSinceRecord).count()
+            >= record.majority();
+    if (!isSettled || !view.canConfirm(record.voters())) {
+      return null;
+    }
+    for (ServerControl control : context.controls()) {
+      List<String> voters = new ArrayList<>(record.voters());
+      if (voters.contains(control.name())) {
+        if (!context.isDeclared(control.name()) && !control.name().equals(record.primary())) {
+          voters.remove(control.name());
+        }
+      } else if (context.takesNewWork(control.name()) && view.holds(control)) {
+        voters.add(control.name());
+      }
+      if (voters.size() != record.voters().size() && view.canConfirm(voters)) {
+        return record.withVoters(voters);
+      }
+    }
+    return null;
+  }
+
+  private boolean isObservedSinceRecord(ServerControl control) {
+    return keeper.isKnownBefore(control);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/Repair.java
@@ -0,0 +1,74 @@
+package org.chicorylane.internal.failover;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Makes replicas follow the record's primary, and reports servers that cannot. Not thread-safe.
+ *
+ * <p>A replica without an upstream may have been sealed by a home whose swap of the record is still
+ * on its way. So before a replica is told to follow, the record is swapped once with its lock held:
+ * that older swap then fails.
+ */
+final class Repair {
+  private final HomeContext context;
+  private final GroupView view;
+  private final Map<String, Instant> nextTryAt = new HashMap<>();
+  private final Set<ControlConnection> reported = new HashSet<>();
+  private boolean fenceWanted;
+
+  Repair(HomeContext context, GroupView view) {
+    this.context = context;
+    this.view = view;
+  }
+
+  /** Returns whether the record must be swapped before replicas can be repaired. */
+  boolean isFenceWanted() {
+    return fenceWanted;
+  }
+
+  /** Does what is due; only while no replacement of the primary or swap is under way. */
+  void step() {
+    fenceWanted = false;
+    GroupRecord record = view.record();
+    if (record == null || !view.isPrimaryServing()) {
+      return;
+    }
+    for (ServerControl control : context.controls()) {
+      boolean isPrimary = control.name().equals(record.primary());
+      if (!isPrimary && control.isReady() && control.command() == null) {
+        repair(control, record);
+      }
+    }
+  }
+
+  private void repair(ServerControl control, GroupRecord record) {
+    ServerObservation seen = control.observation();
+    if (seen == null || view.holds(control)) {
+      return;
+    }
+    if (!seen.inRecovery() || !view.isConsistent(seen)) {
+      reportOnce(control, seen);
+      return;
+    }
+    if (view.isFollowingPrimary(control)
+        || !context.isDue(nextTryAt.getOrDefault(control.name(), Instant.MIN))) {
+      return;
+    }
+    if (!control.isFenced()) {
+      fenceWanted = true;
+      return;
+    }
+    nextTryAt.put(control.name(), context.now().plus(context.timings().repairRetry()));
+    control.sendFollow(record.primary());
+  }
+
+  private void reportOnce(ServerControl control, ServerObservation seen) {
+    if (context.takesNewWork(control.name()) && reported.add(control.connection())) {
+      context.report(HomeReport.REBUILD_NEEDED, control.name() + " shows " + seen);
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerRole.java
@@ -0,0 +1,9 @@
+package org.chicorylane.internal.failover;
+
+/** What a home uses a backend server for. */
+public enum ServerRole {
+  /** Writes, while writes are open, and reads. */
+  PRIMARY,
+  /** Reads that its data is fresh enough for. */
+  REPLICA
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerUsage.java
@@ -0,0 +1,97 @@
+package org.chicorylane.internal.failover;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/** Which servers the home uses, and which still have work in flight. Not thread-safe. */
+final class ServerUsage {
+  private final HomeContext context;
+  private final GroupView view;
+  private final Map<String, ServerRole> inUse = new TreeMap<>();
+  private final Set<String> working = new HashSet<>();
+
+  ServerUsage(HomeContext context, GroupView view) {
+    this.context = context;
+    this.view = view;
+  }
+
+  /** Returns whether the server is in use or has work in flight. */
+  boolean hasWork(String server) {
+    return inUse.containsKey(server) || working.contains(server);
+  }
+
+  /** Returns whether any server is in use or has work in flight. */
+  boolean hasAnyWork() {
+    return !inUse.isEmpty() || !working.isEmpty();
+  }
+
+  void onWorkEnded(String server) {
+    if (!inUse.containsKey(server)) {
+      working.remove(server);
+    }
+  }
+
+  /**
+   * Uses and drops servers as they are now.
+   *
+   * @param handingOver whether the home lets go of all of them
+   * @param leavingPrimary the primary that is being replaced; null if none
+   */
+  void step(boolean handingOver, @Nullable String leavingPrimary) {
+    for (String server : Set.copyOf(inUse.keySet())) {
+      if (context.control(server) == null) {
+        drop(server, DropReason.LEAVING);
+      }
+    }
+    for (ServerControl control : context.controls()) {
+      step(control, handingOver, leavingPrimary);
+    }
+  }
+
+  private void step(ServerControl control, boolean handingOver, @Nullable String leavingPrimary) {
+    String server = control.name();
+    DropReason reason = reasonAgainst(control);
+    if (handingOver) {
+      reason = DropReason.HANDING_OVER;
+    } else if (server.equals(leavingPrimary)) {
+      reason = DropReason.LEAVING;
+    }
+    if (reason != null) {
+      drop(server, reason);
+      return;
+    }
+    ServerRole role = isPrimary(server) ? ServerRole.PRIMARY : ServerRole.REPLICA;
+    if (inUse.put(server, role) != role) {
+      working.add(server);
+      context.emit(new HomeAction.UseServer(server, role));
+    }
+  }
+
+  private void drop(String server, DropReason reason) {
+    if (inUse.remove(server) != null) {
+      context.emit(new HomeAction.DropServer(server, reason));
+    }
+  }
+
+  private boolean isPrimary(String server) {
+    GroupRecord record = view.record();
+    return record != null && record.primary().equals(server);
+  }
+
+  private @Nullable DropReason reasonAgainst(ServerControl control) {
+    ServerObservation seen = control.observation();
+    if (seen == null || view.record() == null) {
+      return DropReason.LOST;
+    }
+    if (isPrimary(control.name())) {
+      return view.holds(control) ? null : DropReason.LOST;
+    }
+    if (!context.takesNewWork(control.name())) {
+      return DropReason.LEAVING;
+    }
+    return seen.inRecovery() && view.isConsistent(seen) ? null : DropReason.DIVERGED;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/Verdict.java
@@ -0,0 +1,11 @@
+package org.chicorylane.internal.failover;
+
+/** What another instance says about a backend server. */
+public enum Verdict {
+  /** The server answered a query of that instance. */
+  REACHABLE,
+  /** The server refused, or did not answer within the probe's timeout. */
+  UNREACHABLE,
+  /** The instance itself did not answer. */
+  NO_ANSWER
+}
