--- a/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
@@ -12,7 +12,7 @@
  * Opens connections to backend servers.
  *
  * <pre>{@code
- * connector.open(group, server, ConnectionPurpose.WORK).thenAccept(result -> ...);
+ * connector.open(group, server, ConnectionPurpose.WORK.applicationName()).thenAccept(result -> ...);
  * }</pre>
  *
  * <p>Thread-safe.
@@ -38,16 +38,17 @@
   /**
    * Opens a connection.
    *
+   * @param applicationName tells the server what the connection is for
    * @return completes with the result, never exceptionally, within the connect timeout
    */
   public CompletableFuture<ConnectResult> open(
-      DatabaseGroup group, BackendServer server, ConnectionPurpose purpose) {
+      DatabaseGroup group, BackendServer server, String applicationName) {
     CompletableFuture<ConnectResult> result = new CompletableFuture<>();
     long timer =
         vertx.setTimer(
             connectTimeout.toMillis(),
             id -> result.complete(new ConnectResult.Failed("no answer within " + connectTimeout)));
-    PgConnection.connect(vertx, options(group, server, purpose))
+    PgConnection.connect(vertx, options(group, server, applicationName))
         .onComplete(
             r -> {
               vertx.cancelTimer(timer);
@@ -64,7 +65,7 @@
   }
 
   private PgConnectOptions options(
-      DatabaseGroup group, BackendServer server, ConnectionPurpose purpose) {
+      DatabaseGroup group, BackendServer server, String applicationName) {
     PgConnectOptions options =
         new PgConnectOptions()
             .setHost(server.host())
@@ -75,7 +76,7 @@
             .setPipeliningLimit(PIPELINING_LIMIT)
             .setCachePreparedStatements(true)
             .setPreparedStatementCacheMaxSize(PREPARED_STATEMENTS);
-    options.addProperty("application_name", purpose.applicationName());
+    options.addProperty("application_name", applicationName);
     return options;
   }
 }
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/EvidenceCollector.java
@@ -0,0 +1,77 @@
+package org.chicorylane.internal.home;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.chicorylane.internal.failover.HomeEvent;
+import org.chicorylane.internal.failover.Verdict;
+import org.chicorylane.internal.relay.PeerAddress;
+import org.chicorylane.internal.relay.RelayResult;
+import org.chicorylane.internal.relay.generated.ProbeServerMessage;
+import org.chicorylane.internal.relay.generated.RelayFrame;
+
+/** Asks other instances whether they reach a backend server. On the group's executor only. */
+final class EvidenceCollector {
+  private static final int PEERS_ASKED = 3;
+
+  /** Leaves the peer time for its own probe. */
+  private static final Duration ANSWER_TIMEOUT = ServerProbe.TIMEOUT.plusMillis(150);
+
+  private final HomeEnvironment environment;
+  private final EventExecutor executor;
+  private final String group;
+  private final Consumer<HomeEvent> sink;
+
+  EvidenceCollector(
+      HomeEnvironment environment, EventExecutor executor, String group, Consumer<HomeEvent> sink) {
+    this.environment = environment;
+    this.executor = executor;
+    this.group = group;
+    this.sink = sink;
+  }
+
+  void ask(String server, long round) {
+    List<PeerAddress> peers = peersOfOtherZonesFirst();
+    CompletableFuture<?>[] answers =
+        peers.stream().map(p -> askOne(p, server, round)).toArray(CompletableFuture[]::new);
+    CompletableFuture.allOf(answers)
+        .thenRunAsync(
+            () -> sink.accept(new HomeEvent.EvidenceEnded(server, round, peers.size())), executor);
+  }
+
+  private List<PeerAddress> peersOfOtherZonesFirst() {
+    String ownZone = environment.fleet().self().availabilityZone();
+    Comparator<PeerAddress> otherZoneFirst =
+        Comparator.comparing(p -> p.availabilityZone().equals(ownZone));
+    return environment.fleet().others().stream()
+        .sorted(otherZoneFirst.thenComparing(PeerAddress::instance))
+        .limit(PEERS_ASKED)
+        .toList();
+  }
+
+  private CompletableFuture<Void> askOne(PeerAddress peer, String server, long round) {
+    ProbeServerMessage probe =
+        ProbeServerMessage.newBuilder().setGroup(group).setServer(server).build();
+    return environment
+        .peers()
+        .ask(peer, RelayFrame.newBuilder().setProbe(probe), ANSWER_TIMEOUT)
+        .thenAcceptAsync(r -> sink.accept(evidence(peer, server, round, r)), executor);
+  }
+
+  private static HomeEvent evidence(
+      PeerAddress peer, String server, long round, RelayResult result) {
+    if (result instanceof RelayResult.Answered a && a.frame().hasProbeAnswer()) {
+      boolean reachable = a.frame().getProbeAnswer().getReachable();
+      return new HomeEvent.EvidenceAnswered(
+          server,
+          round,
+          peer.instance(),
+          reachable ? Verdict.REACHABLE : Verdict.UNREACHABLE,
+          a.frame().getProbeAnswer().getTerm());
+    }
+    return new HomeEvent.EvidenceAnswered(server, round, peer.instance(), Verdict.NO_ANSWER, 0);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/HomeEnvironment.java
@@ -0,0 +1,36 @@
+package org.chicorylane.internal.home;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.InstantSource;
+import java.util.function.Supplier;
+import org.chicorylane.internal.backend.ServerConnector;
+import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.failover.HomeTimings;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.relay.Fleet;
+import org.chicorylane.internal.relay.RelayClient;
+
+/**
+ * What every home of an instance shares.
+ *
+ * @param processId differs from that of every other process, also of an earlier one of the same
+ *     instance
+ * @param connector opens connections to backend servers
+ * @param store the platform's key-value service
+ * @param fleet the instances
+ * @param peers asks other instances
+ * @param declarations what is declared at the moment
+ * @param timings the timings of failover
+ * @param clock tells the time
+ * @param metrics where homes are measured
+ */
+public record HomeEnvironment(
+    String processId,
+    ServerConnector connector,
+    KeyValueStore store,
+    Fleet fleet,
+    RelayClient peers,
+    Supplier<Declarations> declarations,
+    HomeTimings timings,
+    InstantSource clock,
+    MetricRegistry metrics) {}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
@@ -0,0 +1,141 @@
+package org.chicorylane.internal.home;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chicorylane.internal.backend.ServerConnection;
+import org.chicorylane.internal.relay.TransactionHandle;
+import org.chicorylane.internal.statement.StatementResult;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The interactive transactions that are open at a home, each pinned to one backend connection.
+ *
+ * <p>Runs on the group's executor only.
+ */
+final class InteractiveTransactions {
+  /** How long a transaction may wait for its caller's next request. */
+  static final Duration IDLE_LIMIT = Duration.ofSeconds(10);
+
+  private static final int SECRET_BYTES = 16;
+
+  /** An open transaction. */
+  static final class Open {
+    private final String handle;
+    private final String server;
+    private final ServerConnection connection;
+    private final @Nullable String idempotencyKey;
+    private final List<StatementResult> results = new ArrayList<>();
+    private Instant lastUse;
+    private boolean busy;
+
+    private Open(
+        String handle,
+        String server,
+        ServerConnection connection,
+        @Nullable String idempotencyKey,
+        Instant now) {
+      this.handle = handle;
+      this.server = server;
+      this.connection = connection;
+      this.idempotencyKey = idempotencyKey;
+      this.lastUse = now;
+    }
+
+    String handle() {
+      return handle;
+    }
+
+    String server() {
+      return server;
+    }
+
+    ServerConnection connection() {
+      return connection;
+    }
+
+    @Nullable String idempotencyKey() {
+      return idempotencyKey;
+    }
+
+    List<StatementResult> results() {
+      return results;
+    }
+
+    boolean isBusy() {
+      return busy;
+    }
+
+    void begin() {
+      busy = true;
+    }
+
+    void end(List<StatementResult> more, Instant now) {
+      busy = false;
+      lastUse = now;
+      results.addAll(more);
+    }
+  }
+
+  private final String instance;
+  private final SecureRandom random = new SecureRandom();
+  private final Map<String, Open> byHandle = new HashMap<>();
+
+  InteractiveTransactions(String instance) {
+    this.instance = instance;
+  }
+
+  Open open(
+      String server, ServerConnection connection, @Nullable String idempotencyKey, Instant now) {
+    byte[] secret = new byte[SECRET_BYTES];
+    random.nextBytes(secret);
+    String handle = new TransactionHandle(instance, HexFormat.of().formatHex(secret)).toText();
+    Open transaction = new Open(handle, server, connection, idempotencyKey, now);
+    byHandle.put(handle, transaction);
+    return transaction;
+  }
+
+  Optional<Open> find(@Nullable String handle) {
+    return Optional.ofNullable(handle == null ? null : byHandle.get(handle));
+  }
+
+  void remove(Open transaction) {
+    byHandle.remove(transaction.handle());
+  }
+
+  int size() {
+    return byHandle.size();
+  }
+
+  /** Returns how many transactions are open on {@code server}. */
+  int openOn(String server) {
+    return (int) byHandle.values().stream().filter(t -> t.server().equals(server)).count();
+  }
+
+  /** Removes and returns the transactions whose callers have been away for too long. */
+  List<Open> removeIdle(Instant now) {
+    List<Open> idle = new ArrayList<>();
+    for (Iterator<Open> i = byHandle.values().iterator(); i.hasNext(); ) {
+      Open t = i.next();
+      if (!t.busy && !now.isBefore(t.lastUse.plus(IDLE_LIMIT))) {
+        i.remove();
+        idle.add(t);
+      }
+    }
+    return idle;
+  }
+
+  /** Removes and returns the transactions on {@code server}. */
+  List<Open> removeAll(String server) {
+    List<Open> gone = byHandle.values().stream().filter(t -> t.server().equals(server)).toList();
+    gone.forEach(this::remove);
+    return gone;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/RecordAdapter.java
@@ -0,0 +1,91 @@
+package org.chicorylane.internal.home;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.chicorylane.internal.failover.GroupRecord;
+import org.chicorylane.internal.failover.HomeEvent;
+import org.chicorylane.internal.failover.StoredRecord;
+import org.chicorylane.internal.failover.SwapResult;
+import org.chicorylane.internal.platform.KeyValueEntry;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.SettledResult;
+import org.chicorylane.internal.platform.SettledSwap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads and swaps the record of one group in the platform's key-value service.
+ *
+ * <p>Answers go to the sink on the group's executor.
+ */
+final class RecordAdapter {
+  /** Where groups' records are kept. */
+  static final String KEY_PREFIX = "/chicorylane/records/";
+
+  private final KeyValueStore store;
+  private final SettledSwap swap;
+  private final EventExecutor executor;
+  private final String key;
+  private final Consumer<HomeEvent> sink;
+
+  RecordAdapter(
+      KeyValueStore store, EventExecutor executor, String group, Consumer<HomeEvent> sink) {
+    this.store = store;
+    this.swap = new SettledSwap(store, delay -> later(executor, delay));
+    this.executor = executor;
+    this.key = KEY_PREFIX + group;
+    this.sink = sink;
+  }
+
+  void read() {
+    store.get(key).thenAcceptAsync(r -> sink.accept(readEvent(r)), executor);
+  }
+
+  void swap(long expectedModRevision, GroupRecord record) {
+    swap.swap(key, expectedModRevision, RecordCodec.toJson(record), record.promoter())
+        .thenAcceptAsync(r -> sink.accept(new HomeEvent.RecordSwapped(swapResult(r))), executor);
+  }
+
+  private static CompletableFuture<Void> later(EventExecutor executor, Duration delay) {
+    CompletableFuture<Void> due = new CompletableFuture<>();
+    executor.schedule(() -> due.complete(null), delay.toMillis(), TimeUnit.MILLISECONDS);
+    return due;
+  }
+
+  private HomeEvent readEvent(ReadResult result) {
+    if (!(result instanceof ReadResult.Read read)) {
+      return new HomeEvent.RecordUnavailable(String.valueOf(result));
+    }
+    if (read.entries().isEmpty()) {
+      return new HomeEvent.RecordRead(null);
+    }
+    StoredRecord stored = stored(read.entries());
+    return stored == null
+        ? new HomeEvent.RecordUnavailable("the value of \"" + key + "\" is no record")
+        : new HomeEvent.RecordRead(stored);
+  }
+
+  private static SwapResult swapResult(SettledResult result) {
+    if (result instanceof SettledResult.Applied applied) {
+      return new SwapResult.Applied(applied.revision());
+    }
+    if (result instanceof SettledResult.Conflict conflict) {
+      return new SwapResult.Conflict(stored(conflict.current()));
+    }
+    return new SwapResult.Unsettled(String.valueOf(result));
+  }
+
+  private static @Nullable StoredRecord stored(List<KeyValueEntry> entries) {
+    if (entries.isEmpty()) {
+      return null;
+    }
+    KeyValueEntry entry = entries.get(0);
+    return RecordCodec.fromJson(entry.value())
+        .map(r -> new StoredRecord(r, entry.modRevision()))
+        .orElse(null);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ServerInUse.java
@@ -0,0 +1,67 @@
+package org.chicorylane.internal.home;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.chicorylane.internal.declaration.BackendServer;
+import org.chicorylane.internal.failover.ServerRole;
+import org.chicorylane.internal.position.LogPosition;
+
+/** A backend server that the home uses, with what runs there. On the group's executor only. */
+final class ServerInUse {
+  private final BackendServer server;
+  private final ServerPool pool;
+  private final Set<Ticket> running = new HashSet<>();
+  private ServerRole role;
+  private LogPosition replayed = LogPosition.ZERO;
+  private boolean dropped;
+
+  ServerInUse(BackendServer server, ServerPool pool, ServerRole role) {
+    this.server = server;
+    this.pool = pool;
+    this.role = role;
+  }
+
+  String name() {
+    return server.name();
+  }
+
+  BackendServer server() {
+    return server;
+  }
+
+  ServerPool pool() {
+    return pool;
+  }
+
+  ServerRole role() {
+    return role;
+  }
+
+  void setRole(ServerRole newRole) {
+    role = newRole;
+  }
+
+  Set<Ticket> running() {
+    return running;
+  }
+
+  boolean hasFreeSlot() {
+    return !dropped && running.size() < server.slots();
+  }
+
+  LogPosition replayed() {
+    return replayed;
+  }
+
+  void setReplayed(LogPosition position) {
+    replayed = position;
+  }
+
+  boolean isDropped() {
+    return dropped;
+  }
+
+  void drop() {
+    dropped = true;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ServerPool.java
@@ -0,0 +1,143 @@
+package org.chicorylane.internal.home;
+
+import io.netty.util.concurrent.EventExecutor;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.backend.ConnectResult;
+import org.chicorylane.internal.backend.ConnectionPurpose;
+import org.chicorylane.internal.backend.ServerConnection;
+import org.chicorylane.internal.backend.ServerConnector;
+import org.chicorylane.internal.declaration.BackendServer;
+import org.chicorylane.internal.declaration.DatabaseGroup;
+
+/**
+ * The work connections to one backend server.
+ *
+ * <p>Never holds more than the server's declared connections less those that are kept free for
+ * control and probes. Runs on the group's executor only.
+ */
+final class ServerPool {
+  /** Connections of a server that are left to control connections and probes of all instances. */
+  static final int RESERVED_CONNECTIONS = 4;
+
+  private final ServerConnector connector;
+  private final EventExecutor executor;
+  private final DatabaseGroup group;
+  private final BackendServer server;
+  private final Deque<ServerConnection> idle = new ArrayDeque<>();
+  private final Set<ServerConnection> inUse = new HashSet<>();
+  private int opening;
+  private boolean closed;
+
+  ServerPool(
+      ServerConnector connector,
+      EventExecutor executor,
+      DatabaseGroup group,
+      BackendServer server) {
+    this.connector = connector;
+    this.executor = executor;
+    this.group = group;
+    this.server = server;
+  }
+
+  /** Opens connections ahead of need, as many as the server has slots. */
+  void warmUp() {
+    for (int i = idle.size() + inUse.size() + opening; i < server.slots(); i++) {
+      open().thenAcceptAsync(this::keepIdle, executor);
+    }
+  }
+
+  /** Returns how many more connections may be taken at once. */
+  int available() {
+    return idle.size() + Math.max(0, limit() - idle.size() - inUse.size() - opening);
+  }
+
+  /** Takes an idle connection or opens one; completes on the group's executor. */
+  CompletableFuture<ConnectResult> take() {
+    while (!idle.isEmpty()) {
+      ServerConnection c = idle.pop();
+      if (c.isOpen()) {
+        inUse.add(c);
+        return CompletableFuture.completedFuture(new ConnectResult.Opened(c));
+      }
+    }
+    if (closed || inUse.size() + opening >= limit()) {
+      return CompletableFuture.completedFuture(
+          new ConnectResult.Failed("every connection to \"" + server.name() + "\" is in use"));
+    }
+    return open()
+        .thenApplyAsync(
+            r -> {
+              if (r instanceof ConnectResult.Opened o) {
+                inUse.add(o.connection());
+              }
+              return r;
+            },
+            executor);
+  }
+
+  /** Gives back a connection on which nothing runs and no transaction is open. */
+  void giveBack(ServerConnection connection) {
+    inUse.remove(connection);
+    if (closed || !connection.isOpen()) {
+      connection.close();
+      return;
+    }
+    idle.push(connection);
+  }
+
+  /** Ends a connection whose state is not known. */
+  void discard(ServerConnection connection) {
+    inUse.remove(connection);
+    connection.close();
+  }
+
+  /** Closes idle connections now and those in use when they are given back. */
+  void closeWhenIdle() {
+    closed = true;
+    idle.forEach(ServerConnection::close);
+    idle.clear();
+  }
+
+  /** Closes every connection now. */
+  void closeNow() {
+    closeWhenIdle();
+    inUse.forEach(ServerConnection::close);
+    inUse.clear();
+  }
+
+  /** Returns how many connections are in use. */
+  int inUse() {
+    return inUse.size();
+  }
+
+  private int limit() {
+    return server.connections() - RESERVED_CONNECTIONS;
+  }
+
+  private CompletableFuture<ConnectResult> open() {
+    opening++;
+    return connector
+        .open(group, server, ConnectionPurpose.WORK.applicationName())
+        .thenApplyAsync(
+            r -> {
+              opening--;
+              return r;
+            },
+            executor);
+  }
+
+  private void keepIdle(ConnectResult result) {
+    if (!(result instanceof ConnectResult.Opened opened)) {
+      return;
+    }
+    if (closed) {
+      opened.connection().close();
+      return;
+    }
+    idle.push(opened.connection());
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
@@ -0,0 +1,79 @@
+package org.chicorylane.internal.home;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.backend.ServerConnection;
+import org.chicorylane.internal.outcome.NotRunReason;
+import org.chicorylane.internal.outcome.Outcome;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request at its home, until it has its one outcome.
+ *
+ * <p>Used on the group's executor only; the outcome may be awaited anywhere.
+ */
+final class Ticket {
+  private final long id;
+  private final GroupRequest request;
+  private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+  private @Nullable ServerConnection connection;
+
+  Ticket(long id, GroupRequest request) {
+    this.id = id;
+    this.request = request;
+  }
+
+  long id() {
+    return id;
+  }
+
+  GroupRequest request() {
+    return request;
+  }
+
+  CompletableFuture<Outcome> outcome() {
+    return outcome;
+  }
+
+  boolean isDone() {
+    return outcome.isDone();
+  }
+
+  /** Notes the backend connection that the request's statements are being given to. */
+  void sendTo(ServerConnection backend) {
+    connection = backend;
+  }
+
+  boolean wasSent() {
+    return connection != null;
+  }
+
+  /** Ends the connection that the request was given to: nobody waits for its answer any more. */
+  void abandonConnection() {
+    if (connection != null) {
+      connection.close();
+    }
+  }
+
+  void complete(Outcome o) {
+    outcome.complete(o);
+  }
+
+  /**
+   * Ends the request as not run.
+   *
+   * @throws IllegalStateException if it was given to a backend connection: then nobody may say so
+   */
+  void refuse(NotRunReason reason, Duration retryAfter, String detail) {
+    if (wasSent()) {
+      throw new IllegalStateException("request " + request.requestId() + " was sent already");
+    }
+    outcome.complete(new Outcome.NotRun(reason, retryAfter, detail));
+  }
+
+  /** Ends the request with an outcome that cannot be told. */
+  void doubt(Duration retryAfter, String detail) {
+    outcome.complete(new Outcome.Unknown(retryAfter, detail));
+  }
+}
