Serve callers over HTTP/1.1 and HTTP/2 with session tokens

Cause: callers need one port that speaks HTTP/1.1, h2c (upgrade and prior knowledge) and, with a certificate, TLS with ALPN, and that carries a session from instance to instance.

Ruled out: Netty's HttpObjectAggregator, which answers oversized bodies without a problem document; serving pipelined requests side by side, which would let two requests of one session overtake each other; JSON numbers for decimals in answers, which common JSON readers round.

Change: session tokens (protobuf, HMAC-SHA256, key rotation), a strict JSON reader with findings, the routes of v1, problem documents by RFC 9457, limits and timeouts per connection and stream, drain with GOAWAY and Connection: close.

--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerMetrics.java
@@ -0,0 +1,75 @@
+package org.chicorylane.internal.caller;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.time.Duration;
+
+/**
+ * What the edge counts. Thread-safe.
+ *
+ * <p>{@code callers.connections} and {@code callers.in-flight} are current numbers; {@code
+ * callers.late} counts outcomes that came when their caller was gone or already answered.
+ */
+final class CallerMetrics {
+  private static final int STATUS_CLASSES = 6;
+  private static final int STATUSES_PER_CLASS = 100;
+
+  private final Counter connections;
+  private final Counter inFlight;
+  private final Meter refusedConnections;
+  private final Meter late;
+  private final Meter timedOut;
+  private final Timer latency;
+  private final Meter[] answers = new Meter[STATUS_CLASSES];
+
+  CallerMetrics(MetricRegistry registry) {
+    connections = registry.counter("callers.connections");
+    inFlight = registry.counter("callers.in-flight");
+    refusedConnections = registry.meter("callers.refused-connections");
+    late = registry.meter("callers.late");
+    timedOut = registry.meter("callers.timed-out");
+    latency = registry.timer("callers.latency");
+    for (int i = 0; i < STATUS_CLASSES; i++) {
+      answers[i] = registry.meter("callers.answers." + i + "xx");
+    }
+  }
+
+  void connectionOpened() {
+    connections.inc();
+  }
+
+  void connectionClosed() {
+    connections.dec();
+  }
+
+  void connectionRefused() {
+    refusedConnections.mark();
+  }
+
+  void requestSubmitted() {
+    inFlight.inc();
+  }
+
+  void requestCompleted(Duration took) {
+    inFlight.dec();
+    latency.update(took);
+  }
+
+  long requestsInFlight() {
+    return inFlight.getCount();
+  }
+
+  void outcomeWasLate() {
+    late.mark();
+  }
+
+  void callerTimedOut() {
+    timedOut.mark();
+  }
+
+  void answered(int status) {
+    answers[Math.min(status / STATUSES_PER_CLASS, STATUS_CLASSES - 1)].mark();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerPipeline.java
@@ -0,0 +1,215 @@
+package org.chicorylane.internal.caller;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpServerUpgradeHandler;
+import io.netty.handler.codec.http2.CleartextHttp2ServerUpgradeHandler;
+import io.netty.handler.codec.http2.Http2CodecUtil;
+import io.netty.handler.codec.http2.Http2FrameCodec;
+import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
+import io.netty.handler.codec.http2.Http2MultiplexHandler;
+import io.netty.handler.codec.http2.Http2ServerUpgradeCodec;
+import io.netty.handler.codec.http2.Http2Settings;
+import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
+import io.netty.handler.ssl.ApplicationProtocolNames;
+import io.netty.handler.ssl.ApplicationProtocolNegotiationHandler;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.AsciiString;
+import java.time.InstantSource;
+import java.util.Collection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sets up the handlers of a new connection: HTTP/1.1 and HTTP/2 in clear text on one port, or what
+ * TLS negotiates.
+ */
+final class CallerPipeline extends ChannelInitializer<Channel> {
+  private static final String HTTP_1_ASSEMBLER = "http1-assembler";
+  private static final String HTTP_1_EXCHANGES = "http1-exchanges";
+  private static final long WAIT_FOR_STREAMS = -1;
+
+  private final CallerLimits limits;
+  private final RequestProcessor processor;
+  private final InstantSource clock;
+  private final DrainState drain;
+  private final CallerMetrics metrics;
+  private final @Nullable SslContext tls;
+
+  CallerPipeline(
+      CallerLimits limits,
+      RequestProcessor processor,
+      InstantSource clock,
+      DrainState drain,
+      CallerMetrics metrics,
+      @Nullable SslContext tls) {
+    this.limits = limits;
+    this.processor = processor;
+    this.clock = clock;
+    this.drain = drain;
+    this.metrics = metrics;
+    this.tls = tls;
+  }
+
+  @Override
+  protected void initChannel(Channel channel) {
+    TransportHandler transport = new TransportHandler();
+    channel.pipeline().addLast(transport);
+    if (tls == null) {
+      addClearText(channel.pipeline(), transport);
+    } else {
+      channel.pipeline().addLast(tls.newHandler(channel.alloc()));
+      channel.pipeline().addLast(new Negotiation(transport));
+    }
+  }
+
+  private void addClearText(ChannelPipeline pipeline, TransportHandler transport) {
+    HttpServerCodec http1 = http1Codec();
+    HttpServerUpgradeHandler upgrade =
+        new HttpServerUpgradeHandler(
+            http1,
+            name ->
+                AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, name)
+                    ? new UpgradeToHttp2(transport)
+                    : null,
+            limits.sizes().bodyBytes());
+    ChannelHandler priorKnowledge =
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            removeHttp1(channel.pipeline());
+            addHttp2(channel.pipeline(), transport);
+          }
+        };
+    pipeline.addLast(new CleartextHttp2ServerUpgradeHandler(http1, upgrade, priorKnowledge));
+    addHttp1Exchanges(pipeline, transport);
+  }
+
+  private void addHttp1Exchanges(ChannelPipeline pipeline, TransportHandler transport) {
+    ConnectionTimer timer = ConnectionTimer.idle(limits.times(), clock.instant());
+    transport.onBytes(() -> timer.bytesReceived(clock.instant()));
+    RequestAssembler assembler =
+        new RequestAssembler(
+            limits.sizes().bodyBytes(), () -> timer.headersReceived(clock.instant()));
+    pipeline.addLast(HTTP_1_ASSEMBLER, assembler);
+    pipeline.addLast(HTTP_1_EXCHANGES, exchanges(HttpProtocol.HTTP_1, assembler, timer));
+  }
+
+  private static void removeHttp1(ChannelPipeline pipeline) {
+    pipeline.remove(HTTP_1_ASSEMBLER);
+    pipeline.remove(HTTP_1_EXCHANGES);
+  }
+
+  private void addHttp2(ChannelPipeline pipeline, TransportHandler transport) {
+    Http2FrameCodec codec = http2Codec();
+    transport.onBytes(() -> {});
+    pipeline.addLast(codec, multiplexer(), connectionHandler(codec, transport));
+  }
+
+  private Http2MultiplexHandler multiplexer() {
+    return new Http2MultiplexHandler(
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel stream) {
+            addStream(stream.pipeline());
+          }
+        });
+  }
+
+  private void addStream(ChannelPipeline pipeline) {
+    ConnectionTimer timer = ConnectionTimer.inBody(limits.times(), clock.instant());
+    RequestAssembler assembler =
+        new RequestAssembler(
+            limits.sizes().bodyBytes(), () -> timer.headersReceived(clock.instant()));
+    pipeline.addLast(
+        new Http2StreamFrameToHttpObjectCodec(true),
+        assembler,
+        exchanges(HttpProtocol.HTTP_2, assembler, timer));
+  }
+
+  private ExchangeHandler exchanges(
+      HttpProtocol protocol, RequestAssembler assembler, ConnectionTimer timer) {
+    return new ExchangeHandler(
+        protocol, processor, assembler, timer, limits, clock, drain, metrics);
+  }
+
+  private Http2ConnectionHandler connectionHandler(
+      Http2FrameCodec codec, TransportHandler transport) {
+    return new Http2ConnectionHandler(codec, transport, limits.times(), clock, drain, metrics);
+  }
+
+  private HttpServerCodec http1Codec() {
+    int bytes = limits.sizes().headerBytes();
+    return new HttpServerCodec(
+        new HttpDecoderConfig().setMaxInitialLineLength(bytes).setMaxHeaderSize(bytes));
+  }
+
+  private Http2FrameCodec http2Codec() {
+    Http2Settings settings =
+        Http2Settings.defaultSettings()
+            .maxConcurrentStreams(limits.load().streamsPerConnection())
+            .maxHeaderListSize(limits.sizes().headerBytes());
+    return Http2FrameCodecBuilder.forServer()
+        .initialSettings(settings)
+        .autoAckPingFrame(true)
+        .gracefulShutdownTimeoutMillis(WAIT_FOR_STREAMS)
+        .build();
+  }
+
+  /** Turns an HTTP/1.1 connection into an HTTP/2 one at the caller's wish. */
+  private final class UpgradeToHttp2 implements HttpServerUpgradeHandler.UpgradeCodec {
+    private final TransportHandler transport;
+    private final Http2FrameCodec codec = http2Codec();
+    private final Http2ServerUpgradeCodec delegate;
+
+    UpgradeToHttp2(TransportHandler transport) {
+      this.transport = transport;
+      this.delegate =
+          new Http2ServerUpgradeCodec(codec, multiplexer(), connectionHandler(codec, transport));
+    }
+
+    @Override
+    public Collection<CharSequence> requiredUpgradeHeaders() {
+      return delegate.requiredUpgradeHeaders();
+    }
+
+    @Override
+    public boolean prepareUpgradeResponse(
+        ChannelHandlerContext ctx, FullHttpRequest request, HttpHeaders headers) {
+      return delegate.prepareUpgradeResponse(ctx, request, headers);
+    }
+
+    @Override
+    public void upgradeTo(ChannelHandlerContext ctx, FullHttpRequest request) {
+      removeHttp1(ctx.pipeline());
+      transport.onBytes(() -> {});
+      delegate.upgradeTo(ctx, request);
+    }
+  }
+
+  /** Chooses the protocol that TLS negotiated. */
+  private final class Negotiation extends ApplicationProtocolNegotiationHandler {
+    private final TransportHandler transport;
+
+    Negotiation(TransportHandler transport) {
+      super(ApplicationProtocolNames.HTTP_1_1);
+      this.transport = transport;
+    }
+
+    @Override
+    protected void configurePipeline(ChannelHandlerContext ctx, String protocol) {
+      if (protocol.equals(ApplicationProtocolNames.HTTP_2)) {
+        addHttp2(ctx.pipeline(), transport);
+      } else {
+        ctx.pipeline().addLast(http1Codec());
+        addHttp1Exchanges(ctx.pipeline(), transport);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerServer.java
@@ -0,0 +1,247 @@
+package org.chicorylane.internal.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.ssl.SslContext;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.relay.GroupService;
+import org.chicorylane.internal.session.SessionIds;
+import org.chicorylane.internal.session.SessionTokenCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The HTTP server that callers talk to.
+ *
+ * <pre>{@code
+ * CallerServer server =
+ *     CallerServer.builder()
+ *         .address(new InetSocketAddress("127.0.0.1", 7400))
+ *         .service(service)
+ *         .declarations(declarations)
+ *         .tokens(tokens)
+ *         .start();
+ * server.drain().join(); // every request in flight has its answer
+ * server.close();
+ * }</pre>
+ *
+ * <p>Thread-safe. {@link #close} cuts what is in flight; {@link #drain} first.
+ */
+public final class CallerServer implements AutoCloseable {
+  private static final Duration LOOP_SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
+
+  private final EventLoopGroup acceptors =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup workers;
+  private final ChannelGroup connections =
+      new DefaultChannelGroup("callers", GlobalEventExecutor.INSTANCE);
+  private final CallerLimits limits;
+  private final CallerMetrics metrics;
+  private final DrainState drain = new DrainState();
+  private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final Channel listener;
+
+  private CallerServer(Builder builder) {
+    limits = builder.limits;
+    metrics = new CallerMetrics(builder.metrics);
+    workers = new MultiThreadIoEventLoopGroup(builder.threads, NioIoHandler.newFactory());
+    BooleanSupplier readiness = builder.ready;
+    RequestProcessor processor =
+        new RequestProcessor(
+            Objects.requireNonNull(builder.service, "service"),
+            builder.declarations,
+            Objects.requireNonNull(builder.tokens, "tokens"),
+            builder.ids,
+            limits,
+            builder.clock,
+            metrics,
+            () -> !drain.isAnnounced() && readiness.getAsBoolean());
+    listener =
+        new ServerBootstrap()
+            .group(acceptors, workers)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.SO_KEEPALIVE, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .handler(new ConnectionCount())
+            .childHandler(
+                new CallerPipeline(limits, processor, builder.clock, drain, metrics, builder.tls))
+            .bind(builder.address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Returns a builder with defaults for everything but the service and the tokens. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the address that the server listens on, with the port that was bound. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /**
+   * Ends the server without cutting a request: the readiness check fails, then no new connection is
+   * accepted, and every connection ends after what it has in flight.
+   *
+   * @return completes when no connection is left; the same one for each call
+   */
+  public CompletableFuture<Void> drain() {
+    drain.announce();
+    acceptors.schedule(
+        this::endConnections, limits.times().drainNotice().toMillis(), TimeUnit.MILLISECONDS);
+    return drained;
+  }
+
+  private void endConnections() {
+    listener
+        .close()
+        .addListener(
+            closed -> {
+              drain.end();
+              connections.forEach(
+                  c -> c.pipeline().fireUserEventTriggered(DrainState.Event.CONNECTIONS_END));
+              connections.newCloseFuture().addListener(ended -> drained.complete(null));
+            });
+  }
+
+  /** Closes every connection at once and ends the threads. */
+  @Override
+  public void close() {
+    listener.close();
+    connections.close();
+    long timeout = LOOP_SHUTDOWN_TIMEOUT.toMillis();
+    acceptors.shutdownGracefully(0, timeout, TimeUnit.MILLISECONDS);
+    workers.shutdownGracefully(0, timeout, TimeUnit.MILLISECONDS);
+  }
+
+  /** Keeps the number of connections below its limit; runs on the accepting thread. */
+  private final class ConnectionCount extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object accepted) {
+      Channel connection = (Channel) accepted;
+      if (connections.size() >= limits.load().connections()) {
+        metrics.connectionRefused();
+        connection.unsafe().closeForcibly();
+        return;
+      }
+      connections.add(connection);
+      metrics.connectionOpened();
+      connection.closeFuture().addListener(closed -> metrics.connectionClosed());
+      ctx.fireChannelRead(accepted);
+    }
+  }
+
+  /** Collects what a {@link CallerServer} needs. Not thread-safe. */
+  public static final class Builder {
+    private InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    private @Nullable GroupService service;
+    private Supplier<Declarations> declarations = () -> Declarations.EMPTY;
+    private @Nullable SessionTokenCodec tokens;
+    private SessionIds ids = new SessionIds(new SecureRandom());
+    private CallerLimits limits = CallerLimits.defaults();
+    private InstantSource clock = InstantSource.system();
+    private MetricRegistry metrics = new MetricRegistry();
+    private BooleanSupplier ready = () -> true;
+    private @Nullable SslContext tls;
+    private int threads = Math.max(2, Runtime.getRuntime().availableProcessors());
+
+    private Builder() {}
+
+    /** Sets the address to listen on; port 0 takes a free one. */
+    public Builder address(InetSocketAddress value) {
+      address = value;
+      return this;
+    }
+
+    /** Sets who serves the requests to database groups; required. */
+    public Builder service(GroupService value) {
+      service = value;
+      return this;
+    }
+
+    /** Sets where the declarations in force come from. */
+    public Builder declarations(Supplier<Declarations> value) {
+      declarations = value;
+      return this;
+    }
+
+    /** Sets how session tokens are written and read; required. */
+    public Builder tokens(SessionTokenCodec value) {
+      tokens = value;
+      return this;
+    }
+
+    /** Sets what makes session ids and request ids. */
+    public Builder ids(SessionIds value) {
+      ids = value;
+      return this;
+    }
+
+    /** Sets the limits. */
+    public Builder limits(CallerLimits value) {
+      limits = value;
+      return this;
+    }
+
+    /** Sets the clock of deadlines and timeouts. */
+    public Builder clock(InstantSource value) {
+      clock = value;
+      return this;
+    }
+
+    /** Sets the registry that the server's metrics go to. */
+    public Builder metrics(MetricRegistry value) {
+      metrics = value;
+      return this;
+    }
+
+    /** Sets what the readiness check asks, besides the server's own drain. */
+    public Builder ready(BooleanSupplier value) {
+      ready = value;
+      return this;
+    }
+
+    /** Sets the TLS context; null, the default, for clear text. */
+    public Builder tls(@Nullable SslContext value) {
+      tls = value;
+      return this;
+    }
+
+    /** Sets the number of threads that serve connections. */
+    public Builder threads(int value) {
+      threads = value;
+      return this;
+    }
+
+    /**
+     * Starts the server.
+     *
+     * @throws NullPointerException if the service or the tokens are missing
+     */
+    public CallerServer start() {
+      return new CallerServer(this);
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/DrainState.java
@@ -0,0 +1,38 @@
+package org.chicorylane.internal.caller;
+
+/**
+ * How far the drain of a server has come. Thread-safe.
+ *
+ * <p>Connections read it when they are set up and when they answer; {@link Event} tells those that
+ * exist when it begins.
+ */
+final class DrainState {
+
+  /** Fired through the pipelines of open connections when the drain begins. */
+  enum Event {
+    /** From now on, connections end after what they have in flight. */
+    CONNECTIONS_END
+  }
+
+  private volatile boolean announced;
+  private volatile boolean ending;
+
+  /** The readiness check fails from now on. */
+  void announce() {
+    announced = true;
+  }
+
+  /** Connections end from now on. */
+  void end() {
+    announced = true;
+    ending = true;
+  }
+
+  boolean isAnnounced() {
+    return announced;
+  }
+
+  boolean isEnding() {
+    return ending;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/Http2ConnectionHandler.java
@@ -0,0 +1,143 @@
+package org.chicorylane.internal.caller;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
+import io.netty.handler.codec.http2.DefaultHttp2PingFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2FrameCodec;
+import io.netty.handler.codec.http2.Http2PingFrame;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Looks after one HTTP/2 connection: pings it, closes it when it is silent or unused, and says
+ * GOAWAY during a drain.
+ *
+ * <p>The drain takes two steps, by RFC 9113, section 6.8: a GOAWAY that names no stream makes the
+ * caller stop opening streams, and one that names the last stream follows when those that were on
+ * their way have arrived.
+ */
+final class Http2ConnectionHandler extends ChannelInboundHandlerAdapter {
+  private static final long PING_CONTENT = 0x63_68_69_63_6f_72_79L;
+
+  private final Http2FrameCodec codec;
+  private final TransportHandler transport;
+  private final TimeLimits limits;
+  private final InstantSource clock;
+  private final DrainState drain;
+  private final CallerMetrics metrics;
+  private @Nullable ScheduledFuture<?> check;
+  private Instant lastActive;
+  private Instant lastPing;
+  private boolean pingUnanswered;
+  private @Nullable Instant goAwaySentAt;
+  private boolean closing;
+
+  Http2ConnectionHandler(
+      Http2FrameCodec codec,
+      TransportHandler transport,
+      TimeLimits limits,
+      InstantSource clock,
+      DrainState drain,
+      CallerMetrics metrics) {
+    this.codec = codec;
+    this.transport = transport;
+    this.limits = limits;
+    this.clock = clock;
+    this.drain = drain;
+    this.metrics = metrics;
+    this.lastActive = clock.instant();
+    this.lastPing = lastActive;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    long interval = limits.checkInterval().toMillis();
+    check =
+        ctx.executor()
+            .scheduleAtFixedRate(() -> checkTimes(ctx), interval, interval, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext ctx) {
+    if (check != null) {
+      check.cancel(false);
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object frame) {
+    if (frame instanceof Http2PingFrame ping && ping.ack() && ping.content() == PING_CONTENT) {
+      pingUnanswered = false;
+    }
+    ReferenceCountUtil.release(frame);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event == DrainState.Event.CONNECTIONS_END) {
+      sayGoAway(ctx, clock.instant());
+    }
+    ctx.fireUserEventTriggered(event);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    transport.closeNow();
+  }
+
+  private void checkTimes(ChannelHandlerContext ctx) {
+    Instant now = clock.instant();
+    if (drain.isEnding()) {
+      sayGoAway(ctx, now);
+    }
+    if (goAwaySentAt != null && elapsed(goAwaySentAt, now, limits.drainIdle())) {
+      closeGracefully(ctx);
+    }
+    if (codec.connection().numActiveStreams() > 0) {
+      lastActive = now;
+    } else if (elapsed(lastActive, now, limits.keepAliveTimeout())) {
+      closeGracefully(ctx);
+    }
+    if (elapsed(lastPing, now, limits.pingInterval())) {
+      ping(ctx, now);
+    }
+  }
+
+  private void ping(ChannelHandlerContext ctx, Instant now) {
+    if (pingUnanswered) {
+      metrics.callerTimedOut();
+      transport.closeNow();
+      return;
+    }
+    pingUnanswered = true;
+    lastPing = now;
+    ctx.writeAndFlush(new DefaultHttp2PingFrame(PING_CONTENT));
+  }
+
+  private void sayGoAway(ChannelHandlerContext ctx, Instant now) {
+    if (goAwaySentAt != null) {
+      return;
+    }
+    goAwaySentAt = now;
+    ctx.writeAndFlush(
+        new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR).setExtraStreamIds(Integer.MAX_VALUE));
+  }
+
+  private void closeGracefully(ChannelHandlerContext ctx) {
+    if (!closing) {
+      closing = true;
+      ctx.close();
+    }
+  }
+
+  private static boolean elapsed(Instant since, Instant now, Duration time) {
+    return Duration.between(since, now).compareTo(time) >= 0;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/Route.java
@@ -0,0 +1,26 @@
+package org.chicorylane.internal.caller;
+
+import org.chicorylane.internal.relay.RequestKind;
+import org.jspecify.annotations.Nullable;
+
+/** What the method and path of a request ask for. */
+sealed interface Route {
+
+  /** A request to a database group. */
+  record Group(String group, RequestKind kind, @Nullable String transaction) implements Route {}
+
+  /** A new session. */
+  record NewSession() implements Route {}
+
+  /** Whether the process runs. */
+  record Live() implements Route {}
+
+  /** Whether the instance should get new callers. */
+  record Ready() implements Route {}
+
+  /** The path exists, but not for this method. */
+  record WrongMethod(String allowed) implements Route {}
+
+  /** Nothing is at this path. */
+  record Unknown() implements Route {}
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/json/JsonDocument.java
@@ -0,0 +1,133 @@
+package org.chicorylane.internal.json;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonNull;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import com.google.gson.Strictness;
+import com.google.gson.ToNumberPolicy;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
+import com.google.gson.stream.MalformedJsonException;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.chicorylane.internal.finding.Finding;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Parses a JSON text strictly: RFC 8259, no duplicate names, a bound on nesting.
+ *
+ * <pre>{@code
+ * List<Finding> findings = new ArrayList<>();
+ * ObjectReader root = JsonDocument.parseObject("settings.json", bytes, findings);
+ * }</pre>
+ *
+ * <p>Numbers keep their text, so that decimals stay exact. Stateless and thread-safe.
+ */
+public final class JsonDocument {
+  /** How deep arrays and objects may nest. */
+  public static final int MAXIMUM_NESTING = 16;
+
+  private JsonDocument() {}
+
+  /**
+   * Parses a text whose root is an object.
+   *
+   * @param source the file or resource, for the findings
+   * @param utf8 the text
+   * @param findings receives what is wrong
+   * @return the root, or null if the text cannot be read as an object
+   */
+  public static @Nullable ObjectReader parseObject(
+      String source, ByteBuffer utf8, List<Finding> findings) {
+    String text;
+    try {
+      text = StandardCharsets.UTF_8.newDecoder().decode(utf8).toString();
+    } catch (CharacterCodingException e) {
+      findings.add(new Finding(source, "$", "the text is not UTF-8"));
+      return null;
+    }
+    JsonElement root = parse(source, text, findings);
+    if (root == null) {
+      return null;
+    }
+    if (!root.isJsonObject()) {
+      findings.add(new Finding(source, "$", "expected an object, not " + ObjectReader.quote(root)));
+      return null;
+    }
+    return new ObjectReader(source, "$", root.getAsJsonObject(), findings);
+  }
+
+  private static @Nullable JsonElement parse(String source, String text, List<Finding> findings) {
+    JsonReader reader = new JsonReader(new StringReader(text));
+    reader.setStrictness(Strictness.STRICT);
+    reader.setNestingLimit(MAXIMUM_NESTING);
+    try {
+      JsonElement root = readElement(source, reader, findings);
+      if (reader.peek() != JsonToken.END_DOCUMENT) {
+        findings.add(new Finding(source, "$", "more text follows the document"));
+      }
+      return root;
+    } catch (EOFException e) {
+      findings.add(new Finding(source, reader.getPath(), "the text ends within the document"));
+    } catch (MalformedJsonException e) {
+      findings.add(new Finding(source, reader.getPath(), "not JSON: " + firstSentence(e)));
+    } catch (IOException | RuntimeException e) {
+      findings.add(new Finding(source, reader.getPath(), "not readable: " + firstSentence(e)));
+    }
+    return null;
+  }
+
+  private static JsonElement readElement(String source, JsonReader reader, List<Finding> findings)
+      throws IOException {
+    return switch (reader.peek()) {
+      case BEGIN_OBJECT -> readObject(source, reader, findings);
+      case BEGIN_ARRAY -> readArray(source, reader, findings);
+      case NUMBER -> new JsonPrimitive(ToNumberPolicy.LAZILY_PARSED_NUMBER.readNumber(reader));
+      case BOOLEAN -> new JsonPrimitive(reader.nextBoolean());
+      case NULL -> {
+        reader.nextNull();
+        yield JsonNull.INSTANCE;
+      }
+      default -> new JsonPrimitive(reader.nextString());
+    };
+  }
+
+  private static JsonObject readObject(String source, JsonReader reader, List<Finding> findings)
+      throws IOException {
+    JsonObject object = new JsonObject();
+    reader.beginObject();
+    while (reader.hasNext()) {
+      String name = reader.nextName();
+      if (object.has(name)) {
+        findings.add(new Finding(source, reader.getPath(), "\"" + name + "\" stands twice"));
+      }
+      object.add(name, readElement(source, reader, findings));
+    }
+    reader.endObject();
+    return object;
+  }
+
+  private static JsonArray readArray(String source, JsonReader reader, List<Finding> findings)
+      throws IOException {
+    JsonArray array = new JsonArray();
+    reader.beginArray();
+    while (reader.hasNext()) {
+      array.add(readElement(source, reader, findings));
+    }
+    reader.endArray();
+    return array;
+  }
+
+  private static String firstSentence(Exception e) {
+    String message = String.valueOf(e.getMessage());
+    int end = message.indexOf('\n');
+    return end < 0 ? message : message.substring(0, end);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
@@ -0,0 +1,133 @@
+package org.chicorylane.internal.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.declaration.ReadClass;
+import org.chicorylane.internal.declaration.RequestClass;
+import org.chicorylane.internal.session.SessionKey;
+import org.chicorylane.internal.session.SessionTokenCodec;
+
+/** A server with a fake service behind it, on a free port. */
+final class CallerFixture implements AutoCloseable {
+  static final Declarations DECLARATIONS =
+      new Declarations(
+          1,
+          Map.of(),
+          Map.of("lookup", new ReadClass("lookup", Duration.ofSeconds(2))),
+          Map.of(
+              "lookups", new RequestClass("lookups", 1, 0, true, false),
+              "billing", new RequestClass("billing", 5, 1, false, true)),
+          Map.of());
+  static final SessionTokenCodec TOKENS =
+      new SessionTokenCodec(
+          List.of(new SessionKey("k1", new byte[SessionKey.MINIMUM_SECRET_BYTES])), 4_096);
+  private static final int SOCKET_TIMEOUT_MILLIS = 10_000;
+
+  final FakeGroupService service = new FakeGroupService();
+  final MetricRegistry metrics = new MetricRegistry();
+  final CallerServer server;
+
+  CallerFixture(CallerLimits limits) {
+    this(limits, builder -> builder);
+  }
+
+  CallerFixture(CallerLimits limits, UnaryOperator<CallerServer.Builder> change) {
+    server =
+        change
+            .apply(
+                CallerServer.builder()
+                    .service(service)
+                    .declarations(() -> DECLARATIONS)
+                    .tokens(TOKENS)
+                    .limits(limits)
+                    .metrics(metrics)
+                    .threads(2))
+            .start();
+  }
+
+  /** Returns limits without any wait at the drain, and long timeouts otherwise. */
+  static CallerLimits limits() {
+    return limits(Duration.ofSeconds(30), Duration.ofSeconds(30));
+  }
+
+  /** Returns limits with the given timeouts. */
+  static CallerLimits limits(Duration receiveTimeout, Duration deadline) {
+    TimeLimits times =
+        new TimeLimits(
+            deadline,
+            deadline,
+            Duration.ZERO,
+            receiveTimeout,
+            receiveTimeout,
+            receiveTimeout,
+            Duration.ofSeconds(30),
+            Duration.ofSeconds(30),
+            Duration.ZERO,
+            Duration.ofMillis(100));
+    return new CallerLimits(
+        new SizeLimits(2_048, 10_000, 3, 4, 20), new LoadLimits(50, 20, 10, 4), times);
+  }
+
+  HttpRequest.Builder request(String path) {
+    return HttpRequest.newBuilder(
+            URI.create("http://127.0.0.1:" + server.address().getPort() + path))
+        .header("Content-Type", "application/json");
+  }
+
+  HttpRequest.Builder post(String path, String body) {
+    return request(path).POST(HttpRequest.BodyPublishers.ofString(body));
+  }
+
+  HttpRequest read(String sql) {
+    return post("/v1/groups/ledger/read", statement(sql)).build();
+  }
+
+  static String statement(String sql) {
+    return "{\"statements\":[{\"sql\":\"" + sql + "\"}]}";
+  }
+
+  static HttpClient client(HttpClient.Version version) {
+    return HttpClient.newBuilder().version(version).build();
+  }
+
+  /** Opens a connection and sends the text on it. */
+  Socket send(String text) throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
+    socket.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+    return socket;
+  }
+
+  /** Returns everything that the server sends until it ends the connection. */
+  static String readAll(Socket socket) throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+  }
+
+  /** Returns a raw HTTP/1.1 request that reads {@code sql}. */
+  static String rawRead(String sql, String headers) {
+    String body = statement(sql);
+    return "POST /v1/groups/ledger/read HTTP/1.1\r\nHost: x\r\n"
+        + headers
+        + "Content-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerServerFunctionalTest.java
@@ -0,0 +1,212 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.chicorylane.internal.outcome.NotRunReason;
+import org.chicorylane.internal.outcome.Outcome;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.relay.RequestKind;
+import org.chicorylane.internal.session.SessionToken;
+import org.chicorylane.internal.session.TokenReading;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class CallerServerFunctionalTest {
+  private static final long PATIENCE_SECONDS = 10;
+
+  private final CallerFixture fixture = new CallerFixture(CallerFixture.limits());
+  private final HttpClient http1 = CallerFixture.client(HttpClient.Version.HTTP_1_1);
+  private final HttpClient http2 = CallerFixture.client(HttpClient.Version.HTTP_2);
+
+  @AfterEach
+  void closeFixture() {
+    fixture.close();
+  }
+
+  @Test
+  void testAnswersOverBothProtocols() throws Exception {
+    fixture.service.answerWith(FakeGroupService::echo);
+    for (HttpClient client : List.of(http1, http2)) {
+      HttpResponse<String> answer = client.send(fixture.read("SELECT 1"), BodyHandlers.ofString());
+      assertThat(answer.version()).isEqualTo(client.version());
+      assertThat(answer.statusCode()).isEqualTo(200);
+      assertThat(answer.body())
+          .isEqualTo(
+              "{\"results\":[{\"columns\":[\"text\"],\"rows\":[[\"SELECT 1\"]],"
+                  + "\"affectedRows\":1}],\"servedBy\":\"s1\",\"fromReplica\":false,"
+                  + "\"replayed\":false,\"transaction\":null}");
+    }
+  }
+
+  @Test
+  void testWriteMovesTheSessionForward() throws Exception {
+    HttpResponse<String> session =
+        http1.send(fixture.post("/v1/sessions", "").build(), BodyHandlers.ofString());
+    String fresh = session.headers().firstValue("Chicorylane-Session").orElseThrow();
+    assertThat(session.statusCode()).isEqualTo(201);
+    fixture.service.answerWith(r -> FakeGroupService.completed("x", new LogPosition(3, 9)));
+
+    HttpRequest write =
+        fixture
+            .post(
+                "/v1/groups/ledger/write",
+                "{\"statements\":[{\"sql\":\"UPDATE\"}],\"requestClass\":\"billing\"}")
+            .header("Chicorylane-Session", fresh)
+            .header("Idempotency-Key", "\"renewal-7\"")
+            .build();
+    HttpResponse<String> answer = http1.send(write, BodyHandlers.ofString());
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    SessionToken token = tokenOf(answer);
+    assertThat(token.floor("ledger")).hasValue(new LogPosition(3, 9));
+    assertThat(token.sessionId()).isEqualTo(valid(fresh).sessionId());
+  }
+
+  @Test
+  void testTransactionCallsReachTheServiceWithTheirHandle() throws Exception {
+    List<GroupRequest> seen = Collections.synchronizedList(new ArrayList<>());
+    fixture.service.answerWith(
+        request -> {
+          seen.add(request);
+          return new Outcome.Completed(List.of(), null, false, "s1", false, "t 1");
+        });
+    String path = "/v1/groups/ledger/transactions";
+
+    http1.send(fixture.post(path, "").build(), BodyHandlers.ofString());
+    http1.send(
+        fixture.post(path + "/t%201/statements", CallerFixture.statement("S")).build(),
+        BodyHandlers.ofString());
+    http1.send(fixture.post(path + "/t%201/commit", "").build(), BodyHandlers.ofString());
+    http1.send(fixture.request(path + "/t%201").DELETE().build(), BodyHandlers.ofString());
+
+    assertThat(seen.stream().map(GroupRequest::kind).toList())
+        .containsExactly(
+            RequestKind.BEGIN, RequestKind.CONTINUE, RequestKind.COMMIT, RequestKind.ROLLBACK)
+        .inOrder();
+    assertThat(seen.stream().skip(1).map(GroupRequest::transaction).distinct().toList())
+        .containsExactly("t 1");
+  }
+
+  @Test
+  void testLostHistoryAnswersWithTokenWithoutTheGroup() throws Exception {
+    SessionToken before =
+        SessionToken.fresh("s")
+            .advance("ledger", new LogPosition(1, 5))
+            .advance("b", new LogPosition(1, 6));
+    fixture.service.answerWith(
+        r -> new Outcome.NotRun(NotRunReason.SESSION_HISTORY_LOST, Duration.ZERO, "lost"));
+
+    HttpRequest read =
+        fixture
+            .post("/v1/groups/ledger/read", CallerFixture.statement("S"))
+            .header("Chicorylane-Session", CallerFixture.TOKENS.write(before))
+            .build();
+    HttpResponse<String> answer = http2.send(read, BodyHandlers.ofString());
+
+    assertThat(answer.statusCode()).isEqualTo(409);
+    assertThat(tokenOf(answer)).isEqualTo(before.without("ledger"));
+  }
+
+  @Test
+  void testProblemNamesOutcomeAndTimeToComeBack() throws Exception {
+    fixture.service.answerWith(
+        r -> new Outcome.NotRun(NotRunReason.OVERLOADED, Duration.ofMillis(1_200), "queue full"));
+
+    HttpResponse<String> answer =
+        http1.send(
+            fixture
+                .post("/v1/groups/ledger/read", CallerFixture.statement("S"))
+                .header("Chicorylane-Request-Id", "gate-7")
+                .build(),
+            BodyHandlers.ofString());
+
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).hasValue("2");
+    assertThat(answer.headers().firstValue("Chicorylane-Request-Id")).hasValue("gate-7");
+    JsonObject problem = JsonParser.parseString(answer.body()).getAsJsonObject();
+    assertThat(problem.get("type").getAsString())
+        .isEqualTo("https://chicorylane.example/problems/overloaded");
+    assertThat(problem.get("outcome").getAsString()).isEqualTo("not-run");
+    assertThat(problem.get("retryAfterMillis").getAsLong()).isEqualTo(1_200);
+    assertThat(problem.get("instance").getAsString()).startsWith("gate-7.");
+  }
+
+  @Test
+  void testAnswersOutOfOrderReachTheirOwnStreams() throws Exception {
+    http2.send(fixture.request("/v1/health/live").build(), BodyHandlers.ofString());
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      answers.add(http2.sendAsync(fixture.read("SELECT " + i), BodyHandlers.ofString()));
+    }
+    List<FakeGroupService.Pending> pending = new ArrayList<>();
+    for (int i = 0; i < answers.size(); i++) {
+      pending.add(fixture.service.next());
+    }
+    Collections.shuffle(pending, new Random(5));
+    for (FakeGroupService.Pending p : pending) {
+      p.outcome().complete(FakeGroupService.echo(p.request()));
+    }
+
+    for (int i = 0; i < answers.size(); i++) {
+      HttpResponse<String> answer = answers.get(i).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertWithMessage("answer %s", i).that(answer.body()).contains("[[\"SELECT " + i + "\"]]");
+    }
+  }
+
+  @Test
+  void testPipelinedRequestsAreAnsweredInOrder() throws Exception {
+    fixture.service.answerWith(FakeGroupService::echo);
+    StringBuilder pipelined = new StringBuilder();
+    for (int i = 0; i < 10; i++) {
+      pipelined.append(CallerFixture.rawRead("SELECT " + i, i == 9 ? "Connection: close\r\n" : ""));
+    }
+    try (Socket socket = fixture.send(pipelined.toString())) {
+      String answers = CallerFixture.readAll(socket);
+      int from = 0;
+      for (int i = 0; i < 10; i++) {
+        int found = answers.indexOf("[[\"SELECT " + i + "\"]]", from);
+        assertWithMessage("answer %s", i).that(found).isAtLeast(from);
+        from = found;
+      }
+    }
+  }
+
+  @Test
+  void testServiceThatStaysSilentIsAnsweredAsUnknown() throws Exception {
+    HttpRequest read =
+        fixture
+            .post("/v1/groups/ledger/write", CallerFixture.statement("S"))
+            .header("Chicorylane-Deadline-Millis", "20")
+            .build();
+    HttpResponse<String> answer = http1.send(read, BodyHandlers.ofString());
+
+    assertThat(answer.statusCode()).isEqualTo(502);
+    assertThat(answer.body()).contains("\"outcome\":\"unknown\"");
+    fixture.service.next().outcome().complete(FakeGroupService.completed("late", null));
+    assertThat(fixture.metrics.meter("callers.late").getCount()).isEqualTo(1);
+  }
+
+  private static SessionToken tokenOf(HttpResponse<String> answer) {
+    return valid(answer.headers().firstValue("Chicorylane-Session").orElseThrow());
+  }
+
+  private static SessionToken valid(String text) {
+    return ((TokenReading.Valid) CallerFixture.TOKENS.read(text)).token();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/FakeGroupService.java
@@ -0,0 +1,69 @@
+package org.chicorylane.internal.caller;
+
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.chicorylane.internal.outcome.Outcome;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.relay.GroupService;
+import org.chicorylane.internal.statement.SqlValue;
+import org.chicorylane.internal.statement.StatementResult;
+import org.jspecify.annotations.Nullable;
+
+/** Serves requests as the test says: at once by a function, or when the test completes them. */
+final class FakeGroupService implements GroupService {
+
+  /** A request that waits for the test. */
+  record Pending(GroupRequest request, CompletableFuture<Outcome> outcome) {}
+
+  private static final long PATIENCE_SECONDS = 10;
+
+  private final BlockingQueue<Pending> pending = new LinkedBlockingQueue<>();
+  private volatile @Nullable Function<GroupRequest, Outcome> answers;
+
+  /** Answers every later request at once. */
+  void answerWith(Function<GroupRequest, Outcome> function) {
+    answers = function;
+  }
+
+  /** Returns the next request that came, waiting for it if need be. */
+  Pending next() throws InterruptedException {
+    Pending p = pending.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    if (p == null) {
+      throw new AssertionError("no request reached the service");
+    }
+    return p;
+  }
+
+  /** Returns whether no request waits. */
+  boolean isIdle() {
+    return pending.isEmpty();
+  }
+
+  @Override
+  public CompletableFuture<Outcome> submit(GroupRequest request) {
+    Function<GroupRequest, Outcome> function = answers;
+    if (function != null) {
+      return CompletableFuture.completedFuture(function.apply(request));
+    }
+    Pending p = new Pending(request, new CompletableFuture<>());
+    pending.add(p);
+    return p.outcome();
+  }
+
+  /** Returns an outcome whose one row holds {@code text}. */
+  static Outcome completed(String text, @Nullable LogPosition position) {
+    StatementResult result =
+        new StatementResult(List.of("text"), List.of(List.of(new SqlValue.Text(text))), 1);
+    return new Outcome.Completed(List.of(result), position, false, "s1", false, null);
+  }
+
+  /** Returns an outcome whose one row holds the request's first statement. */
+  static Outcome echo(GroupRequest request) {
+    return completed(request.statements().get(0).sql(), null);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/session/SessionTokenCodecTest.java
@@ -0,0 +1,108 @@
+package org.chicorylane.internal.session;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.List;
+import java.util.Random;
+import org.chicorylane.internal.position.LogPosition;
+import org.junit.jupiter.api.Test;
+
+final class SessionTokenCodecTest {
+  private static final int MAXIMUM_LENGTH = 512;
+
+  private final SessionKey oldKey = key("old", 'o');
+  private final SessionKey newKey = key("new", 'n');
+  private final SessionTokenCodec codec =
+      new SessionTokenCodec(List.of(newKey, oldKey), MAXIMUM_LENGTH);
+  private final SessionToken token =
+      SessionToken.fresh("s1").advance("ledger", new LogPosition(2, 77));
+
+  @Test
+  void testReadsWhatItWrote() {
+    assertThat(codec.read(codec.write(token))).isEqualTo(new TokenReading.Valid(token));
+  }
+
+  @Test
+  void testVerifiesOldKeysAndSignsWithNewest() {
+    SessionTokenCodec before = new SessionTokenCodec(List.of(oldKey), MAXIMUM_LENGTH);
+
+    assertThat(codec.read(before.write(token))).isEqualTo(new TokenReading.Valid(token));
+    assertThat(before.read(codec.write(token))).isInstanceOf(TokenReading.Forged.class);
+  }
+
+  @Test
+  void testForgedWhenSameKeyIdHasOtherSecret() {
+    SessionTokenCodec other = new SessionTokenCodec(List.of(key("new", 'x')), MAXIMUM_LENGTH);
+
+    assertThat(other.read(codec.write(token))).isInstanceOf(TokenReading.Forged.class);
+  }
+
+  @Test
+  void testNoChangedByteOfTheTextIsValid() {
+    byte[] signed = Base64.getUrlDecoder().decode(codec.write(token));
+    for (int i = 0; i < signed.length * Byte.SIZE; i++) {
+      byte[] changed = signed.clone();
+      changed[i / Byte.SIZE] ^= (byte) (1 << (i % Byte.SIZE));
+      String text = Base64.getUrlEncoder().withoutPadding().encodeToString(changed);
+      assertWithMessage("bit %s", i)
+          .that(codec.read(text))
+          .isNotInstanceOf(TokenReading.Valid.class);
+    }
+  }
+
+  @Test
+  void testRandomTextNeverThrows() {
+    Random random = new Random(7);
+    for (int i = 0; i < 2_000; i++) {
+      byte[] noise = new byte[random.nextInt(200)];
+      random.nextBytes(noise);
+      String text =
+          random.nextBoolean()
+              ? new String(noise, StandardCharsets.ISO_8859_1)
+              : Base64.getUrlEncoder().withoutPadding().encodeToString(noise);
+      assertThat(codec.read(text)).isNotInstanceOf(TokenReading.Valid.class);
+    }
+  }
+
+  @Test
+  void testRefusesTooLongText() {
+    assertThat(codec.read("A".repeat(MAXIMUM_LENGTH + 1)))
+        .isInstanceOf(TokenReading.Malformed.class);
+  }
+
+  @Test
+  void testHasRoomUntilTheTextWouldBeTooLong() {
+    SessionToken full = token;
+    for (int i = 0; codec.hasRoomFor(full, "group-" + i); i++) {
+      full = full.advance("group-" + i, new LogPosition(Long.MAX_VALUE, Long.MAX_VALUE));
+    }
+
+    assertThat(full.positions().size()).isGreaterThan(3);
+    assertThat(codec.read(codec.write(full))).isEqualTo(new TokenReading.Valid(full));
+    assertThat(codec.hasRoomFor(full, "ledger")).isTrue();
+  }
+
+  @Test
+  void testAdvancingInAnyOrderNeverMovesBack() {
+    Random random = new Random(11);
+    SessionToken seen = SessionToken.fresh("s");
+    LogPosition highest = LogPosition.ZERO;
+    for (int i = 0; i < 1_000; i++) {
+      LogPosition next = new LogPosition(random.nextInt(4), random.nextInt(100));
+      highest = highest.max(next);
+      seen = seen.advance("ledger", next);
+      assertThat(seen.floor("ledger")).hasValue(highest);
+    }
+    assertThat(seen.without("ledger").floor("ledger")).isEmpty();
+  }
+
+  private static SessionKey key(String id, char fill) {
+    byte[] secret = new byte[SessionKey.MINIMUM_SECRET_BYTES];
+    Arrays.fill(secret, (byte) fill);
+    return new SessionKey(id, secret);
+  }
+}
