--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/MemberMessages.java
@@ -0,0 +1,59 @@
+package org.chicorylane.internal.membership;
+
+import java.util.Optional;
+import org.chicorylane.internal.membership.generated.MemberMessage;
+
+/** Translates members to and from their messages. */
+final class MemberMessages {
+
+  private static final int MAX_PORT = 65535;
+
+  private MemberMessages() {}
+
+  static MemberMessage toMessage(Member member) {
+    return MemberMessage.newBuilder()
+        .setInstance(member.instanceId())
+        .setHost(member.host())
+        .setMembershipPort(member.membershipPort())
+        .setRelayPort(member.relayPort())
+        .setAvailabilityZone(member.availabilityZone())
+        .setIncarnation(member.incarnation())
+        .setStatus(member.status().name())
+        .build();
+  }
+
+  /** Returns the member, or empty if the message is malformed. */
+  static Optional<Member> toMember(MemberMessage message) {
+    Optional<MemberStatus> status = status(message.getStatus());
+    if (status.isEmpty()
+        || message.getInstance().isEmpty()
+        || message.getHost().isEmpty()
+        || message.getIncarnation() < 0
+        || !isPort(message.getMembershipPort())
+        || !isPort(message.getRelayPort())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Member(
+            message.getInstance(),
+            message.getHost(),
+            message.getMembershipPort(),
+            message.getRelayPort(),
+            message.getAvailabilityZone(),
+            message.getIncarnation(),
+            status.get()));
+  }
+
+  private static boolean isPort(int port) {
+    return port >= 1 && port <= MAX_PORT;
+  }
+
+  private static Optional<MemberStatus> status(String name) {
+    for (MemberStatus status : MemberStatus.values()) {
+      if (status.name().equals(name)) {
+        return Optional.of(status);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
@@ -0,0 +1,310 @@
+package org.chicorylane.internal.membership;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.chicorylane.internal.membership.generated.MembershipDatagram;
+import org.chicorylane.internal.platform.InstanceList;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Runs {@link MembershipProtocol} over UDP and seeds it from the platform's instance list.
+ *
+ * <pre>{@code
+ * MembershipAgent agent = MembershipAgent.start(identity, options, list, clock, metrics, seed);
+ * agent.addListener(snapshot -> chooseHomes(snapshot));
+ * }</pre>
+ *
+ * <p>Thread-safe. Listeners run on the agent's only thread, one at a time, and must not block. The
+ * list is read more seldom the larger the fleet, so that all instances together call the platform
+ * at a bounded rate.
+ */
+public final class MembershipAgent implements AutoCloseable {
+
+  /**
+   * Who this instance is.
+   *
+   * @param instanceId unique among instances
+   * @param host the IP number that it listens on and others reach
+   * @param membershipPort the UDP port; 0 takes a free one
+   * @param relayPort the TCP port for requests between instances
+   * @param availabilityZone the zone that it runs in
+   */
+  public record Identity(
+      String instanceId, String host, int membershipPort, int relayPort, String availabilityZone) {}
+
+  private static final Duration MINIMUM_LIST_INTERVAL = Duration.ofSeconds(10);
+  private static final Duration LIST_INTERVAL_PER_MEMBER = Duration.ofMillis(50);
+  private static final Duration LIST_INTERVAL_ALONE = Duration.ofMillis(500);
+  private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
+
+  private final InstanceList list;
+  private final InstantSource clock;
+  private final Counter dropped;
+  private final Counter sent;
+  private final Counter sentBytes;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final Channel channel;
+  private final MembershipProtocol protocol;
+  private final List<Consumer<MembershipSnapshot>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<Long>> revisionListeners = new CopyOnWriteArrayList<>();
+  private final Map<String, Long> revisions = new ConcurrentHashMap<>();
+  private final AtomicBoolean closed = new AtomicBoolean();
+  private volatile MembershipSnapshot snapshot;
+  private volatile long highestRevisionSeen;
+  private @Nullable ScheduledFuture<?> nextTick;
+
+  private MembershipAgent(
+      Identity identity,
+      MembershipOptions options,
+      InstanceList list,
+      InstantSource clock,
+      MetricRegistry metrics,
+      long seed) {
+    this.list = list;
+    this.clock = clock;
+    dropped = metrics.counter("membership.datagrams.dropped");
+    sent = metrics.counter("membership.datagrams.sent");
+    sentBytes = metrics.counter("membership.bytes.sent");
+    channel = bind(identity);
+    Instant now = clock.instant();
+    Member self =
+        new Member(
+            identity.instanceId(),
+            identity.host(),
+            ((InetSocketAddress) channel.localAddress()).getPort(),
+            identity.relayPort(),
+            identity.availabilityZone(),
+            now.toEpochMilli(),
+            MemberStatus.ALIVE);
+    protocol = new MembershipProtocol(self, options, seed, now);
+    snapshot = new MembershipSnapshot(self, List.of());
+  }
+
+  /**
+   * Starts an agent; it is bound when this returns.
+   *
+   * @param list where it learns of others
+   * @param clock the clock of the protocol and of the first incarnation
+   * @param metrics takes the counters under {@code membership}
+   * @param seed the seed of random choices; should differ between instances
+   */
+  public static MembershipAgent start(
+      Identity identity,
+      MembershipOptions options,
+      InstanceList list,
+      InstantSource clock,
+      MetricRegistry metrics,
+      long seed) {
+    MembershipAgent agent = new MembershipAgent(identity, options, list, clock, metrics, seed);
+    agent.run(() -> agent.protocol.onTick(clock.instant()));
+    agent.execute(agent::refreshList);
+    return agent;
+  }
+
+  /** Returns the UDP port that it is bound to. */
+  public int port() {
+    return snapshot.self().membershipPort();
+  }
+
+  /** Returns who is in the fleet. */
+  public MembershipSnapshot snapshot() {
+    return snapshot;
+  }
+
+  /** Returns the revision in force by instance, as far as heard; this instance is not in it. */
+  public Map<String, Long> revisions() {
+    return Map.copyOf(revisions);
+  }
+
+  /** Returns the highest revision that any instance was heard to have in force. */
+  public long highestRevisionSeen() {
+    return highestRevisionSeen;
+  }
+
+  /** Has {@code listener} told of every change of the snapshot from now on. */
+  public void addListener(Consumer<MembershipSnapshot> listener) {
+    listeners.add(listener);
+  }
+
+  /** Has {@code listener} told of every rise of {@link #highestRevisionSeen}. */
+  public void addRevisionListener(Consumer<Long> listener) {
+    revisionListeners.add(listener);
+  }
+
+  /** Sets the declarations' revision that this instance has in force. */
+  public void setRevision(long revision) {
+    run(() -> protocol.setRevision(revision));
+  }
+
+  /** Announces that this instance shuts down; it goes on answering until closed. */
+  public void announceLeaving() {
+    run(() -> protocol.announceLeaving(clock.instant()));
+  }
+
+  @Override
+  public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
+    channel.close().awaitUninterruptibly();
+    group
+        .shutdownGracefully(0, SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly();
+  }
+
+  private Channel bind(Identity identity) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioDatagramChannel.class)
+        .handler(new DatagramHandler())
+        .bind(new InetSocketAddress(identity.host(), identity.membershipPort()))
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  private void refreshList() {
+    list.list()
+        .thenAccept(
+            result -> {
+              if (result instanceof InstanceList.Listed listed) {
+                run(() -> protocol.onListed(listed.instances(), clock.instant()));
+              }
+              execute(() -> schedule(listInterval(), this::refreshList));
+            });
+  }
+
+  private Duration listInterval() {
+    int others = snapshot.others().size();
+    if (others == 0) {
+      return LIST_INTERVAL_ALONE;
+    }
+    Duration scaled = LIST_INTERVAL_PER_MEMBER.multipliedBy(others);
+    return scaled.compareTo(MINIMUM_LIST_INTERVAL) > 0 ? scaled : MINIMUM_LIST_INTERVAL;
+  }
+
+  private void run(Supplier<List<MembershipAction>> event) {
+    execute(() -> perform(event.get()));
+  }
+
+  private void perform(List<MembershipAction> actions) {
+    boolean changed = false;
+    for (MembershipAction action : actions) {
+      if (action instanceof MembershipAction.Send send) {
+        send(send);
+      } else if (action instanceof MembershipAction.RevisionSeen seen) {
+        revisions.put(seen.instanceId(), seen.revision());
+      } else if (action instanceof MembershipAction.Forgotten forgotten) {
+        revisions.remove(forgotten.instanceId());
+        changed = true;
+      } else {
+        changed = true;
+      }
+    }
+    if (changed) {
+      publish();
+    }
+    publishRevision();
+    scheduleTick();
+  }
+
+  private void publish() {
+    MembershipSnapshot now = new MembershipSnapshot(protocol.self(), protocol.members());
+    snapshot = now;
+    listeners.forEach(listener -> listener.accept(now));
+  }
+
+  private void publishRevision() {
+    long highest = protocol.highestRevisionSeen();
+    if (highest > highestRevisionSeen) {
+      highestRevisionSeen = highest;
+      revisionListeners.forEach(listener -> listener.accept(highest));
+    }
+  }
+
+  private void scheduleTick() {
+    if (nextTick != null) {
+      nextTick.cancel(false);
+    }
+    Duration wait = Duration.between(clock.instant(), protocol.nextTick());
+    nextTick = schedule(wait, () -> perform(protocol.onTick(clock.instant())));
+  }
+
+  private void send(MembershipAction.Send send) {
+    byte[] bytes = send.datagram().toByteArray();
+    InetSocketAddress target =
+        new InetSocketAddress(send.target().host(), send.target().membershipPort());
+    sent.inc();
+    sentBytes.inc(bytes.length);
+    channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target));
+  }
+
+  private void receive(ByteBuf content) {
+    long before = protocol.droppedDatagrams();
+    try {
+      MembershipDatagram datagram = MembershipDatagram.parseFrom(content.nioBuffer());
+      perform(protocol.onDatagram(datagram, clock.instant()));
+    } catch (InvalidProtocolBufferException e) {
+      dropped.inc();
+    }
+    dropped.inc(protocol.droppedDatagrams() - before);
+  }
+
+  private void execute(Runnable work) {
+    try {
+      loop.execute(work);
+    } catch (RejectedExecutionException e) {
+      Logger.debug("the membership agent is closed");
+    }
+  }
+
+  private @Nullable ScheduledFuture<?> schedule(Duration delay, Runnable work) {
+    try {
+      return loop.schedule(work, Math.max(0, delay.toMillis()), TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      return null;
+    }
+  }
+
+  private final class DatagramHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      receive(packet.content());
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Logger.debug("membership datagram failed: {}", cause);
+    }
+  }
+}
