Serve a group from its home, through the loss of its primary

The ledger's table is created before the first write of a term; without it, keyed writes were refused with 42P01.

--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -40,6 +40,7 @@
 final class GroupWork {
   private static final int MAX_WAITING = 2_000;
   private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+  private static final Duration LEDGER_RETRY = Duration.ofMillis(100);
   private static final Duration ABANDON_AFTER = Duration.ofSeconds(2);
 
   private final HomeEnvironment environment;
@@ -51,7 +52,9 @@
   private final Map<String, ServerInUse> servers = new HashMap<>();
   private final Deque<Ticket> waiting = new ArrayDeque<>();
   private DatabaseGroup group;
+  private HomeAction.@Nullable OpenWrites opening;
   private HomeAction.@Nullable OpenWrites writes;
+  private long ledgerTerm;
   private @Nullable String movedTo;
   private long nextTicket = 1;
 
@@ -100,14 +103,49 @@
 
   void openWrites(HomeAction.OpenWrites opened) {
     movedTo = null;
-    writes = opened;
     settle(tracker.open(opened.term(), opened.voters()));
-    dispatch();
+    opening = opened;
+    if (writes != null || opened.term() == ledgerTerm) {
+      writesOpen(opened);
+    } else {
+      createLedger(opened);
+    }
+  }
+
+  private void writesOpen(HomeAction.OpenWrites opened) {
+    if (opened.equals(opening)) {
+      writes = opened;
+      dispatch();
+    }
+  }
+
+  /** The ledger table has to be there before the first write of a term. */
+  private void createLedger(HomeAction.OpenWrites opened) {
+    ServerInUse primary = servers.get(opened.primary());
+    if (primary == null || !opened.equals(opening)) {
+      return;
+    }
+    primary
+        .pool()
+        .take()
+        .thenCompose(r -> LedgerSetup.run(r, primary.pool()))
+        .thenAcceptAsync(
+            created -> {
+              if (created) {
+                ledgerTerm = opened.term();
+                writesOpen(opened);
+              } else {
+                executor.schedule(
+                    () -> createLedger(opened), LEDGER_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+              }
+            },
+            executor);
   }
 
   void closeWrites(CloseReason reason) {
     String primary = writes == null ? "" : writes.primary();
     writes = null;
+    opening = null;
     if (reason == CloseReason.HANDING_OVER) {
       movedTo = "";
       refuseWaiting();
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/LedgerSetup.java
@@ -0,0 +1,47 @@
+package org.chicorylane.internal.home;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.backend.ConnectResult;
+import org.chicorylane.internal.backend.ServerConnection;
+import org.chicorylane.internal.backend.StatementOutcome;
+import org.chicorylane.internal.statement.Statement;
+import org.tinylog.Logger;
+
+/** Creates the request ledger's table on a new primary. Stateless and thread-safe. */
+final class LedgerSetup {
+  private LedgerSetup() {}
+
+  /**
+   * Creates the table where it does not exist.
+   *
+   * @return completes with false if it should be tried again; a server that refuses is left as it
+   *     is, since requests without idempotency keys need no ledger
+   */
+  static CompletableFuture<Boolean> run(ConnectResult result, ServerPool pool) {
+    if (!(result instanceof ConnectResult.Opened opened)) {
+      return CompletableFuture.completedFuture(false);
+    }
+    ServerConnection connection = opened.connection();
+    return connection
+        .run(List.of(new Statement(RequestLedger.CREATE_TABLE, List.of())))
+        .thenApplyAsync(
+            outcomes -> {
+              StatementOutcome outcome = outcomes.get(0);
+              if (outcome instanceof StatementOutcome.Lost) {
+                pool.discard(connection);
+                return false;
+              }
+              if (outcome instanceof StatementOutcome.Refused refused) {
+                Logger.error(
+                    "the request ledger could not be created: {} {}"
+                        + " (docs/TROUBLESHOOTING.md#request-ledger)",
+                    refused.sqlState(),
+                    refused.message());
+              }
+              pool.giveBack(connection);
+              return true;
+            },
+            pool.executor());
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ServerPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ServerPool.java
@@ -43,6 +43,11 @@
     this.server = server;
   }
 
+  /** Returns the executor that everything here runs on. */
+  EventExecutor executor() {
+    return executor;
+  }
+
   /** Opens connections ahead of need, as many as the server has slots. */
   void warmUp() {
     for (int i = idle.size() + inUse.size() + opening; i < server.slots(); i++) {
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
@@ -0,0 +1,191 @@
+package org.chicorylane.internal.instance;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vertx.core.Vertx;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HexFormat;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.chicorylane.internal.backend.ServerConnector;
+import org.chicorylane.internal.caller.CallerServer;
+import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.failover.HomeTimings;
+import org.chicorylane.internal.home.HomeEnvironment;
+import org.chicorylane.internal.home.HomeRegistry;
+import org.chicorylane.internal.membership.MembershipAgent;
+import org.chicorylane.internal.membership.MembershipOptions;
+import org.chicorylane.internal.platform.EndpointSliceInstanceList;
+import org.chicorylane.internal.platform.EtcdKeyValueStore;
+import org.chicorylane.internal.relay.EntryRouter;
+import org.chicorylane.internal.relay.RelayClient;
+import org.chicorylane.internal.relay.RelayServer;
+import org.chicorylane.internal.relay.RelayTimings;
+import org.chicorylane.internal.session.SessionIds;
+import org.chicorylane.internal.session.SessionTokenCodec;
+import org.tinylog.Logger;
+
+/**
+ * One running instance: entry for callers and home of some database groups.
+ *
+ * <pre>{@code
+ * Instance instance = Instance.start(options);
+ * instance.drain().join();
+ * instance.close();
+ * }</pre>
+ *
+ * <p>Thread-safe.
+ */
+public final class Instance implements AutoCloseable {
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+  private static final Duration LIST_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
+  private static final int MAX_TOKEN_CHARACTERS = 8192;
+  private static final int PROCESS_ID_BYTES = 6;
+
+  private final EventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(0, NioIoHandler.newFactory());
+  private final Vertx vertx = Vertx.vertx();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final InstantSource clock = InstantSource.system();
+  private final EtcdKeyValueStore store;
+  private final RelayServer relayServer;
+  private final MembershipAgent membership;
+  private final MembershipFleet fleet;
+  private final RelayClient peers;
+  private final HomeRegistry homes;
+  private final DeclarationPoller declarations;
+  private final CallerServer callers;
+  private volatile boolean draining;
+
+  private Instance(InstanceOptions options) {
+    store =
+        new EtcdKeyValueStore(options.storeEndpoints(), EtcdKeyValueStore.Options.DEFAULT, metrics);
+    RelayDuties duties = new RelayDuties();
+    relayServer = RelayServer.start(loops, options.relayAddress(), duties, clock);
+    membership = startMembership(options);
+    fleet = new MembershipFleet(membership);
+    peers = new RelayClient(loops, RelayTimings.DEFAULT);
+    declarations = new DeclarationPoller(store, loops.next());
+    homes = new HomeRegistry(environment(), loops);
+    EntryRouter router = new EntryRouter(fleet, peers, homes, loops, clock, metrics);
+    membership.addListener(
+        snapshot -> {
+          fleet.update(snapshot);
+          homes.refresh();
+        });
+    declarations.start(
+        d -> {
+          membership.setRevision(d.revision());
+          homes.refresh();
+        });
+    duties.begin(homes);
+    callers =
+        CallerServer.builder()
+            .address(options.callerAddress())
+            .service(router)
+            .declarations(declarations::current)
+            .tokens(new SessionTokenCodec(options.sessionKeys(), MAX_TOKEN_CHARACTERS))
+            .ids(new SessionIds(new SecureRandom()))
+            .limits(options.callerLimits())
+            .clock(clock)
+            .metrics(metrics)
+            .ready(this::isReady)
+            .start();
+  }
+
+  /** Starts an instance; it answers callers when this returns. */
+  public static Instance start(InstanceOptions options) {
+    Instance instance = new Instance(options);
+    Logger.info(
+        "instance {} in {} serves callers on {}",
+        options.instanceId(),
+        options.availabilityZone(),
+        instance.callerAddress());
+    return instance;
+  }
+
+  /** Returns where callers reach it. */
+  public InetSocketAddress callerAddress() {
+    return callers.address();
+  }
+
+  /** Returns the port that other instances reach it on over TCP. */
+  public int relayPort() {
+    return relayServer.port();
+  }
+
+  /** Returns the port that other instances reach it on over UDP. */
+  public int membershipPort() {
+    return membership.port();
+  }
+
+  /** Returns its metrics. */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /** Returns what is declared at the moment. */
+  public Declarations declarations() {
+    return declarations.current();
+  }
+
+  /** Finishes what is in flight and hands its groups over; completes when nothing is left. */
+  public CompletableFuture<Void> drain() {
+    draining = true;
+    membership.announceLeaving();
+    return CompletableFuture.allOf(homes.drain(), callers.drain());
+  }
+
+  /** Stops at once. */
+  @Override
+  public void close() {
+    callers.close();
+    membership.close();
+    declarations.close();
+    peers.close();
+    relayServer.close();
+    store.close();
+    vertx.close();
+    loops.shutdownGracefully(0, SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private boolean isReady() {
+    return !draining && declarations.current().revision() > 0;
+  }
+
+  private MembershipAgent startMembership(InstanceOptions options) {
+    return MembershipAgent.start(
+        new MembershipAgent.Identity(
+            options.instanceId(),
+            options.relayAddress().getAddress().getHostAddress(),
+            options.membershipPort(),
+            relayServer.port(),
+            options.availabilityZone()),
+        MembershipOptions.DEFAULT,
+        new EndpointSliceInstanceList(options.instanceListEndpoints(), LIST_TIMEOUT, metrics),
+        clock,
+        metrics,
+        new SecureRandom().nextLong());
+  }
+
+  private HomeEnvironment environment() {
+    byte[] processId = new byte[PROCESS_ID_BYTES];
+    new SecureRandom().nextBytes(processId);
+    return new HomeEnvironment(
+        HexFormat.of().formatHex(processId),
+        new ServerConnector(vertx, CONNECT_TIMEOUT),
+        store,
+        fleet,
+        peers,
+        declarations::current,
+        HomeTimings.DEFAULTS,
+        clock,
+        metrics);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/RelayDuties.java
@@ -0,0 +1,46 @@
+package org.chicorylane.internal.instance;
+
+import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.home.HomeRegistry;
+import org.chicorylane.internal.outcome.Outcome;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.relay.ProbeVerdict;
+import org.chicorylane.internal.relay.RelayHandler;
+import org.chicorylane.internal.relay.generated.DeclarationsMessage;
+
+/** What this instance does for others. Thread-safe. */
+final class RelayDuties implements RelayHandler {
+  private final CompletableFuture<HomeRegistry> homes = new CompletableFuture<>();
+  private volatile DeclarationsMessage declarations = DeclarationsMessage.getDefaultInstance();
+
+  /** Begins to serve; questions that came earlier are answered now. */
+  void begin(HomeRegistry registry) {
+    homes.complete(registry);
+  }
+
+  /** Sets what {@link #onPull} gives away. */
+  void publish(DeclarationsMessage message) {
+    declarations = message;
+  }
+
+  @Override
+  public CompletableFuture<Outcome> onRequest(GroupRequest request) {
+    return homes.thenCompose(h -> h.submit(request));
+  }
+
+  @Override
+  public CompletableFuture<ProbeVerdict> onProbe(String group, String server) {
+    return homes.thenCompose(h -> h.probe(group, server));
+  }
+
+  @Override
+  public DeclarationsMessage onPull(long revision) {
+    DeclarationsMessage current = declarations;
+    return current.getRevision() > revision ? current : DeclarationsMessage.getDefaultInstance();
+  }
+
+  @Override
+  public void onTakeHome(String group) {
+    homes.thenAccept(h -> h.take(group, "another instance"));
+  }
+}
--- a/standins/src/main/java/org/chicorylane/standin/database/ServerFunctions.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/ServerFunctions.java
@@ -40,7 +40,8 @@
           "pg_advisory_unlock",
           "pg_advisory_unlock_all",
           "pg_terminate_backend",
-          "pg_sleep");
+          "pg_sleep",
+          "current_setting");
   private static final List<String> TABLE_FUNCTIONS =
       List.of("pg_control_checkpoint", "pg_stat_wal_receiver", "pg_stat_activity");
 
@@ -186,6 +187,15 @@
     return context().terminate(pid);
   }
 
+  /** Returns the {@code primary_conninfo} in force, the only setting that is known here. */
+  public static String currentSetting(String name) throws SQLException {
+    if (!name.equalsIgnoreCase("primary_conninfo")) {
+      String message = "unrecognized configuration parameter \"" + name + "\"";
+      throw failure(new SqlError("42704", message));
+    }
+    return context().snapshot().setting();
+  }
+
   /** Waits for a number of seconds. */
   public static @Nullable String pgSleep(double seconds) throws SQLException {
     context().sleep(seconds);
