Hold the caller edge to its limits under faults, drain and both protocols

Cause: the edge stood without tests of broken, slow and vanished callers, and a drain under HTTP/2 made the HTTP client of JDK 17 fail its open streams: it gives up every stream at the first GOAWAY, whatever stream that names.

Ruled out: never sending GOAWAY, which would keep busy connections for ever.

--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerServer.java
@@ -108,9 +108,10 @@
    * @return completes when no connection is left; the same one for each call
    */
   public CompletableFuture<Void> drain() {
-    drain.announce();
-    acceptors.schedule(
-        this::endConnections, limits.times().drainNotice().toMillis(), TimeUnit.MILLISECONDS);
+    if (drain.announce()) {
+      long notice = limits.times().drainNotice().toMillis();
+      acceptors.schedule(this::endConnections, notice, TimeUnit.MILLISECONDS);
+    }
     return drained;
   }
 
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerTls.java
@@ -0,0 +1,50 @@
+package org.chicorylane.internal.caller;
+
+import io.netty.handler.codec.http2.Http2SecurityUtil;
+import io.netty.handler.ssl.ApplicationProtocolConfig;
+import io.netty.handler.ssl.ApplicationProtocolConfig.Protocol;
+import io.netty.handler.ssl.ApplicationProtocolConfig.SelectedListenerFailureBehavior;
+import io.netty.handler.ssl.ApplicationProtocolConfig.SelectorFailureBehavior;
+import io.netty.handler.ssl.ApplicationProtocolNames;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SupportedCipherSuiteFilter;
+import java.io.InputStream;
+import javax.net.ssl.SSLException;
+
+/**
+ * Makes the TLS context of a {@link CallerServer}.
+ *
+ * <pre>{@code
+ * CallerServer.builder().tls(CallerTls.context(certificateChain, key));
+ * }</pre>
+ */
+public final class CallerTls {
+  private static final String TLS_1_3 = "TLSv1.3";
+  private static final String TLS_1_2 = "TLSv1.2";
+
+  private CallerTls() {}
+
+  /**
+   * Returns a context that offers HTTP/2 and HTTP/1.1 by ALPN, over TLS 1.3 and 1.2.
+   *
+   * @param certificateChain X.509 certificates in PEM form, the server's first
+   * @param key the private key in PEM form, PKCS #8, without a password
+   * @throws SSLException if the certificate and the key do not form a context
+   * @throws IllegalArgumentException if one of them cannot be read
+   */
+  public static SslContext context(InputStream certificateChain, InputStream key)
+      throws SSLException {
+    return SslContextBuilder.forServer(certificateChain, key)
+        .protocols(TLS_1_3, TLS_1_2)
+        .ciphers(Http2SecurityUtil.CIPHERS, SupportedCipherSuiteFilter.INSTANCE)
+        .applicationProtocolConfig(
+            new ApplicationProtocolConfig(
+                Protocol.ALPN,
+                SelectorFailureBehavior.NO_ADVERTISE,
+                SelectedListenerFailureBehavior.ACCEPT,
+                ApplicationProtocolNames.HTTP_2,
+                ApplicationProtocolNames.HTTP_1_1))
+        .build();
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/DrainState.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/DrainState.java
@@ -1,5 +1,7 @@
 package org.chicorylane.internal.caller;
 
+import java.util.concurrent.atomic.AtomicBoolean;
+
 /**
  * How far the drain of a server has come. Thread-safe.
  *
@@ -14,22 +16,26 @@
     CONNECTIONS_END
   }
 
-  private volatile boolean announced;
+  private final AtomicBoolean announced = new AtomicBoolean();
   private volatile boolean ending;
 
-  /** The readiness check fails from now on. */
-  void announce() {
-    announced = true;
+  /**
+   * The readiness check fails from now on.
+   *
+   * @return whether this is the first call
+   */
+  boolean announce() {
+    return announced.compareAndSet(false, true);
   }
 
   /** Connections end from now on. */
   void end() {
-    announced = true;
+    announced.set(true);
     ending = true;
   }
 
   boolean isAnnounced() {
-    return announced;
+    return announced.get();
   }
 
   boolean isEnding() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/Http2ConnectionHandler.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/Http2ConnectionHandler.java
@@ -36,6 +36,7 @@
   private Instant lastActive;
   private Instant lastPing;
   private boolean pingUnanswered;
+  private @Nullable Instant drainingSince;
   private @Nullable Instant goAwaySentAt;
   private boolean closing;
 
@@ -82,7 +83,7 @@
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event == DrainState.Event.CONNECTIONS_END) {
-      sayGoAway(ctx, clock.instant());
+      drain(ctx, clock.instant());
     }
     ctx.fireUserEventTriggered(event);
   }
@@ -95,7 +96,7 @@
   private void checkTimes(ChannelHandlerContext ctx) {
     Instant now = clock.instant();
     if (drain.isEnding()) {
-      sayGoAway(ctx, now);
+      drain(ctx, now);
     }
     if (goAwaySentAt != null && elapsed(goAwaySentAt, now, limits.drainIdle())) {
       closeGracefully(ctx);
@@ -121,11 +122,18 @@
     ctx.writeAndFlush(new DefaultHttp2PingFrame(PING_CONTENT));
   }
 
-  private void sayGoAway(ChannelHandlerContext ctx, Instant now) {
-    if (goAwaySentAt != null) {
-      return;
+  private void drain(ChannelHandlerContext ctx, Instant now) {
+    if (drainingSince == null) {
+      drainingSince = now;
+    }
+    boolean unused = codec.connection().numActiveStreams() == 0;
+    if (goAwaySentAt == null && (unused || elapsed(drainingSince, now, limits.goAwayDelay()))) {
+      goAwaySentAt = now;
+      sayGoAway(ctx);
     }
-    goAwaySentAt = now;
+  }
+
+  private static void sayGoAway(ChannelHandlerContext ctx) {
     ctx.writeAndFlush(
         new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR).setExtraStreamIds(Integer.MAX_VALUE));
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/TimeLimits.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/TimeLimits.java
@@ -16,6 +16,8 @@
  * @param pingInterval how often an HTTP/2 connection is pinged; one unanswered ping closes it
  * @param writeTimeout how long a caller may take to read an answer
  * @param drainNotice from the readiness check turning to 503 until new connections are refused
+ * @param goAwayDelay how long, during a drain, a GOAWAY waits for its HTTP/2 connection to have no
+ *     open stream; some clients, the one of JDK 17 among them, fail their open streams at a GOAWAY
  * @param drainIdle how long a connection without a request stays open during a drain
  */
 public record TimeLimits(
@@ -28,6 +30,7 @@
     Duration pingInterval,
     Duration writeTimeout,
     Duration drainNotice,
+    Duration goAwayDelay,
     Duration drainIdle) {
   private static final Duration SHORTEST_CHECK = Duration.ofMillis(10);
   private static final Duration LONGEST_CHECK = Duration.ofSeconds(1);
@@ -45,6 +48,7 @@
         Duration.ofSeconds(10),
         Duration.ofSeconds(20),
         Duration.ofSeconds(2),
+        Duration.ofSeconds(5),
         Duration.ofSeconds(1));
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/json/JsonDocument.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/json/JsonDocument.java
@@ -17,6 +17,8 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.chicorylane.internal.finding.Finding;
 import org.jspecify.annotations.Nullable;
 
@@ -34,6 +36,8 @@
   /** How deep arrays and objects may nest. */
   public static final int MAXIMUM_NESTING = 16;
 
+  private static final Pattern PLACE = Pattern.compile("line \\d+ column \\d+");
+
   private JsonDocument() {}
 
   /**
@@ -70,16 +74,14 @@
     reader.setNestingLimit(MAXIMUM_NESTING);
     try {
       JsonElement root = readElement(source, reader, findings);
-      if (reader.peek() != JsonToken.END_DOCUMENT) {
-        findings.add(new Finding(source, "$", "more text follows the document"));
-      }
-      return root;
+      JsonToken end = reader.peek(); // throws if more text follows
+      return end == JsonToken.END_DOCUMENT ? root : null;
     } catch (EOFException e) {
       findings.add(new Finding(source, reader.getPath(), "the text ends within the document"));
     } catch (MalformedJsonException e) {
-      findings.add(new Finding(source, reader.getPath(), "not JSON: " + firstSentence(e)));
+      findings.add(new Finding(source, reader.getPath(), "not well-formed JSON" + placeOf(e)));
     } catch (IOException | RuntimeException e) {
-      findings.add(new Finding(source, reader.getPath(), "not readable: " + firstSentence(e)));
+      findings.add(new Finding(source, reader.getPath(), "not readable as JSON" + placeOf(e)));
     }
     return null;
   }
@@ -125,9 +127,8 @@
     return array;
   }
 
-  private static String firstSentence(Exception e) {
-    String message = String.valueOf(e.getMessage());
-    int end = message.indexOf('\n');
-    return end < 0 ? message : message.substring(0, end);
+  private static String placeOf(Exception e) {
+    Matcher m = PLACE.matcher(String.valueOf(e.getMessage()));
+    return m.find() ? " near " + m.group() : "";
   }
 }
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerDrainFunctionalTest.java
@@ -0,0 +1,120 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class CallerDrainFunctionalTest {
+  private static final long PATIENCE_SECONDS = 10;
+  private static final Duration LONG = Duration.ofSeconds(30);
+  private static final Duration SHORT = Duration.ofMillis(100);
+  private static final String READ = CallerFixture.statement("S");
+
+  @Test
+  void testDrainCutsNoRequestInFlight() throws Exception {
+    for (HttpClient.Version version : HttpClient.Version.values()) {
+      try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
+        HttpClient client = CallerFixture.client(version);
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        List<FakeGroupService.Pending> pending = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+          answers.add(client.sendAsync(fixture.read("SELECT " + i), BodyHandlers.ofString()));
+          pending.add(fixture.service.next());
+        }
+
+        final CompletableFuture<Void> drained = fixture.server.drain();
+        awaitNoNewConnection(fixture);
+        assertThat(drained.isDone()).isFalse();
+        for (FakeGroupService.Pending p : pending) {
+          p.outcome().complete(FakeGroupService.echo(p.request()));
+        }
+
+        for (int i = 0; i < answers.size(); i++) {
+          HttpResponse<String> answer = answers.get(i).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+          assertThat(answer.version()).isEqualTo(version);
+          assertThat(answer.body()).contains("SELECT " + i);
+        }
+        drained.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      }
+    }
+  }
+
+  @Test
+  void testOpenConnectionGetsItsLastAnswerWithConnectionClose() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits());
+        Socket socket = fixture.send(CallerFixture.rawRead("S", ""))) {
+      FakeGroupService.Pending pending = fixture.service.next();
+      final CompletableFuture<Void> drained = fixture.server.drain();
+      awaitNoNewConnection(fixture);
+
+      pending.outcome().complete(FakeGroupService.echo(pending.request()));
+
+      assertThat(CallerFixture.readAll(socket)).contains("connection: close");
+      socket.close();
+      drained.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  @Test
+  void testReadinessFailsFirst() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(drainLimits(LONG, LONG))) {
+      HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
+      assertThat(status(client, fixture, "/v1/health/ready")).isEqualTo(200);
+
+      fixture.server.drain();
+
+      assertThat(status(client, fixture, "/v1/health/ready")).isEqualTo(503);
+      assertThat(status(client, fixture, "/v1/health/live")).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void testGoAwayToBusyConnectionCutsNoStream() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(drainLimits(Duration.ZERO, Duration.ZERO));
+        Http2TestClient client = new Http2TestClient(fixture.server.address())) {
+      CompletableFuture<Integer> answer = client.post("/v1/groups/ledger/read", READ);
+      FakeGroupService.Pending pending = fixture.service.next();
+
+      final CompletableFuture<Void> drained = fixture.server.drain();
+      client.goAway().get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+      assertThat(answer.isDone()).isFalse();
+      pending.outcome().complete(FakeGroupService.echo(pending.request()));
+
+      assertThat(answer.get(PATIENCE_SECONDS, TimeUnit.SECONDS)).isEqualTo(200);
+      drained.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  private static CallerLimits drainLimits(Duration notice, Duration goAwayDelay) {
+    CallerLimits limits = CallerFixture.limits();
+    TimeLimits times =
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, LONG, notice, goAwayDelay, SHORT);
+    return new CallerLimits(limits.sizes(), limits.load(), times);
+  }
+
+  private static int status(HttpClient client, CallerFixture fixture, String path)
+      throws Exception {
+    return client.send(fixture.request(path).build(), BodyHandlers.ofString()).statusCode();
+  }
+
+  private static void awaitNoNewConnection(CallerFixture fixture) {
+    assertThrows(
+        IOException.class,
+        () -> {
+          for (int i = 0; i < 10_000; i++) {
+            fixture.send("").close();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
@@ -0,0 +1,186 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+
+/** Callers that send nonsense, too much, too little, too slowly, or go away. */
+final class CallerFaultsFunctionalTest {
+  private static final Duration SHORT = Duration.ofMillis(100);
+  private static final Duration LONG = Duration.ofSeconds(30);
+  private static final long PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Bytes that a caller sends, and the status that it gets. */
+  private record Fault(String name, String sent, int status) {}
+
+  private static final List<Fault> REFUSED =
+      List.of(
+          new Fault("no HTTP", "GARBAGE\r\n\r\n", 400),
+          new Fault("no host", "GET /v1/health/live HTTP/1.1\r\n\r\n", 400),
+          new Fault("long line", "GET /" + "x".repeat(3_000) + " HTTP/1.1\r\n\r\n", 414),
+          new Fault("long header", post("X: " + "x".repeat(3_000) + "\r\n", ""), 431),
+          new Fault("many headers", post("X: 0123456789\r\n".repeat(200), ""), 431),
+          new Fault("declared too large", post("Content-Length: 10001\r\n", ""), 413),
+          new Fault(
+              "chunked too large",
+              post(
+                  "Transfer-Encoding: chunked\r\n",
+                  ("800\r\n" + "x".repeat(2_048) + "\r\n").repeat(6)),
+              413),
+          new Fault("negative length", post("Content-Length: -1\r\n", ""), 400),
+          new Fault("length is no number", post("Content-Length: many\r\n", ""), 400),
+          new Fault("broken chunk", post("Transfer-Encoding: chunked\r\n", "zz\r\n"), 400),
+          new Fault("odd expectation", post("Expect: wonders\r\nContent-Length: 1\r\n", ""), 417));
+
+  private static final List<Fault> SLOW =
+      List.of(
+          new Fault("half a request line", "POST /v1/gr", 408),
+          new Fault("half a header", "POST /v1/groups/a/read HTTP/1.1\r\nHos", 408),
+          new Fault("half a body", post("Content-Length: 50\r\n", "{\"statements\""), 408),
+          new Fault("half a chunk", post("Transfer-Encoding: chunked\r\n", "20\r\n{"), 408));
+
+  @Test
+  void testBrokenRequestsAreRefusedAndTheConnectionEnds() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
+      assertRefused(fixture, REFUSED);
+    }
+  }
+
+  @Test
+  void testSlowRequestsAreRefusedAndTheConnectionEnds() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits(SHORT, LONG))) {
+      assertRefused(fixture, SLOW);
+    }
+  }
+
+  @Test
+  void testSilentConnectionIsClosedWithoutAnAnswer() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits(SHORT, LONG));
+        Socket socket = fixture.send("")) {
+      assertThat(CallerFixture.readAll(socket)).isEmpty();
+    }
+  }
+
+  @Test
+  void testHttp2ConnectionThatAnswersNoPingIsClosed() throws Exception {
+    CallerLimits limits = CallerFixture.limits(LONG, LONG);
+    TimeLimits t = limits.times();
+    TimeLimits pinging =
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, LONG, t.drainIdle());
+    try (CallerFixture fixture =
+            new CallerFixture(new CallerLimits(limits.sizes(), limits.load(), pinging));
+        Socket socket = fixture.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0")) {
+      assertThat(CallerFixture.readAll(socket)).isNotEmpty();
+      assertThat(fixture.metrics.meter("callers.timed-out").getCount()).isEqualTo(1);
+    }
+  }
+
+  @Test
+  void testSlowReaderIsClosed() throws Exception {
+    CallerLimits limits = CallerFixture.limits();
+    TimeLimits t = limits.times();
+    TimeLimits impatient =
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, t.drainIdle());
+    try (CallerFixture fixture =
+            new CallerFixture(new CallerLimits(limits.sizes(), limits.load(), impatient));
+        Socket socket = new Socket()) {
+      String large = "x".repeat(32 * 1024 * 1024);
+      fixture.service.answerWith(r -> FakeGroupService.completed(large, null));
+      socket.setReceiveBufferSize(4_096);
+      socket.connect(
+          new InetSocketAddress(
+              InetAddress.getLoopbackAddress(), fixture.server.address().getPort()));
+      socket.getOutputStream().write(CallerFixture.rawRead("S", "").getBytes(US_ASCII));
+
+      await(() -> fixture.metrics.meter("callers.timed-out").getCount() == 1);
+      await(() -> fixture.metrics.counter("callers.connections").getCount() == 0);
+    }
+  }
+
+  @Test
+  void testOutcomeForCallerThatIsGoneIsDroppedAndCounted() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
+      Socket socket = fixture.send(CallerFixture.rawRead("S", ""));
+      FakeGroupService.Pending pending = fixture.service.next();
+      socket.close();
+      await(() -> fixture.metrics.counter("callers.connections").getCount() == 0);
+
+      pending.outcome().complete(FakeGroupService.completed("x", null));
+
+      await(() -> fixture.metrics.meter("callers.late").getCount() == 1);
+    }
+  }
+
+  @Test
+  void testRequestsAboveTheLimitAreNotRun() throws Exception {
+    CallerLimits limits = CallerFixture.limits();
+    LoadLimits one = new LoadLimits(50, 1, 10, 4);
+    try (CallerFixture fixture =
+        new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()))) {
+      HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
+      CompletableFuture<HttpResponse<String>> first =
+          client.sendAsync(fixture.read("S"), BodyHandlers.ofString());
+      FakeGroupService.Pending pending = fixture.service.next();
+
+      HttpResponse<String> second = client.send(fixture.read("S"), BodyHandlers.ofString());
+
+      assertThat(second.statusCode()).isEqualTo(503);
+      assertThat(second.body()).contains("\"outcome\":\"not-run\"");
+      assertThat(second.headers().firstValue("Retry-After")).hasValue("1");
+      assertThat(fixture.service.isIdle()).isTrue();
+      pending.outcome().complete(FakeGroupService.completed("x", null));
+      assertThat(first.get(10, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void testConnectionsAboveTheLimitAreClosed() throws Exception {
+    CallerLimits limits = CallerFixture.limits();
+    LoadLimits one = new LoadLimits(1, 10, 10, 4);
+    try (CallerFixture fixture =
+            new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()));
+        Socket first = fixture.send("");
+        Socket second = fixture.send("")) {
+      assertThat(first.isConnected()).isTrue();
+      assertThat(second.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  private static void assertRefused(CallerFixture fixture, List<Fault> faults) throws Exception {
+    for (Fault fault : faults) {
+      try (Socket socket = fixture.send(fault.sent())) {
+        String answer = CallerFixture.readAll(socket);
+        assertWithMessage(fault.name()).that(answer).startsWith("HTTP/1.1 " + fault.status());
+        assertWithMessage(fault.name()).that(answer).contains("\"outcome\":\"not-run\"");
+      }
+    }
+    assertThat(fixture.service.isIdle()).isTrue();
+  }
+
+  private static String post(String headers, String body) {
+    return "POST /v1/groups/ledger/read HTTP/1.1\r\nHost: x\r\n" + headers + "\r\n" + body;
+  }
+
+  private static void await(BooleanSupplier condition) {
+    long start = System.nanoTime();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - start > PATIENCE_NANOS) {
+        throw new AssertionError("the awaited condition did not come");
+      }
+      Thread.onSpinWait();
+    }
+  }
+}
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
@@ -74,6 +74,7 @@
             Duration.ofSeconds(30),
             Duration.ofSeconds(30),
             Duration.ZERO,
+            Duration.ofSeconds(30),
             Duration.ofMillis(100));
     return new CallerLimits(
         new SizeLimits(2_048, 10_000, 3, 4, 20), new LoadLimits(50, 20, 10, 4), times);
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/ConnectionTimerTest.java
@@ -0,0 +1,54 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.chicorylane.internal.caller.ConnectionTimer.Phase;
+import org.junit.jupiter.api.Test;
+
+final class ConnectionTimerTest {
+  private static final Instant START = Instant.EPOCH;
+
+  private final TimeLimits limits = TimeLimits.defaults();
+  private final ConnectionTimer timer = ConnectionTimer.idle(limits, START);
+
+  @Test
+  void testTrickledHeadersExpireFromTheirFirstByte() {
+    Instant now = START;
+    for (int i = 0; i < 4; i++) {
+      now = now.plusSeconds(1);
+      timer.bytesReceived(now);
+      assertThat(timer.isExpired(now)).isFalse();
+    }
+
+    assertThat(timer.isExpired(START.plusSeconds(1).plus(limits.headersTimeout()))).isTrue();
+    assertThat(timer.phase()).isEqualTo(Phase.HEADERS);
+  }
+
+  @Test
+  void testBodyHasTimeOfItsOwn() {
+    timer.bytesReceived(START);
+    timer.headersReceived(START.plusSeconds(4));
+
+    assertThat(timer.isExpired(START.plusSeconds(5))).isFalse();
+    assertThat(timer.isExpired(START.plusSeconds(4).plus(limits.bodyTimeout()))).isTrue();
+  }
+
+  @Test
+  void testServingNeverExpires() {
+    timer.serving(START);
+
+    assertThat(timer.isExpired(START.plus(Duration.ofDays(1)))).isFalse();
+  }
+
+  @Test
+  void testDrainShortensOnlyTheIdleTime() {
+    timer.drain(START.plusSeconds(3));
+    assertThat(timer.isExpired(START.plusSeconds(3))).isFalse();
+    assertThat(timer.isExpired(START.plusSeconds(3).plus(limits.drainIdle()))).isTrue();
+
+    timer.bytesReceived(START.plusSeconds(3));
+    assertThat(timer.isExpired(START.plusSeconds(3).plus(limits.drainIdle()))).isFalse();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/GroupCallReaderTest.java
@@ -0,0 +1,114 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.chicorylane.internal.finding.Finding;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.relay.RequestKind;
+import org.chicorylane.internal.session.SessionToken;
+import org.junit.jupiter.api.Test;
+
+final class GroupCallReaderTest {
+  private static final Instant NOW = Instant.EPOCH;
+  private static final String STATEMENTS = "\"statements\":[{\"sql\":\"S\"}]";
+
+  /** A header field, and the seconds that the caller waits with it. */
+  private record Wait(String name, String value, long seconds) {}
+
+  private final GroupCallReader reader =
+      new GroupCallReader(
+          CallerFixture.limits(Duration.ofSeconds(1), Duration.ofSeconds(30)),
+          CallerFixture.TOKENS);
+
+  @Test
+  void testTakesFloorFromTokenAndAgeFromReadClass() {
+    SessionToken token = SessionToken.fresh("s").advance("ledger", new LogPosition(2, 8));
+    HttpHeaders headers =
+        new DefaultHttpHeaders().set(HeaderNames.SESSION, CallerFixture.TOKENS.write(token));
+
+    GroupRequest request =
+        ready(RequestKind.READ, "{" + STATEMENTS + ",\"readClass\":\"lookup\"}", headers);
+
+    assertThat(request.sessionId()).isEqualTo("s");
+    assertThat(request.floor()).isEqualTo(new LogPosition(2, 8));
+    assertThat(request.maximumAge()).isEqualTo(Duration.ofSeconds(2));
+    assertThat(request.repeatable()).isTrue();
+  }
+
+  @Test
+  void testReportsMistakesInBodyHeadersAndClassesTogether() {
+    HttpHeaders headers = new DefaultHttpHeaders().set(HeaderNames.DEADLINE_MILLIS, "soon");
+    String body = "{" + STATEMENTS + ",\"requestClass\":\"billing\",\"repeatable\":true}";
+
+    List<Finding> findings = refused(RequestKind.WRITE, body, headers).findings();
+
+    assertThat(findings.stream().map(Finding::path).toList())
+        .containsExactly("idempotency-key", "chicorylane-deadline-millis", "$.repeatable");
+  }
+
+  @Test
+  void testUnknownClassesAreQuoted() {
+    Problem problem =
+        refused(
+            RequestKind.READ,
+            "{" + STATEMENTS + ",\"readClass\":\"fresh\",\"requestClass\":\"x\"}",
+            new DefaultHttpHeaders());
+
+    assertThat(problem.findings())
+        .containsExactly(
+            new Finding("body", "$.readClass", "no read class \"fresh\" is declared"),
+            new Finding("body", "$.requestClass", "no request class \"x\" is declared"));
+  }
+
+  @Test
+  void testBadTokensAreRefused() {
+    HttpHeaders malformed = new DefaultHttpHeaders().set(HeaderNames.SESSION, "%%%");
+    HttpHeaders forged = new DefaultHttpHeaders().set(HeaderNames.SESSION, "CgJrMQ");
+
+    assertThat(refused(RequestKind.READ, "{" + STATEMENTS + "}", malformed).name())
+        .isEqualTo("session-token-malformed");
+    assertThat(refused(RequestKind.READ, "{" + STATEMENTS + "}", forged).name())
+        .isEqualTo("session-token-forged");
+  }
+
+  @Test
+  void testDeadlineComesFromTheHeaderWithinTheMaximum() {
+    for (Wait wait :
+        List.of(
+            new Wait("prefer", "respond-async, wait=7", 7),
+            new Wait("prefer", "wait=7000", 30),
+            new Wait("prefer", "handling=lenient", 30),
+            new Wait("chicorylane-deadline-millis", "2000", 2))) {
+      HttpHeaders headers = new DefaultHttpHeaders().set(wait.name(), wait.value());
+      GroupRequest request = ready(RequestKind.READ, "{" + STATEMENTS + "}", headers);
+      assertWithMessage(wait.value())
+          .that(request.deadline())
+          .isEqualTo(NOW.plusSeconds(wait.seconds()));
+    }
+  }
+
+  private GroupRequest ready(RequestKind kind, String body, HttpHeaders headers) {
+    return ((GroupCall.Ready) read(kind, body, headers)).request();
+  }
+
+  private Problem refused(RequestKind kind, String body, HttpHeaders headers) {
+    return ((GroupCall.Refused) read(kind, body, headers)).problem();
+  }
+
+  private GroupCall read(RequestKind kind, String body, HttpHeaders headers) {
+    return reader.read(
+        new Route.Group("ledger", kind, null),
+        new ReceivedRequest.Whole("POST", "/", headers, ByteString.copyFromUtf8(body), true),
+        "r",
+        CallerFixture.DECLARATIONS,
+        NOW);
+  }
+}
