--- a/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
@@ -46,7 +46,7 @@
  * list is read more seldom the larger the fleet, so that all instances together call the platform
  * at a bounded rate.
  */
-public final class MembershipAgent implements AutoCloseable {
+public final class MembershipAgent implements RevisionGossip, AutoCloseable {
 
   /**
    * Who this instance is.
@@ -136,32 +136,32 @@
     return snapshot.self().membershipPort();
   }
 
-  /** Returns who is in the fleet. */
+  @Override
   public MembershipSnapshot snapshot() {
     return snapshot;
   }
 
-  /** Returns the revision in force by instance, as far as heard; this instance is not in it. */
+  @Override
   public Map<String, Long> revisions() {
     return Map.copyOf(revisions);
   }
 
-  /** Returns the highest revision that any instance was heard to have in force. */
+  @Override
   public long highestRevisionSeen() {
     return highestRevisionSeen;
   }
 
-  /** Has {@code listener} told of every change of the snapshot from now on. */
+  @Override
   public void addListener(Consumer<MembershipSnapshot> listener) {
     listeners.add(listener);
   }
 
-  /** Has {@code listener} told of every rise of {@link #highestRevisionSeen}. */
+  @Override
   public void addRevisionListener(Consumer<Long> listener) {
     revisionListeners.add(listener);
   }
 
-  /** Sets the declarations' revision that this instance has in force. */
+  @Override
   public void setRevision(long revision) {
     run(() -> protocol.setRevision(revision));
   }
