--- a/bench/src/main/java/org/chicorylane/bench/demo/SessionLoop.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/SessionLoop.java
@@ -14,14 +14,6 @@
  * older one is stale. Writes without a clear answer are asked again with the same key.
  */
 final class SessionLoop implements Runnable {
-  /** The schema that sessions expect, with one plan for each session. */
-  static final List<String> SCHEMA =
-      List.of(
-          "CREATE TABLE plan (id int PRIMARY KEY, version bigint NOT NULL)",
-          "CREATE TABLE check_in (id varchar(80) NOT NULL, plan_id int NOT NULL)",
-          "CREATE TABLE billing (id varchar(80) NOT NULL, plan_id int NOT NULL,"
-              + " amount bigint NOT NULL)");
-
   static final String CHECK_IN = "INSERT INTO check_in (id, plan_id) VALUES ($1, $2)";
   static final String BILLING = "INSERT INTO billing (id, plan_id, amount) VALUES ($1, $2, $3)";
   static final String RENEW = "UPDATE plan SET version = $1 WHERE id = $2 AND version < $3";
--- /dev/null
+++ b/bench/src/main/java/org/chicorylane/bench/demo/SessionSchema.java
@@ -0,0 +1,28 @@
+package org.chicorylane.bench.demo;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The tables that demo sessions work on, with one plan for each session. */
+public final class SessionSchema {
+  /** How many plans there are. */
+  public static final int PLANS = 100;
+
+  /** The statements that make the tables. */
+  public static final List<String> STATEMENTS = statements();
+
+  private SessionSchema() {}
+
+  private static List<String> statements() {
+    List<String> all = new ArrayList<>();
+    all.add("CREATE TABLE plan (id int PRIMARY KEY, version bigint NOT NULL)");
+    all.add("CREATE TABLE check_in (id varchar(80) NOT NULL, plan_id int NOT NULL)");
+    all.add(
+        "CREATE TABLE billing (id varchar(80) NOT NULL, plan_id int NOT NULL,"
+            + " amount bigint NOT NULL)");
+    for (int i = 0; i < PLANS; i++) {
+      all.add("INSERT INTO plan (id, version) VALUES (" + i + ", 0)");
+    }
+    return List.copyOf(all);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/chicorylane/bench/fleet/StandInFleet.java
@@ -0,0 +1,144 @@
+package org.chicorylane.bench.fleet;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import org.chicorylane.internal.dissemination.DeclarationKeys;
+import org.chicorylane.standin.database.StandInGroup;
+import org.chicorylane.standin.platform.StandInPlatform;
+
+/**
+ * A stand-in platform and a stand-in database group for each declared one.
+ *
+ * <pre>{@code
+ * try (StandInFleet fleet = StandInFleet.builder(documents).schema(sql).start()) {
+ *   connectTo(fleet.platformUri());
+ * }
+ * }</pre>
+ *
+ * <p>The documents are put into the platform's key-value service as operators would have them.
+ * Thread-safe.
+ */
+public final class StandInFleet implements AutoCloseable {
+  private final StandInPlatform platform;
+  private final Map<String, StandInGroup> groups;
+
+  private StandInFleet(StandInPlatform platform, Map<String, StandInGroup> groups) {
+    this.platform = platform;
+    this.groups = groups;
+  }
+
+  /** Begins a fleet for these resource documents. */
+  public static Builder builder(List<JsonObject> documents) {
+    return new Builder(documents);
+  }
+
+  /** Returns the platform. */
+  public StandInPlatform platform() {
+    return platform;
+  }
+
+  /** Returns where the platform answers. */
+  public URI platformUri() {
+    return URI.create("http://127.0.0.1:" + platform.port());
+  }
+
+  /** Returns the groups by name. */
+  public Map<String, StandInGroup> groups() {
+    return groups;
+  }
+
+  @Override
+  public void close() {
+    groups.values().forEach(StandInGroup::close);
+    platform.close();
+  }
+
+  /** Collects what a fleet is made of. Not thread-safe. */
+  public static final class Builder {
+    private final List<JsonObject> documents;
+    private final List<String> schema = new ArrayList<>();
+    private boolean declared = true;
+    private boolean declaredPorts;
+    private int platformPort;
+
+    private Builder(List<JsonObject> documents) {
+      this.documents = documents;
+    }
+
+    /** Adds statements that every group runs first. */
+    public Builder schema(List<String> statements) {
+      schema.addAll(statements);
+      return this;
+    }
+
+    /** Has the servers listen where they are declared instead of on free ports. */
+    public Builder declaredPorts() {
+      declaredPorts = true;
+      return this;
+    }
+
+    /** Leaves the documents to be declared by operators. */
+    public Builder undeclared() {
+      declared = false;
+      return this;
+    }
+
+    /** Sets the platform's port; 0 takes a free one. */
+    public Builder platformPort(int port) {
+      platformPort = port;
+      return this;
+    }
+
+    /** Starts everything. */
+    public StandInFleet start() {
+      StandInPlatform platform = StandInPlatform.builder().port(platformPort).start();
+      Map<String, StandInGroup> groups = new LinkedHashMap<>();
+      for (JsonObject document : documents) {
+        if (document.get("kind").getAsString().equals("DatabaseGroup")) {
+          StandInGroup group = start(document);
+          groups.put(group.name(), group);
+        }
+        if (declared) {
+          declare(platform, document);
+        }
+      }
+      return new StandInFleet(platform, groups);
+    }
+
+    private StandInGroup start(JsonObject document) {
+      JsonArray servers = document.getAsJsonObject("spec").getAsJsonArray("servers");
+      JsonObject first = servers.get(0).getAsJsonObject();
+      StandInGroup group =
+          StandInGroup.builder(nameOf(document))
+              .servers(servers.size())
+              .firstPort(declaredPorts ? first.get("port").getAsInt() : 0)
+              .slots(first.get("slots").getAsInt())
+              .connections(first.get("connections").getAsInt())
+              .schema(schema.toArray(String[]::new))
+              .start();
+      for (int i = 0; i < servers.size(); i++) {
+        servers
+            .get(i)
+            .getAsJsonObject()
+            .addProperty("port", group.servers().get(i).port());
+      }
+      return group;
+    }
+
+    private static void declare(StandInPlatform platform, JsonObject document) {
+      String key = DeclarationKeys.document(document.get("kind").getAsString(), nameOf(document));
+      platform.engine().put(key, document.toString());
+      platform.engine().put(DeclarationKeys.REVISION_KEY, UUID.randomUUID().toString());
+    }
+
+    private static String nameOf(JsonObject document) {
+      return document.getAsJsonObject("metadata").get("name").getAsString();
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/Command.java
@@ -0,0 +1,24 @@
+package org.chicorylane.internal.command;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/** A command of the program. Implementations are stateless. */
+public interface Command {
+
+  /** Returns the word that names the command. */
+  String name();
+
+  /** Returns what the command does, on one line. */
+  String summary();
+
+  /**
+   * Runs the command.
+   *
+   * @param arguments what follows the command's name
+   * @param out where results go
+   * @param err where complaints go
+   * @return the exit code of the program
+   */
+  ExitCode run(List<String> arguments, PrintStream out, PrintStream err);
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -38,7 +38,6 @@
  * <p>Runs on the group's executor only.
  */
 final class GroupWork {
-  private static final int MAX_WAITING = 2_000;
   private static final Duration RETRY_AFTER = Duration.ofMillis(500);
   private static final Duration LEDGER_RETRY = Duration.ofMillis(100);
   private static final Duration ABANDON_AFTER = Duration.ofSeconds(2);
@@ -75,7 +74,9 @@
     this.executor = executor;
     this.group = group;
     this.machine = machine;
-    this.transactions = new InteractiveTransactions(environment.fleet().self().instance());
+    this.transactions =
+        new InteractiveTransactions(
+            environment.fleet().self().instance(), environment.limits().transactionIdleLimit());
   }
 
   CompletableFuture<Outcome> submit(GroupRequest request) {
@@ -86,7 +87,7 @@
       ticket.refuse(NotRunReason.NOT_ALLOWED, Duration.ZERO, objection.get());
     } else if (servers.isEmpty() || (movedTo != null && request.transaction() == null)) {
       ticket.refuse(NotRunReason.NOT_HOME, Duration.ZERO, String.valueOf(movedTo));
-    } else if (waiting.size() >= MAX_WAITING) {
+    } else if (waiting.size() >= environment.limits().waitingRequests()) {
       ticket.refuse(NotRunReason.OVERLOADED, RETRY_AFTER, "the queue of the group is full");
     } else {
       waiting.add(ticket);
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/HomeEnvironment.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/HomeEnvironment.java
@@ -9,6 +9,7 @@
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.relay.Fleet;
 import org.chicorylane.internal.relay.RelayClient;
+import org.chicorylane.internal.settings.HomeLimits;
 
 /**
  * What every home of an instance shares.
@@ -21,6 +22,7 @@
  * @param peers asks other instances
  * @param declarations what is declared at the moment
  * @param timings the timings of failover
+ * @param limits what a home lets in and keeps
  * @param clock tells the time
  * @param metrics where homes are measured
  */
@@ -32,5 +34,6 @@
     RelayClient peers,
     Supplier<Declarations> declarations,
     HomeTimings timings,
+    HomeLimits limits,
     InstantSource clock,
     MetricRegistry metrics) {}
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
@@ -21,9 +21,6 @@
  * <p>Runs on the group's executor only.
  */
 final class InteractiveTransactions {
-  /** How long a transaction may wait for its caller's next request. */
-  static final Duration IDLE_LIMIT = Duration.ofSeconds(10);
-
   private static final int SECRET_BYTES = 16;
 
   /** An open transaction. */
@@ -85,11 +82,14 @@
   }
 
   private final String instance;
+  private final Duration idleLimit;
   private final SecureRandom random = new SecureRandom();
   private final Map<String, Open> byHandle = new HashMap<>();
 
-  InteractiveTransactions(String instance) {
+  /** Makes an empty registry; a transaction may wait for its caller as long as the limit says. */
+  InteractiveTransactions(String instance, Duration idleLimit) {
     this.instance = instance;
+    this.idleLimit = idleLimit;
   }
 
   Open open(
@@ -124,7 +124,7 @@
     List<Open> idle = new ArrayList<>();
     for (Iterator<Open> i = byHandle.values().iterator(); i.hasNext(); ) {
       Open t = i.next();
-      if (!t.busy && !now.isBefore(t.lastUse.plus(IDLE_LIMIT))) {
+      if (!t.busy && !now.isBefore(t.lastUse.plus(idleLimit))) {
         i.remove();
         idle.add(t);
       }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/RequestLedger.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/RequestLedger.java
@@ -25,9 +25,6 @@
  */
 final class RequestLedger {
 
-  /** How long the results of a key are kept. */
-  static final Duration RETENTION = Duration.ofHours(24);
-
   /** Creates the table where it does not exist. */
   static final String CREATE_TABLE =
       "CREATE TABLE IF NOT EXISTS chicorylane_ledger (idempotency_key varchar(255) PRIMARY KEY,"
@@ -63,8 +60,8 @@
     return new Statement(FIND, List.of(text(key)));
   }
 
-  static Statement purge(Instant now) {
-    long before = now.minus(RETENTION).toEpochMilli();
+  static Statement purge(Instant now, Duration retention) {
+    long before = now.minus(retention).toEpochMilli();
     return new Statement(PURGE, List.of(new SqlValue.Int(before)));
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
@@ -12,9 +12,12 @@
 import java.util.HexFormat;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.chicorylane.Settings;
 import org.chicorylane.internal.backend.ServerConnector;
 import org.chicorylane.internal.caller.CallerServer;
+import org.chicorylane.internal.declaration.DeclarationReader;
 import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.dissemination.DeclarationFeed;
 import org.chicorylane.internal.failover.HomeTimings;
 import org.chicorylane.internal.home.HomeEnvironment;
 import org.chicorylane.internal.home.HomeRegistry;
@@ -34,7 +37,7 @@
  * One running instance: entry for callers and home of some database groups.
  *
  * <pre>{@code
- * Instance instance = Instance.start(options);
+ * Instance instance = Instance.start(settings);
  * instance.drain().join();
  * instance.close();
  * }</pre>
@@ -45,7 +48,6 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
   private static final Duration LIST_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
-  private static final int MAX_TOKEN_CHARACTERS = 8192;
   private static final int PROCESS_ID_BYTES = 6;
 
   private final EventLoopGroup loops =
@@ -59,40 +61,53 @@
   private final MembershipFleet fleet;
   private final RelayClient peers;
   private final HomeRegistry homes;
-  private final DeclarationPoller declarations;
+  private final DeclarationFeed declarations;
   private final CallerServer callers;
   private volatile boolean draining;
 
-  private Instance(InstanceOptions options) {
+  private Instance(Settings settings) {
     store =
-        new EtcdKeyValueStore(options.storeEndpoints(), EtcdKeyValueStore.Options.DEFAULT, metrics);
+        new EtcdKeyValueStore(
+            settings.platform().keyValue(), EtcdKeyValueStore.Options.DEFAULT, metrics);
     RelayDuties duties = new RelayDuties();
-    relayServer = RelayServer.start(loops, options.relayAddress(), duties, clock);
-    membership = startMembership(options);
+    relayServer = RelayServer.start(loops, settings.addresses().relay(), duties, clock);
+    membership = startMembership(settings);
     fleet = new MembershipFleet(membership);
     peers = new RelayClient(loops, RelayTimings.DEFAULT);
-    declarations = new DeclarationPoller(store, loops.next());
-    homes = new HomeRegistry(environment(), loops);
+    declarations =
+        DeclarationFeed.start(
+            store,
+            membership,
+            new RelayPuller(peers),
+            (revision, documents) ->
+                DeclarationReader.assembleLenient(revision, documents).declarations(),
+            DeclarationFeed::isWatcher,
+            clock,
+            new SecureRandom().nextLong());
+    homes = new HomeRegistry(environment(settings), loops);
     EntryRouter router = new EntryRouter(fleet, peers, homes, loops, clock, metrics);
     membership.addListener(
         snapshot -> {
           fleet.update(snapshot);
           homes.refresh();
         });
-    declarations.start(
+    declarations.addListener(
         d -> {
+          duties.publish(declarations.snapshot());
           membership.setRevision(d.revision());
           homes.refresh();
         });
+    duties.publish(declarations.snapshot());
+    homes.refresh();
     duties.begin(homes);
     callers =
         CallerServer.builder()
-            .address(options.callerAddress())
+            .address(settings.addresses().caller())
             .service(router)
             .declarations(declarations::current)
-            .tokens(new SessionTokenCodec(options.sessionKeys(), MAX_TOKEN_CHARACTERS))
+            .tokens(new SessionTokenCodec(settings.sessionKeys(), settings.sessionTokenLength()))
             .ids(new SessionIds(new SecureRandom()))
-            .limits(options.callerLimits())
+            .limits(settings.callerLimits())
             .clock(clock)
             .metrics(metrics)
             .ready(this::isReady)
@@ -100,12 +115,12 @@
   }
 
   /** Starts an instance; it answers callers when this returns. */
-  public static Instance start(InstanceOptions options) {
-    Instance instance = new Instance(options);
+  public static Instance start(Settings settings) {
+    Instance instance = new Instance(settings);
     Logger.info(
         "instance {} in {} serves callers on {}",
-        options.instanceId(),
-        options.availabilityZone(),
+        settings.instanceId(),
+        settings.availabilityZone(),
         instance.callerAddress());
     return instance;
   }
@@ -159,22 +174,22 @@
     return !draining && declarations.current().revision() > 0;
   }
 
-  private MembershipAgent startMembership(InstanceOptions options) {
+  private MembershipAgent startMembership(Settings settings) {
     return MembershipAgent.start(
         new MembershipAgent.Identity(
-            options.instanceId(),
-            options.relayAddress().getAddress().getHostAddress(),
-            options.membershipPort(),
+            settings.instanceId(),
+            settings.addresses().relay().getAddress().getHostAddress(),
+            settings.addresses().membership().getPort(),
             relayServer.port(),
-            options.availabilityZone()),
+            settings.availabilityZone()),
         MembershipOptions.DEFAULT,
-        new EndpointSliceInstanceList(options.instanceListEndpoints(), LIST_TIMEOUT, metrics),
+        new EndpointSliceInstanceList(settings.platform().instanceList(), LIST_TIMEOUT, metrics),
         clock,
         metrics,
         new SecureRandom().nextLong());
   }
 
-  private HomeEnvironment environment() {
+  private HomeEnvironment environment(Settings settings) {
     byte[] processId = new byte[PROCESS_ID_BYTES];
     new SecureRandom().nextBytes(processId);
     return new HomeEnvironment(
@@ -185,6 +200,7 @@
         peers,
         declarations::current,
         HomeTimings.DEFAULTS,
+        settings.homeLimits(),
         clock,
         metrics);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/instance/RelayDuties.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/RelayDuties.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.instance;
 
 import java.util.concurrent.CompletableFuture;
+import org.chicorylane.internal.dissemination.DeclarationSnapshot;
 import org.chicorylane.internal.home.HomeRegistry;
 import org.chicorylane.internal.outcome.Outcome;
 import org.chicorylane.internal.relay.GroupRequest;
@@ -19,8 +20,12 @@
   }
 
   /** Sets what {@link #onPull} gives away. */
-  void publish(DeclarationsMessage message) {
-    declarations = message;
+  void publish(DeclarationSnapshot snapshot) {
+    declarations =
+        DeclarationsMessage.newBuilder()
+            .setRevision(snapshot.revision())
+            .addAllDocuments(snapshot.documents())
+            .build();
   }
 
   @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFunctionalTest.java
@@ -26,6 +26,7 @@
 import org.chicorylane.internal.relay.RelayClient;
 import org.chicorylane.internal.relay.RelayTimings;
 import org.chicorylane.internal.relay.RequestKind;
+import org.chicorylane.internal.settings.HomeLimits;
 import org.chicorylane.internal.statement.SqlValue;
 import org.chicorylane.internal.statement.Statement;
 import org.chicorylane.standin.database.StandInGroup;
@@ -76,6 +77,7 @@
             new RelayClient(loops, RelayTimings.DEFAULT),
             () -> declarations,
             HomeTimings.DEFAULTS,
+            HomeLimits.defaults(),
             InstantSource.system(),
             new MetricRegistry());
     home = new HomeRegistry(environment, loops);
--- a/standins/src/main/java/org/chicorylane/standin/database/GroupOptions.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/GroupOptions.java
@@ -8,6 +8,7 @@
 record GroupOptions(
     String name,
     int servers,
+    int firstPort,
     List<String> zones,
     int slots,
     int connections,
--- a/standins/src/main/java/org/chicorylane/standin/database/Listener.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Listener.java
@@ -29,9 +29,10 @@
   private @Nullable Channel channel;
   private int port;
 
-  Listener(ServerCore server, EventLoopGroup loops) {
+  Listener(ServerCore server, EventLoopGroup loops, int port) {
     this.server = server;
     this.loops = loops;
+    this.port = port;
   }
 
   /** Binds the port, the same one as before if there was one. */
--- a/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
@@ -50,7 +50,8 @@
       List<String> zones = options.zones();
       String zone = zones.isEmpty() ? "" : zones.get(i % zones.size());
       String name = options.name() + "-" + (i + 1);
-      StandInServer server = new StandInServer(core, loops, name, zone, primaryPort);
+      int port = options.firstPort() == 0 ? 0 : options.firstPort() + i;
+      StandInServer server = new StandInServer(core, loops, name, zone, port, primaryPort);
       core.add(server);
       server.start();
       if (i == 0) {
@@ -192,6 +193,7 @@
 
     private final String name;
     private int servers = DEFAULT_SERVERS;
+    private int firstPort;
     private int slots = DEFAULT_SLOTS;
     private int connections = DEFAULT_CONNECTIONS;
     private @Nullable String password;
@@ -212,6 +214,12 @@
       return this;
     }
 
+    /** Sets the port of the first server, which the others follow; 0 takes free ones. */
+    public Builder firstPort(int port) {
+      firstPort = port;
+      return this;
+    }
+
     /** Sets the availability zones, which the servers take in turn. */
     public Builder zones(String... names) {
       zones.addAll(List.of(names));
@@ -258,6 +266,7 @@
           new GroupOptions(
               name,
               servers,
+              firstPort,
               List.copyOf(zones),
               slots,
               connections,
--- a/standins/src/main/java/org/chicorylane/standin/database/StandInServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInServer.java
@@ -38,13 +38,14 @@
   private final ServerCore core;
   private final Listener listener;
 
-  StandInServer(GroupCore group, EventLoopGroup loops, String name, String zone, int upstreamPort)
+  StandInServer(
+      GroupCore group, EventLoopGroup loops, String name, String zone, int port, int upstreamPort)
       throws SQLException {
     this.zone = zone;
     boolean primary = upstreamPort == 0;
     ConnectionInfo upstream = primary ? ConnectionInfo.NONE : ConnectionInfo.of(HOST, upstreamPort);
     core = new ServerCore(group, name, primary, upstream);
-    listener = new Listener(core, loops);
+    listener = new Listener(core, loops, port);
   }
 
   void start() {
