--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/admission/Ticket.java
@@ -0,0 +1,15 @@
+package org.chicorylane.internal.admission;
+
+import java.time.Instant;
+
+/**
+ * A request that asks for a slot.
+ *
+ * @param id unique among the requests of the group
+ * @param requestClass the name of its class
+ * @param needsPrimary whether only the primary can run it
+ * @param retry whether the system itself repeats the request, which the retry budget limits
+ * @param deadline when the caller stops waiting
+ */
+public record Ticket(
+    String id, String requestClass, boolean needsPrimary, boolean retry, Instant deadline) {}
