--- a/bench/src/main/java/org/chicorylane/bench/fleet/EmbeddedInstances.java
+++ b/bench/src/main/java/org/chicorylane/bench/fleet/EmbeddedInstances.java
@@ -1,5 +1,6 @@
 package org.chicorylane.bench.fleet;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.security.SecureRandom;
@@ -73,7 +74,7 @@
   }
 
   private static Settings settings(String id, String zone, URI platform, SessionKey key) {
-    InetSocketAddress free = new InetSocketAddress(HOST, 0);
+    InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     return Settings.builder(id, zone)
         .addresses(new Addresses(free, free, free, free))
         .platform(new PlatformEndpoints(List.of(platform), List.of(platform)))
--- a/bench/src/main/java/org/chicorylane/bench/fleet/StandInFleet.java
+++ b/bench/src/main/java/org/chicorylane/bench/fleet/StandInFleet.java
@@ -1,5 +1,6 @@
 package org.chicorylane.bench.fleet;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.net.URI;
@@ -9,6 +10,10 @@
 import java.util.Map;
 import java.util.UUID;
 import org.chicorylane.internal.dissemination.DeclarationKeys;
+import org.chicorylane.internal.platform.EtcdKeyValueStore;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.StoreTransaction;
+import org.chicorylane.internal.platform.WriteResult;
 import org.chicorylane.standin.database.StandInGroup;
 import org.chicorylane.standin.platform.StandInPlatform;
 
@@ -104,13 +109,22 @@
           StandInGroup group = start(document);
           groups.put(group.name(), group);
         }
-        if (declared) {
-          declare(platform, document);
-        }
+      }
+      if (declared) {
+        declareAll(platform.port());
       }
       return new StandInFleet(platform, groups);
     }
 
+    private void declareAll(int port) {
+      URI endpoint = URI.create("http://127.0.0.1:" + port);
+      try (EtcdKeyValueStore store =
+          new EtcdKeyValueStore(
+              List.of(endpoint), EtcdKeyValueStore.Options.DEFAULT, new MetricRegistry())) {
+        documents.forEach(d -> declare(store, d));
+      }
+    }
+
     private StandInGroup start(JsonObject document) {
       JsonArray servers = document.getAsJsonObject("spec").getAsJsonArray("servers");
       JsonObject first = servers.get(0).getAsJsonObject();
@@ -123,18 +137,20 @@
               .schema(schema.toArray(String[]::new))
               .start();
       for (int i = 0; i < servers.size(); i++) {
-        servers
-            .get(i)
-            .getAsJsonObject()
-            .addProperty("port", group.servers().get(i).port());
+        servers.get(i).getAsJsonObject().addProperty("port", group.servers().get(i).port());
       }
       return group;
     }
 
-    private static void declare(StandInPlatform platform, JsonObject document) {
+    private static void declare(KeyValueStore store, JsonObject document) {
       String key = DeclarationKeys.document(document.get("kind").getAsString(), nameOf(document));
-      platform.engine().put(key, document.toString());
-      platform.engine().put(DeclarationKeys.REVISION_KEY, UUID.randomUUID().toString());
+      StoreTransaction.Builder change = StoreTransaction.builder().put(key, document.toString());
+      String changeId = UUID.randomUUID().toString();
+      WriteResult result =
+          store.transact(DeclarationKeys.markChanged(change, changeId).build()).join();
+      if (!(result instanceof WriteResult.Applied)) {
+        throw new IllegalStateException("cannot declare \"" + key + "\": " + result);
+      }
     }
 
     private static String nameOf(JsonObject document) {
