--- a/chicorylane/src/test/java/org/chicorylane/internal/platform/EtcdKeyValueStoreFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/platform/EtcdKeyValueStoreFunctionalTest.java
@@ -101,6 +101,18 @@
     assertThat(seen.poll(10, TimeUnit.SECONDS).entry().value()).isEqualTo("b by w1");
   }
 
+  @Test
+  void testSilentConnectionsAreReplaced() throws InterruptedException {
+    BlockingQueue<WatchListener.Change> seen = new LinkedBlockingQueue<>();
+    store.watch("/t/", 1, queueing(seen));
+    long first = applied(store.compareAndSwap("/t/1", 0, "a"));
+    assertThat(seen.poll(10, TimeUnit.SECONDS).entry().modRevision()).isEqualTo(first);
+    platform.faults().silenceOpenConnections();
+    assertThat(store.get("/t/1").join()).isInstanceOf(ReadResult.Unavailable.class);
+    long second = applied(store.compareAndSwap("/t/1", first, "b"));
+    assertThat(seen.poll(10, TimeUnit.SECONDS).entry().modRevision()).isEqualTo(second);
+  }
+
   @Test
   void testCallsAreCountedOnBothSides() {
     store.get("/k").join();
--- a/standins/src/main/java/org/chicorylane/standin/platform/PlatformFaults.java
+++ b/standins/src/main/java/org/chicorylane/standin/platform/PlatformFaults.java
@@ -26,6 +26,7 @@
   private int answersToLose;
   private double lossProbability;
   private Runnable onDown = () -> {};
+  private Runnable onSilence = () -> {};
 
   PlatformFaults(long seed) {
     random = new Random(seed);
@@ -41,6 +42,15 @@
     reset.run();
   }
 
+  /** Makes all open connections silent for good; new ones work. */
+  public void silenceOpenConnections() {
+    Runnable silence;
+    synchronized (this) {
+      silence = onSilence;
+    }
+    silence.run();
+  }
+
   /** Keeps connections open and requests unprocessed until {@link #heal}, which processes them. */
   public synchronized void freeze() {
     frozen = true;
@@ -80,6 +90,10 @@
     onDown = action;
   }
 
+  synchronized void onSilence(Runnable action) {
+    onSilence = action;
+  }
+
   synchronized boolean isDown() {
     return down;
   }
--- a/standins/src/main/java/org/chicorylane/standin/platform/StandInPlatform.java
+++ b/standins/src/main/java/org/chicorylane/standin/platform/StandInPlatform.java
@@ -88,6 +88,7 @@
     directory = new InstanceDirectory(builder.clock);
     faults = new PlatformFaults(builder.seed);
     faults.onDown(this::resetConnections);
+    faults.onSilence(this::silenceConnections);
     server = bind(builder.port);
     long interval = LEASE_CHECK_INTERVAL.toMillis();
     group.scheduleAtFixedRate(engine::expireLeases, interval, interval, TimeUnit.MILLISECONDS);
@@ -184,6 +185,10 @@
     connections.forEach(StandInPlatform::reset);
   }
 
+  private void silenceConnections() {
+    connections.forEach(channel -> channel.pipeline().addFirst(new SilentHandler()));
+  }
+
   private static void reset(Channel channel) {
     channel.config().setOption(ChannelOption.SO_LINGER, 0);
     channel.close();
