Stand-in database: cause its faults in tests, and mend what they found

Cause: only the contract with the clients was tested.

Change besides: graceful shutdown waits for streaming replicas, partitions take several servers, commits wake only the followers, volatile functions are looked for once a statement.

--- a/standins/src/main/java/org/chicorylane/standin/database/Engine.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Engine.java
@@ -4,6 +4,7 @@
 import java.sql.DriverManager;
 import java.sql.SQLException;
 import java.sql.Statement;
+import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -16,7 +17,7 @@
   private static final AtomicLong SEQUENCE = new AtomicLong();
   private static final String OPTIONS =
       ";MODE=PostgreSQL;DATABASE_TO_LOWER=TRUE;DEFAULT_NULL_ORDERING=HIGH;DB_CLOSE_DELAY=-1"
-          + ";LOCK_TIMEOUT=10000;DB_CLOSE_ON_EXIT=FALSE;BUILTIN_ALIAS_OVERRIDE=TRUE";
+          + ";DB_CLOSE_ON_EXIT=FALSE;BUILTIN_ALIAS_OVERRIDE=TRUE";
 
   private final String url;
   private final Connection keeper;
@@ -31,9 +32,16 @@
     }
   }
 
-  /** Opens a connection with its own transactions. */
-  Connection connect() throws SQLException {
+  /**
+   * Opens a connection with its own transactions.
+   *
+   * @param lockTimeout how long a statement waits for a lock before it fails, without effect
+   */
+  Connection connect(Duration lockTimeout) throws SQLException {
     Connection connection = DriverManager.getConnection(url, "sa", "");
+    try (Statement s = connection.createStatement()) {
+      s.execute("SET LOCK_TIMEOUT " + lockTimeout.toMillis());
+    }
     connection.setAutoCommit(false);
     connection.setTransactionIsolation(Connection.TRANSACTION_READ_COMMITTED);
     return connection;
--- a/standins/src/main/java/org/chicorylane/standin/database/GroupCore.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/GroupCore.java
@@ -1,5 +1,6 @@
 package org.chicorylane.standin.database;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -8,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 
@@ -25,6 +27,8 @@
     }
   }
 
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
   private final GroupOptions options;
   private final List<StandInServer> servers = new CopyOnWriteArrayList<>();
   private final Set<BrokenPath> brokenPaths = ConcurrentHashMap.newKeySet();
@@ -79,10 +83,23 @@
 
   void wakeFollowers(ServerCore upstream) {
     for (StandInServer s : servers) {
-      if (s.core() != upstream) {
-        s.core().wakeReplication();
+      if (s.core().replication().follows(upstream)) {
+        s.core().wakeReceiver();
+      }
+    }
+  }
+
+  boolean hasLaggingFollower(ServerCore upstream) {
+    long end = upstream.replication().log().endLsn();
+    for (StandInServer s : servers) {
+      ReplicationSnapshot snapshot = s.core().replication().snapshot();
+      ConnectionInfo from = snapshot.upstream();
+      boolean follows = from != null && serverAt(from) == upstream;
+      if (follows && connected(s.core(), upstream) && snapshot.endLsn() < end) {
+        return true;
       }
     }
+    return false;
   }
 
   boolean connected(ServerCore a, ServerCore b) {
@@ -98,7 +115,15 @@
   }
 
   void close() {
-    executor.shutdownNow();
     scheduler.shutdownNow();
+    executor.shutdown();
+    try {
+      if (!executor.awaitTermination(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+        executor.shutdownNow();
+      }
+    } catch (InterruptedException e) {
+      executor.shutdownNow();
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/standins/src/main/java/org/chicorylane/standin/database/Link.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Link.java
@@ -19,7 +19,7 @@
 
   private final Channel channel;
   private final Queue<ByteBuf> held = new ArrayDeque<>();
-  private int holds;
+  private boolean onHold;
   private boolean silenced;
   private boolean closeAfterRelease;
 
@@ -31,7 +31,7 @@
   synchronized void send(ByteBuf message) {
     if (silenced) {
       message.release();
-    } else if (holds > 0) {
+    } else if (onHold) {
       held.add(message);
     } else {
       channel.writeAndFlush(message, channel.voidPromise());
@@ -43,10 +43,13 @@
     if (silenced) {
       return;
     }
-    if (holds > 0) {
+    if (onHold) {
       closeAfterRelease = true;
       return;
     }
+    if (!channel.isOpen()) {
+      return;
+    }
     channel.writeAndFlush(channel.alloc().buffer(0)).addListener(ChannelFutureListener.CLOSE);
   }
 
@@ -60,18 +63,15 @@
     channel.close();
   }
 
-  /** Stops delivery in both directions until {@link #release}; holds are counted. */
+  /** Stops delivery in both directions until {@link #release}. */
   synchronized void hold() {
-    holds++;
+    onHold = true;
     channel.config().setAutoRead(false);
   }
 
-  /** Ends one hold; delivers what was held when it was the last. */
+  /** Delivers again, first what was held. */
   synchronized void release() {
-    holds--;
-    if (holds > 0) {
-      return;
-    }
+    onHold = false;
     if (!silenced) {
       held.forEach(channel::writeAndFlush);
       held.clear();
--- a/standins/src/main/java/org/chicorylane/standin/database/Listener.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Listener.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -9,10 +10,14 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,6 +27,10 @@
  */
 final class Listener {
 
+  private static final String HOST = "127.0.0.1";
+  private static final int BIND_ATTEMPTS = 500;
+  private static final Duration BIND_RETRY_INTERVAL = Duration.ofMillis(10);
+
   private final ServerCore server;
   private final EventLoopGroup loops;
   private final Map<Channel, ConnectionHandler> connections = new ConcurrentHashMap<>();
@@ -49,11 +58,21 @@
                     child.pipeline().addLast(new FrontendDecoder(), new ConnectionHandler(child));
                   }
                 });
-    Channel bound = bootstrap.bind("127.0.0.1", port).syncUninterruptibly().channel();
+    Channel bound = bind(bootstrap);
     channel = bound;
     port = ((InetSocketAddress) bound.localAddress()).getPort();
   }
 
+  /** Binds, again if the port's last socket is still being closed. */
+  private Channel bind(ServerBootstrap bootstrap) {
+    ChannelFuture bound = bootstrap.bind(HOST, port).awaitUninterruptibly();
+    for (int i = 1; !bound.isSuccess() && port != 0 && i < BIND_ATTEMPTS; i++) {
+      LockSupport.parkNanos(BIND_RETRY_INTERVAL.toNanos());
+      bound = bootstrap.bind(HOST, port).awaitUninterruptibly();
+    }
+    return bound.syncUninterruptibly().channel();
+  }
+
   synchronized int port() {
     return port;
   }
@@ -76,16 +95,21 @@
     connections.keySet().forEach(Channel::close);
   }
 
+  /** Holds or releases the connections as the server's freeze and isolation demand. */
+  void applyHolds() {
+    connections.values().forEach(ConnectionHandler::applyHolds);
+  }
+
   /** Holds the traffic of callers whose application name starts with {@code label}. */
   void isolate(String label) {
     isolatedLabels.add(label);
-    connections.values().forEach(ConnectionHandler::applyIsolation);
+    applyHolds();
   }
 
   /** Ends all isolation of callers. */
   void endIsolation() {
     isolatedLabels.clear();
-    connections.values().forEach(ConnectionHandler::applyIsolation);
+    applyHolds();
   }
 
   /** Hands what one connection sends to its session. */
@@ -93,8 +117,9 @@
 
     private final Link link;
     private final Session session;
-    private @Nullable String label;
-    private boolean isolated;
+    private final Queue<FrontendMessage> heldMessages = new ArrayDeque<>();
+    private volatile @Nullable String startupLabel;
+    private boolean held;
 
     ConnectionHandler(Channel child) {
       link = new Link(child);
@@ -104,17 +129,14 @@
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       connections.put(ctx.channel(), this);
-      if (server.gate().frozen()) {
-        link.hold();
+      if (!server.running()) {
+        link.reset();
       }
-      applyIsolation();
+      applyHolds();
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FrontendMessage message) {
-      if (link.silenced()) {
-        return;
-      }
       if (message instanceof FrontendMessage.CancelRequest cancel) {
         server.sessions().cancel(cancel.pid(), cancel.secret());
         ctx.close();
@@ -122,19 +144,26 @@
       }
       if (message instanceof FrontendMessage.Startup startup) {
         String name = startup.parameters().get(SessionSettings.APPLICATION_NAME);
-        synchronized (this) {
-          label = name == null ? "" : name;
-        }
-        applyIsolation();
+        startupLabel = name == null ? "" : name;
+        applyHolds();
       }
-      session.accept(message);
+      deliver(message);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       connections.remove(ctx.channel());
-      if (!link.silenced()) {
-        session.accept(new FrontendMessage.Disconnected());
+      deliver(new FrontendMessage.Disconnected());
+    }
+
+    private synchronized void deliver(FrontendMessage message) {
+      if (link.silenced()) {
+        return;
+      }
+      if (held) {
+        heldMessages.add(message);
+      } else {
+        session.accept(message);
       }
     }
 
@@ -143,17 +172,23 @@
       ctx.close();
     }
 
-    synchronized void applyIsolation() {
-      String name = label;
-      boolean wanted =
-          isolatedLabels.stream()
-              .anyMatch(l -> l.isEmpty() || (name != null && name.startsWith(l)));
-      if (wanted && !isolated) {
+    synchronized void applyHolds() {
+      boolean wanted = server.gate().frozen() || isolated();
+      if (wanted && !held) {
         link.hold();
-      } else if (!wanted && isolated) {
+      } else if (!wanted && held) {
+        heldMessages.forEach(session::accept);
+        heldMessages.clear();
         link.release();
       }
-      isolated = wanted;
+      held = wanted;
+    }
+
+    private boolean isolated() {
+      String label = session.activity().applicationName();
+      String current = label.isEmpty() ? startupLabel : label;
+      return isolatedLabels.stream()
+          .anyMatch(l -> l.isEmpty() || (current != null && current.startsWith(l)));
     }
   }
 }
--- a/standins/src/main/java/org/chicorylane/standin/database/Replay.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Replay.java
@@ -18,6 +18,7 @@
 final class Replay {
 
   private static final long IDLE_NANOS = Duration.ofMillis(20).toNanos();
+  private static final Duration LOCK_TIMEOUT = Duration.ofSeconds(30);
   private static final int CACHED_STATEMENTS = 64;
 
   private final ServerCore server;
@@ -85,7 +86,7 @@
     try {
       Connection c = connection;
       if (c == null) {
-        c = server.engine().connect();
+        c = server.engine().connect(LOCK_TIMEOUT);
         connection = c;
       }
       for (LoggedStatement s : logRecord.statements()) {
--- a/standins/src/main/java/org/chicorylane/standin/database/Replication.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Replication.java
@@ -25,10 +25,10 @@
   private final Object lock = new Object();
   private final ServerCore server;
   private final ReplicationLog log = new ReplicationLog();
-  private boolean primary;
+  private volatile boolean primary;
   private boolean promoting;
-  private String setting;
-  private String pendingSetting;
+  private volatile ConnectionInfo setting;
+  private ConnectionInfo pendingSetting;
   private @Nullable ConnectionInfo streamingFrom;
   private @Nullable Long receiveLsn;
   private @Nullable Long replayLsn;
@@ -39,8 +39,8 @@
   Replication(ServerCore server, boolean primary, ConnectionInfo upstream) {
     this.server = server;
     this.primary = primary;
-    this.setting = upstream.text();
-    this.pendingSetting = upstream.text();
+    this.setting = upstream;
+    this.pendingSetting = upstream;
   }
 
   ReplicationLog log() {
@@ -48,9 +48,7 @@
   }
 
   boolean inRecovery() {
-    synchronized (lock) {
-      return !primary;
-    }
+    return !primary;
   }
 
   boolean promoting() {
@@ -81,10 +79,16 @@
     }
   }
 
+  /** Returns whether this server is a replica that is set to follow {@code upstream}. */
+  boolean follows(ServerCore upstream) {
+    ConnectionInfo info = setting;
+    return !primary && info.present() && server.peer(info) == upstream;
+  }
+
   /** Sets what {@link #reload} or a restart puts in force. */
   void upstreamSetting(String text) {
     synchronized (lock) {
-      pendingSetting = text;
+      pendingSetting = ConnectionInfo.parse(text);
     }
   }
 
@@ -187,13 +191,15 @@
         return;
       }
       replayLsn = lsn;
-      if (promoting && count == log.size()) {
-        promoting = false;
-        primary = true;
-        appendOwn(log.timeline() + 1, List.of());
-        lock.notifyAll();
+      if (!promoting || count < log.size()) {
+        return;
       }
+      promoting = false;
+      primary = true;
+      appendOwn(log.timeline() + 1, List.of());
+      lock.notifyAll();
     }
+    server.wakeFollowers();
   }
 
   /**
@@ -213,7 +219,7 @@
   }
 
   private long receiveLocked() {
-    ConnectionInfo info = new ConnectionInfo(setting);
+    ConnectionInfo info = setting;
     ServerCore upstream = info.present() ? server.peer(info) : null;
     if (server.gate().frozen()) {
       return IDLE_NANOS;
@@ -269,8 +275,8 @@
       log.clear();
       primary = false;
       promoting = false;
-      setting = upstream.text();
-      pendingSetting = upstream.text();
+      setting = upstream;
+      pendingSetting = upstream;
       streamingFrom = null;
       receiveLsn = null;
       replayLsn = null;
--- a/standins/src/main/java/org/chicorylane/standin/database/ReplicationSnapshot.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/ReplicationSnapshot.java
@@ -20,4 +20,4 @@
     @Nullable Long receiveLsn,
     @Nullable Long replayLsn,
     @Nullable ConnectionInfo upstream,
-    String setting) {}
+    ConnectionInfo setting) {}
--- a/standins/src/main/java/org/chicorylane/standin/database/ServerCore.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/ServerCore.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
@@ -119,10 +120,22 @@
     LockSupport.unpark(replayer);
   }
 
+  void wakeReceiver() {
+    LockSupport.unpark(receiver);
+  }
+
   void wakeFollowers() {
     group.wakeFollowers(this);
   }
 
+  /** Waits until the servers that stream from this one have received its log. */
+  void awaitFollowers(Duration timeout) throws InterruptedException {
+    long deadline = System.nanoTime() + timeout.toNanos();
+    while (group.hasLaggingFollower(this) && System.nanoTime() < deadline) {
+      TimeUnit.MILLISECONDS.sleep(1);
+    }
+  }
+
   @Nullable ServerCore peer(ConnectionInfo info) {
     return group.serverAt(info);
   }
--- a/standins/src/main/java/org/chicorylane/standin/database/ServerFunctions.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/ServerFunctions.java
@@ -181,7 +181,7 @@
     return context().terminate(pid);
   }
 
-  /** Ends another session; it has ended when this returns, so the timeout is not needed. */
+  /** Ends another session; nothing of it commits after this returns, so it need not wait. */
   public static boolean pgTerminateBackend(int pid, long timeoutMillis) throws SQLException {
     return context().terminate(pid);
   }
--- a/standins/src/main/java/org/chicorylane/standin/database/Session.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/Session.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
@@ -26,8 +27,10 @@
   private final Queue<FrontendMessage> inbox = new ArrayDeque<>();
   private boolean scheduled;
   private boolean ended;
+  private boolean woken;
   private long idleSinceNanos;
-  private boolean timerArmed;
+  private @Nullable ScheduledFuture<?> timer;
+  private long timerNanos;
   private volatile boolean abandoned;
   private volatile boolean smartShutdown;
   private volatile @Nullable SqlError termination;
@@ -109,6 +112,7 @@
 
   private void wake() {
     synchronized (inbox) {
+      woken = true;
       if (scheduled || ended) {
         return;
       }
@@ -136,6 +140,10 @@
       FrontendMessage message;
       synchronized (inbox) {
         message = inbox.poll();
+        if (message == null && woken) {
+          woken = false;
+          continue;
+        }
         if (message == null) {
           scheduled = false;
           idleSinceNanos = System.nanoTime();
@@ -247,19 +255,25 @@
 
   private void armTimer() {
     QueryHandler q = queries;
-    if (q == null || timerArmed) {
+    Duration timeout = q == null ? Duration.ZERO : q.idleTimeout();
+    if (timeout.isZero()) {
       return;
     }
-    Duration timeout = q.idleTimeout();
-    if (!timeout.isZero()) {
-      timerArmed = true;
-      scheduleTimer(timeout.toNanos());
+    long due = idleSinceNanos + timeout.toNanos();
+    ScheduledFuture<?> armed = timer;
+    if (armed == null) {
+      scheduleTimer(due);
+    } else if (due < timerNanos) {
+      armed.cancel(false);
+      scheduleTimer(due);
     }
   }
 
-  private void scheduleTimer(long nanos) {
+  private void scheduleTimer(long dueNanos) {
+    timerNanos = dueNanos;
+    long wait = dueNanos - System.nanoTime();
     try {
-      server.scheduler().schedule(this::checkIdle, nanos, TimeUnit.NANOSECONDS);
+      timer = server.scheduler().schedule(this::checkIdle, wait, TimeUnit.NANOSECONDS);
     } catch (RejectedExecutionException e) {
       // The group is closed: the session has ended with it.
       abandoned = true;
@@ -269,7 +283,7 @@
   private void checkIdle() {
     QueryHandler q = queries;
     synchronized (inbox) {
-      timerArmed = false;
+      timer = null;
       if (ended || scheduled || q == null) {
         return;
       }
@@ -277,10 +291,10 @@
       if (timeout.isZero()) {
         return;
       }
-      long remaining = timeout.toNanos() - (System.nanoTime() - idleSinceNanos);
-      if (remaining > 0 || server.gate().frozen()) {
-        timerArmed = true;
-        scheduleTimer(Math.max(remaining, FROZEN_CHECK_INTERVAL.toNanos()));
+      long now = System.nanoTime();
+      long due = idleSinceNanos + timeout.toNanos();
+      if (due > now || server.gate().frozen()) {
+        scheduleTimer(Math.max(due, now + FROZEN_CHECK_INTERVAL.toNanos()));
         return;
       }
     }
--- a/standins/src/main/java/org/chicorylane/standin/database/SessionRegistry.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/SessionRegistry.java
@@ -75,6 +75,13 @@
     }
   }
 
+  /** Forgets all sessions and their locks, as the end of the server's process does. */
+  synchronized List<Session> clear() {
+    List<Session> all = all();
+    all.forEach(this::remove);
+    return all;
+  }
+
   synchronized List<Session> all() {
     return new ArrayList<>(sessions.values());
   }
--- a/standins/src/main/java/org/chicorylane/standin/database/SqlError.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/SqlError.java
@@ -20,6 +20,7 @@
   static final String INVALID_CURSOR_NAME = "34000";
   static final String INVALID_TEXT_REPRESENTATION = "22P02";
   static final String INVALID_SAVEPOINT = "3B001";
+  static final String LOCK_NOT_AVAILABLE = "55P03";
   static final String INTERNAL_ERROR = "XX000";
 
   private static final Map<String, String> STATE_BY_H2_STATE =
@@ -42,9 +43,9 @@
           Map.entry("23505", "23505"),
           Map.entry("23506", "23503"),
           Map.entry("23513", "23514"),
-          Map.entry("40001", "40001"),
+          Map.entry("40001", "40P01"),
           Map.entry("57014", "57014"),
-          Map.entry("HYT00", "55P03"),
+          Map.entry("HYT00", LOCK_NOT_AVAILABLE),
           Map.entry("90022", "42883"));
 
   private static final String NULL_NOT_ALLOWED = "23502";
--- a/standins/src/main/java/org/chicorylane/standin/database/SqlSession.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/SqlSession.java
@@ -23,6 +23,8 @@
 final class SqlSession implements AutoCloseable {
 
   private static final int CACHED_STATEMENTS = 64;
+  private static final Duration LOCK_TIMEOUT = Duration.ofSeconds(10);
+  private static final Duration LOCK_WAIT_IN_SLOT = Duration.ofMillis(20);
 
   private final ServerCore server;
   private final int pid;
@@ -56,7 +58,7 @@
     this.incarnation = server.incarnation();
     this.cancelled = cancelled;
     try {
-      connection = server.engine().connect();
+      connection = server.engine().connect(LOCK_WAIT_IN_SLOT);
     } catch (SQLException e) {
       throw SqlError.of(e);
     }
@@ -130,21 +132,33 @@
     return text.usesServerFunctions() ? run(prepared, parameters) : runInSlot(prepared, parameters);
   }
 
+  /**
+   * Runs a statement in a slot. One that waits for another transaction's lock gives its slot back
+   * now and then, so that the lock's holder can get one.
+   */
   private Result runInSlot(PreparedSql prepared, List<@Nullable Object> parameters)
       throws SqlError {
-    server.slots().enter();
-    try {
-      Duration serviceTime = server.serviceTime();
-      if (!serviceTime.isZero()) {
-        LockSupport.parkNanos(serviceTime.toNanos());
-      }
-      server.gate().pass();
-      if (cancelled.getAsBoolean() || incarnation != server.incarnation()) {
-        throw SqlError.shutDown();
+    long deadline = System.nanoTime() + LOCK_TIMEOUT.toNanos();
+    Duration serviceTime = server.serviceTime();
+    while (true) {
+      server.slots().enter();
+      try {
+        if (!serviceTime.isZero()) {
+          LockSupport.parkNanos(serviceTime.toNanos());
+        }
+        server.gate().pass();
+        if (cancelled.getAsBoolean() || incarnation != server.incarnation()) {
+          throw SqlError.shutDown();
+        }
+        return run(prepared, parameters);
+      } catch (SqlError e) {
+        if (!e.state().equals(SqlError.LOCK_NOT_AVAILABLE) || System.nanoTime() > deadline) {
+          throw e;
+        }
+        serviceTime = Duration.ZERO;
+      } finally {
+        server.slots().leave();
       }
-      return run(prepared, parameters);
-    } finally {
-      server.slots().leave();
     }
   }
 
@@ -348,7 +362,7 @@
     ReplicationSnapshot snapshot = server.replication().snapshot();
     String value =
         switch (name) {
-          case "primary_conninfo" -> snapshot.setting();
+          case "primary_conninfo" -> snapshot.setting().text();
           case "transaction_read_only" -> readOnly || snapshot.inRecovery() ? "on" : "off";
           case "in_hot_standby" -> snapshot.inRecovery() ? "on" : "off";
           default -> settings.get(name);
--- a/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
@@ -101,7 +101,7 @@
 
   private boolean caughtUp(StandInServer server) {
     ReplicationSnapshot s = server.core().replication().snapshot();
-    ConnectionInfo info = new ConnectionInfo(s.setting());
+    ConnectionInfo info = s.setting();
     if (!s.inRecovery() || !info.present() || !server.running()) {
       return true;
     }
@@ -150,11 +150,14 @@
     return newest;
   }
 
-  /** Breaks replication between {@code server} and all others, until {@link #healPartitions}. */
-  public void partition(StandInServer server) {
+  /**
+   * Breaks replication between {@code side} and the other servers until {@link #healPartitions}.
+   */
+  public void partition(StandInServer... side) {
+    List<StandInServer> inside = List.of(side);
     for (StandInServer s : core.servers()) {
-      if (s != server) {
-        core.breakPath(server.name(), s.name());
+      if (!inside.contains(s)) {
+        inside.forEach(i -> core.breakPath(i.name(), s.name()));
       }
     }
   }
--- a/standins/src/main/java/org/chicorylane/standin/database/StandInServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInServer.java
@@ -33,6 +33,7 @@
   }
 
   private static final String HOST = "127.0.0.1";
+  private static final Duration FOLLOWER_TIMEOUT = Duration.ofSeconds(5);
 
   private final String zone;
   private final ServerCore core;
@@ -82,7 +83,7 @@
     core.end();
     listener.close();
     listener.links().forEach(Link::reset);
-    core.sessions().all().forEach(Session::abandon);
+    core.sessions().clear().forEach(Session::abandon);
   }
 
   /**
@@ -122,20 +123,14 @@
 
   /** Stops all work until {@link #thaw}: connections stay open, nothing is read or answered. */
   public void freeze() {
-    if (core.gate().frozen()) {
-      return;
-    }
     core.freeze();
-    listener.links().forEach(Link::hold);
+    listener.applyHolds();
   }
 
   /** Continues the work of a frozen server, with whatever arrived meanwhile. */
   public void thaw() {
-    if (!core.gate().frozen()) {
-      return;
-    }
     core.thaw();
-    listener.links().forEach(Link::release);
+    listener.applyHolds();
   }
 
   /** Drops all traffic of the connections open now, for good; new connections work. */
@@ -159,7 +154,8 @@
   }
 
   /**
-   * Shuts down gracefully: refuses new connections, ends idle sessions and waits for transactions.
+   * Shuts down gracefully: refuses new connections, ends idle sessions, waits for transactions and
+   * then for the replicas that stream from it to receive all.
    *
    * @return done when the server has stopped
    */
@@ -173,6 +169,7 @@
   private void awaitSessions() {
     try {
       core.sessions().awaitEmpty();
+      core.awaitFollowers(FOLLOWER_TIMEOUT);
       core.end();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/standins/src/main/java/org/chicorylane/standin/database/StatementText.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StatementText.java
@@ -19,6 +19,7 @@
  * @param engineSql the text for the engine
  * @param control the control statement that it is, or null
  * @param usesServerFunctions whether it reads or changes the server's own state
+ * @param usesVolatileFunctions whether it calls functions that give each server another value
  */
 record StatementText(
     String sql,
@@ -26,7 +27,8 @@
     String keyword,
     String engineSql,
     ControlStatement.@Nullable Match control,
-    boolean usesServerFunctions) {
+    boolean usesServerFunctions,
+    boolean usesVolatileFunctions) {
 
   private static final Pattern KEYWORD = Pattern.compile("\\s*(?:--[^\n]*\n\\s*)*\\(?\\s*(\\w*)");
   private static final Pattern QUOTED = Pattern.compile("'(?:[^']|'')*'|\"(?:[^\"]|\"\")*\"");
@@ -50,7 +52,7 @@
   static StatementText of(String sql) {
     ControlStatement.Match control = ControlStatement.match(sql);
     if (control != null) {
-      return new StatementText(sql, StatementKind.CONTROL, "", sql, control, true);
+      return new StatementText(sql, StatementKind.CONTROL, "", sql, control, true, false);
     }
     Matcher m = KEYWORD.matcher(sql);
     String keyword = m.lookingAt() ? m.group(1).toUpperCase(Locale.ROOT) : "";
@@ -61,7 +63,13 @@
     }
     boolean serverFunctions = SERVER_FUNCTION.matcher(unquoted).find();
     return new StatementText(
-        sql, kind, keyword, engineSql(sql, kind, serverFunctions), null, serverFunctions);
+        sql,
+        kind,
+        keyword,
+        engineSql(sql, kind, serverFunctions),
+        null,
+        serverFunctions,
+        NOW.matcher(unquoted).find() || RANDOM_UUID.matcher(unquoted).find());
   }
 
   private static String engineSql(String sql, StatementKind kind, boolean serverFunctions) {
@@ -93,6 +101,9 @@
 
   /** Returns the engine's text of a write with its volatile functions replaced by values. */
   String deterministicSql(String now) {
+    if (!usesVolatileFunctions) {
+      return engineSql;
+    }
     String text =
         replaceUnquoted(engineSql, NOW, "CAST('" + now + "' AS timestamp with time zone)");
     return eachUnquoted(
