--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/RequestProcessor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/RequestProcessor.java
@@ -14,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.logging.LogFields;
 import org.chicorylane.internal.outcome.NotRunReason;
 import org.chicorylane.internal.outcome.Outcome;
 import org.chicorylane.internal.position.LogPosition;
@@ -176,7 +177,8 @@
   }
 
   private static Outcome failed(GroupRequest request, Throwable failure) {
-    Logger.error(failure, "request {} ended without an outcome", request.requestId());
+    LogFields.forRequest(
+        request.requestId(), () -> Logger.error(failure, "the request ended without an outcome"));
     return unknown("the instance failed while it served the request");
   }
 
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/logging/LogSetup.java
@@ -0,0 +1,47 @@
+package org.chicorylane.internal.logging;
+
+import java.util.Locale;
+import org.chicorylane.internal.settings.LogFormat;
+import org.chicorylane.internal.settings.LogSettings;
+import org.tinylog.configuration.Configuration;
+
+/**
+ * Sets tinylog up from an instance's settings.
+ *
+ * <pre>{@code
+ * LogSetup.apply(settings.log()); // before the first log entry
+ * }</pre>
+ *
+ * <p>Entries go to the standard error stream. Those of libraries are logged from {@code WARN} on,
+ * whatever the level. Whoever logs never hands over a secret, a session token, a bound parameter or
+ * the text of a statement.
+ */
+public final class LogSetup {
+  private static final String TEXT_PATTERN =
+      "{date: yyyy-MM-dd HH:mm:ss.SSS} {level|min-size=5} {class-name} "
+          + "{context: "
+          + LogFields.REQUEST_ID
+          + "} {message}";
+  private static final String[] LIBRARIES = {"io.netty", "io.vertx"};
+
+  private LogSetup() {}
+
+  /**
+   * Sets tinylog up; it can be done only once in a process.
+   *
+   * @throws UnsupportedOperationException if something was logged before
+   */
+  public static void apply(LogSettings settings) {
+    Configuration.set("level", settings.level().name().toLowerCase(Locale.ROOT));
+    for (String library : LIBRARIES) {
+      Configuration.set("level@" + library, "warn");
+    }
+    if (settings.format() == LogFormat.JSON) {
+      Configuration.set("writer", JsonLinesWriter.class.getName());
+    } else {
+      Configuration.set("writer", "console");
+      Configuration.set("writer.stream", "err");
+      Configuration.set("writer.format", TEXT_PATTERN);
+    }
+  }
+}
