--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/TroubleshootingPageTest.java
@@ -0,0 +1,28 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.chicorylane.internal.outcome.NotRunReason;
+import org.junit.jupiter.api.Test;
+
+final class TroubleshootingPageTest {
+
+  @Test
+  void testPageHasOneAnchorForEachProblem() throws Exception {
+    List<String> anchors;
+    try (Stream<String> lines = Files.lines(Path.of("../docs/TROUBLESHOOTING.md"))) {
+      anchors = lines.filter(l -> l.startsWith("## ")).map(l -> l.substring(3)).toList();
+    }
+
+    List<String> problems =
+        Stream.concat(Stream.of(ProblemType.values()), Stream.of(NotRunReason.values()))
+            .map(ProblemType::kebab)
+            .toList();
+
+    assertThat(anchors).containsExactlyElementsIn(problems);
+  }
+}
