Admit and route through the pure cores at the home

Cause: the home queued first come first served and took any replica at the token's position. Now the admission queue shares slots by class and refuses at once with a time to come back, and the router bounds age, session floors and what a home that took over cannot know.

--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
@@ -60,7 +60,7 @@
             this::handle);
     this.record = new RecordAdapter(environment.store(), executor, name, this::handle);
     this.evidence = new EvidenceCollector(environment, executor, name, this::handle);
-    this.work = new GroupWork(environment, executor, group, this::handle);
+    this.work = new GroupWork(environment, executor, group, seed, this::handle);
     long tick = HomeTimings.TICK_INTERVAL.toMillis();
     this.ticks = executor.scheduleAtFixedRate(this::tick, tick, tick, TimeUnit.MILLISECONDS);
   }
@@ -71,6 +71,11 @@
     return outcome;
   }
 
+  /** Takes in the request classes in force. */
+  void refreshClasses() {
+    executor.execute(work::refreshClasses);
+  }
+
   /** Tells the home of an event from outside. */
   void tell(HomeEvent event) {
     executor.execute(
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -3,23 +3,26 @@
 import io.netty.util.concurrent.EventExecutor;
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.chicorylane.internal.backend.ConnectResult;
-import org.chicorylane.internal.backend.ServerConnection;
+import java.util.stream.Collectors;
+import org.chicorylane.internal.admission.AdmissionAction;
+import org.chicorylane.internal.admission.AdmissionQueue;
+import org.chicorylane.internal.admission.AdmissionSettings;
+import org.chicorylane.internal.admission.ConcurrencyPolicy;
+import org.chicorylane.internal.admission.ServiceOutcome;
 import org.chicorylane.internal.declaration.DatabaseGroup;
+import org.chicorylane.internal.declaration.RequestClass;
 import org.chicorylane.internal.failover.CloseReason;
-import org.chicorylane.internal.failover.ConfirmationTracker;
 import org.chicorylane.internal.failover.HomeAction;
 import org.chicorylane.internal.failover.HomeEvent;
 import org.chicorylane.internal.failover.ServerRole;
@@ -28,47 +31,51 @@
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.relay.GroupRequest;
 import org.chicorylane.internal.relay.RequestKind;
-import org.chicorylane.internal.statement.StatementResult;
+import org.chicorylane.internal.routing.RoutingDecision;
 import org.jspecify.annotations.Nullable;
 
 /**
- * The requests of one group at its home: those that wait, those that run, and the writes that wait
- * for confirmation.
+ * The requests of one group at its home: admits, routes and runs them, and acknowledges writes that
+ * are confirmed.
  *
  * <p>Runs on the group's executor only.
  */
-final class GroupWork {
-  private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+final class GroupWork implements WorkRunner.Listener {
+  /** The class of requests that name none. */
+  private static final RequestClass DEFAULT_CLASS = new RequestClass("default", 1, 0, false, false);
+
+  private static final Duration EXPECTED_FAILOVER = Duration.ofSeconds(2);
   private static final Duration LEDGER_RETRY = Duration.ofMillis(100);
   private static final Duration ABANDON_AFTER = Duration.ofSeconds(2);
+  private static final String INSUFFICIENT_RESOURCES = "53";
 
   private final HomeEnvironment environment;
   private final EventExecutor executor;
   private final Consumer<HomeEvent> machine;
   private final InteractiveTransactions transactions;
-  private final ConfirmationTracker tracker = new ConfirmationTracker();
-  private final Map<String, Unconfirmed> unconfirmed = new HashMap<>();
+  private final AdmissionQueue queue;
+  private final ReadRouting reads;
+  private final WorkRunner runner;
+  private final Confirmations confirmations = new Confirmations(this::endIfIdle);
   private final Map<String, ServerInUse> servers = new HashMap<>();
-  private final Deque<Ticket> waiting = new ArrayDeque<>();
+  private final Map<String, Ticket> tickets = new HashMap<>();
+  private final List<Refusal> unroutable = new ArrayList<>();
+  private Set<String> classNames = Set.of();
   private DatabaseGroup group;
   private HomeAction.@Nullable OpenWrites opening;
   private HomeAction.@Nullable OpenWrites writes;
-  private long ledgerTerm;
   private @Nullable String movedTo;
+  private long ledgerTerm;
   private long nextTicket = 1;
 
-  /** A committed write that waits for confirmation. */
-  private record Unconfirmed(
-      Ticket ticket,
-      String server,
-      List<StatementResult> results,
-      LogPosition position,
-      boolean replayed) {}
+  /** A read that no server may serve, found while the queue looked for one. */
+  private record Refusal(Ticket ticket, NotRunReason reason, String detail) {}
 
   GroupWork(
       HomeEnvironment environment,
       EventExecutor executor,
       DatabaseGroup group,
+      long seed,
       Consumer<HomeEvent> machine) {
     this.environment = environment;
     this.executor = executor;
@@ -77,34 +84,55 @@
     this.transactions =
         new InteractiveTransactions(
             environment.fleet().self().instance(), environment.limits().transactionIdleLimit());
+    this.reads = new ReadRouting(seed);
+    this.queue =
+        new AdmissionQueue(
+            new AdmissionSettings(
+                environment.limits().waitingRequests(),
+                AdmissionSettings.DEFAULT.maxWait(),
+                AdmissionSettings.DEFAULT.maxRetryAfter(),
+                AdmissionSettings.DEFAULT.initialServiceTime()),
+            ConcurrencyPolicy.FIXED,
+            classes(),
+            this::eligible,
+            new Random(seed));
+    this.runner = new WorkRunner(executor, environment.clock(), transactions, this);
+    refreshClasses();
   }
 
   CompletableFuture<Outcome> submit(GroupRequest request) {
-    Ticket ticket = new Ticket(nextTicket++, request);
-    Instant now = environment.clock().instant();
+    Instant now = now();
+    Ticket ticket = new Ticket(request.requestId() + "/" + nextTicket++, request, now);
     Optional<String> objection = StatementGuard.firstObjection(request.statements());
     if (objection.isPresent()) {
       ticket.refuse(NotRunReason.NOT_ALLOWED, Duration.ZERO, objection.get());
-    } else if (servers.isEmpty() || (movedTo != null && request.transaction() == null)) {
-      ticket.refuse(NotRunReason.NOT_HOME, Duration.ZERO, String.valueOf(movedTo));
-    } else if (waiting.size() >= environment.limits().waitingRequests()) {
-      ticket.refuse(NotRunReason.OVERLOADED, RETRY_AFTER, "the queue of the group is full");
+    } else if (request.transaction() != null) {
+      submitInTransaction(ticket);
+    } else if (servers.isEmpty() || movedTo != null) {
+      ticket.refuse(NotRunReason.NOT_HOME, Duration.ZERO, movedTo == null ? "" : movedTo);
     } else {
-      waiting.add(ticket);
-      long left = Math.max(0, Duration.between(now, request.deadline()).toMillis());
-      executor.schedule(() -> expire(ticket), left, TimeUnit.MILLISECONDS);
-      dispatch();
+      offer(ticket, request.kind().needsPrimary());
     }
     return ticket.outcome();
   }
 
   void declare(DatabaseGroup declared) {
     group = declared;
+    for (ServerInUse s : servers.values()) {
+      declared.server(s.name()).ifPresent(reads::use);
+    }
+  }
+
+  /** Takes in the request classes in force. */
+  void refreshClasses() {
+    Collection<RequestClass> changed = classes();
+    classNames = changed.stream().map(RequestClass::name).collect(Collectors.toSet());
+    perform(queue.classesChanged(changed, now()));
   }
 
   void openWrites(HomeAction.OpenWrites opened) {
     movedTo = null;
-    settle(tracker.open(opened.term(), opened.voters()));
+    confirmations.open(opened);
     opening = opened;
     if (writes != null || opened.term() == ledgerTerm) {
       writesOpen(opened);
@@ -113,40 +141,12 @@
     }
   }
 
-  private void writesOpen(HomeAction.OpenWrites opened) {
-    if (opened.equals(opening)) {
-      writes = opened;
-      dispatch();
-    }
-  }
-
-  /** The ledger table has to be there before the first write of a term. */
-  private void createLedger(HomeAction.OpenWrites opened) {
-    ServerInUse primary = servers.get(opened.primary());
-    if (primary == null || !opened.equals(opening)) {
-      return;
-    }
-    primary
-        .pool()
-        .take()
-        .thenCompose(r -> LedgerSetup.run(r, primary.pool()))
-        .thenAcceptAsync(
-            created -> {
-              if (created) {
-                ledgerTerm = opened.term();
-                writesOpen(opened);
-              } else {
-                executor.schedule(
-                    () -> createLedger(opened), LEDGER_RETRY.toMillis(), TimeUnit.MILLISECONDS);
-              }
-            },
-            executor);
-  }
-
   void closeWrites(CloseReason reason) {
     String primary = writes == null ? "" : writes.primary();
     writes = null;
     opening = null;
+    reads.closed(reason);
+    perform(queue.primaryAbsent(now().plus(EXPECTED_FAILOVER), now()));
     if (reason == CloseReason.HANDING_OVER) {
       movedTo = "";
       refuseWaiting();
@@ -154,7 +154,7 @@
     if (!reason.endsPending()) {
       return;
     }
-    settle(tracker.end());
+    confirmations.end();
     ServerInUse replaced = servers.get(primary);
     if (replaced != null) {
       doubtRunning(replaced, "the primary \"" + primary + "\" is being replaced");
@@ -162,33 +162,34 @@
   }
 
   void logHeld(HomeAction.LogHeld held) {
-    settle(tracker.held(held.server(), held.term(), held.offset()));
+    confirmations.held(held);
   }
 
   void sampled(HomeAction.ServerSampled sample) {
-    ServerInUse server = servers.get(sample.server());
-    if (server != null) {
-      server.setReplayed(sample.replayed());
-      dispatch();
-    }
+    boolean isPrimary = writes != null && writes.primary().equals(sample.server());
+    reads.sampled(sample, isPrimary, now());
+    perform(queue.tick(now()));
   }
 
   void useServer(String name, ServerRole role) {
     ServerInUse known = servers.get(name);
     if (known != null && !known.isDropped()) {
       known.setRole(role);
-      dispatch();
-      return;
+    } else {
+      group
+          .server(name)
+          .ifPresent(
+              s -> {
+                ServerPool pool = new ServerPool(environment.connector(), executor, group, s);
+                servers.put(name, new ServerInUse(s, pool, role));
+                reads.use(s);
+                pool.warmUp();
+              });
+    }
+    ServerInUse used = servers.get(name);
+    if (used != null) {
+      perform(queue.serverSlots(name, used.server().slots(), now()));
     }
-    group
-        .server(name)
-        .ifPresent(
-            s -> {
-              ServerPool pool = new ServerPool(environment.connector(), executor, group, s);
-              servers.put(name, new ServerInUse(s, pool, role));
-              pool.warmUp();
-              dispatch();
-            });
   }
 
   void dropServer(String name) {
@@ -199,7 +200,9 @@
     }
     server.drop();
     server.pool().closeWhenIdle();
-    endIfIdle(server);
+    reads.drop(name);
+    perform(queue.serverSlots(name, 0, now()));
+    endIfIdle(name);
   }
 
   /** Ends every request; called when the home lets go of the group. */
@@ -209,212 +212,152 @@
     for (ServerInUse s : List.copyOf(servers.values())) {
       doubtRunning(s, "the home of the group has moved");
       s.pool().closeNow();
+      reads.drop(s.name());
+      perform(queue.serverSlots(s.name(), 0, now()));
     }
     servers.clear();
-    settle(tracker.end());
+    reads.released();
+    ledgerTerm = 0;
+    confirmations.end();
   }
 
   void tick(Instant now) {
-    settle(tracker.expire(now));
+    confirmations.expire(now);
+    perform(queue.tick(now));
     for (InteractiveTransactions.Open t : transactions.removeIdle(now)) {
-      TransactionRunner.rollback(t.connection())
-          .thenAcceptAsync(e -> release(t.server(), t.connection(), e), executor);
+      ServerInUse server = servers.get(t.server());
+      if (server == null) {
+        t.connection().close();
+      } else {
+        runner.rollBack(t, server, () -> endIfIdle(t.server()));
+      }
     }
   }
 
-  boolean wantsObservation() {
-    return tracker.wantsObservation();
-  }
-
   boolean isIdle() {
     return transactions.size() == 0
-        && tracker.pendingCount() == 0
+        && confirmations.isEmpty()
         && servers.values().stream().allMatch(s -> s.running().isEmpty());
   }
 
-  private void dispatch() {
-    for (Iterator<Ticket> i = waiting.iterator(); i.hasNext(); ) {
-      Ticket ticket = i.next();
-      if (ticket.isDone()) {
-        i.remove();
-        continue;
-      }
-      ServerInUse server = serverFor(ticket.request());
-      if (server != null) {
-        i.remove();
-        start(ticket, server);
-      }
+  @Override
+  public void onEnded(
+      Ticket ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution) {
+    Instant now = now();
+    Duration serviceTime = Duration.between(sentAt, now);
+    reads.answered(server.name(), serviceTime);
+    if (execution != null) {
+      finish(ticket, server, sentAt, execution);
     }
-  }
-
-  private @Nullable ServerInUse serverFor(GroupRequest request) {
-    if (request.transaction() != null) {
-      String name = transactions.find(request.transaction()).map(t -> t.server()).orElse("");
-      ServerInUse pinned = servers.get(name);
-      return pinned != null ? pinned : servers.values().iterator().next();
+    if (tickets.remove(ticket.id()) != null) {
+      perform(queue.slotFreed(ticket.id(), serviceTime, serviceOutcome(execution), now));
     }
-    if (request.kind() == RequestKind.READ) {
-      return readerFor(request);
-    }
-    ServerInUse primary = writes == null ? null : servers.get(writes.primary());
-    return primary != null && primary.hasFreeSlot() ? primary : null;
+    endIfIdle(server.name());
   }
 
-  private @Nullable ServerInUse readerFor(GroupRequest request) {
-    LogPosition floor = request.floor() == null ? LogPosition.ZERO : request.floor();
-    Optional<ServerInUse> replica =
-        servers.values().stream()
-            .filter(s -> s.role() == ServerRole.REPLICA && s.hasFreeSlot())
-            .filter(s -> s.replayed().compareTo(floor) >= 0)
-            .min(Comparator.comparingInt(s -> s.running().size()));
-    if (replica.isPresent()) {
-      return replica.get();
+  private void submitInTransaction(Ticket ticket) {
+    Optional<InteractiveTransactions.Open> found =
+        transactions.find(ticket.request().transaction());
+    ServerInUse server = servers.get(found.map(t -> t.server()).orElse(""));
+    if (server == null) {
+      ticket.refuse(
+          NotRunReason.UNKNOWN_TRANSACTION, Duration.ZERO, "no such transaction is open here");
+    } else if (server.isDropped()) {
+      // A leaving server has no slots in the queue, but its open transactions may end.
+      reads.dispatched(server.name());
+      ticket.setTerm(ledgerTerm);
+      guardDeadline(ticket);
+      runner.start(ticket, server);
+    } else {
+      offer(ticket, true);
     }
-    ServerInUse primary = writes == null ? null : servers.get(writes.primary());
-    return primary != null && primary.hasFreeSlot() ? primary : null;
   }
 
-  private void start(Ticket ticket, ServerInUse server) {
+  private void offer(Ticket ticket, boolean needsPrimary) {
     GroupRequest request = ticket.request();
-    if (request.transaction() != null) {
-      continueTransaction(ticket);
-      return;
+    tickets.put(ticket.id(), ticket);
+    guardDeadline(ticket);
+    // An entry may know of a class that has not come into force here yet.
+    String requestClass =
+        classNames.contains(request.requestClass()) ? request.requestClass() : DEFAULT_CLASS.name();
+    perform(
+        queue.offered(
+            new org.chicorylane.internal.admission.Ticket(
+                ticket.id(), requestClass, needsPrimary, false, request.deadline()),
+            now()));
+  }
+
+  private List<String> eligible(org.chicorylane.internal.admission.Ticket admitted, Instant now) {
+    Ticket ticket = tickets.get(admitted.id());
+    if (ticket == null) {
+      return List.of();
     }
-    server.running().add(ticket);
-    server
-        .pool()
-        .take()
-        .thenAccept(
-            r -> {
-              if (r instanceof ConnectResult.Opened opened) {
-                run(ticket, server, opened.connection());
-              } else if (r instanceof ConnectResult.Failed failed) {
-                server.running().remove(ticket);
-                refuseIfOpen(ticket, NotRunReason.OVERLOADED, failed.reason());
-                endIfIdle(server);
-              }
-            });
-  }
-
-  private void run(Ticket ticket, ServerInUse server, ServerConnection connection) {
     if (ticket.isDone()) {
-      server.running().remove(ticket);
-      server.pool().giveBack(connection);
-      return;
+      // It was answered while it waited; any server lets it leave the queue.
+      return List.copyOf(servers.keySet());
     }
-    ticket.sendTo(connection);
     GroupRequest request = ticket.request();
-    boolean onReplica = server.role() == ServerRole.REPLICA;
-    long term = writes == null ? 0 : writes.term();
-    Instant now = environment.clock().instant();
-    CompletableFuture<Execution> running =
-        switch (request.kind()) {
-          case READ -> TransactionRunner.read(connection, request, onReplica);
-          case WRITE -> TransactionRunner.write(connection, request, now);
-          default -> TransactionRunner.begin(connection, request, now);
-        };
-    running.thenAcceptAsync(e -> ended(ticket, server, connection, term, onReplica, e), executor);
-  }
-
-  private void ended(
-      Ticket ticket,
-      ServerInUse server,
-      ServerConnection connection,
-      long term,
-      boolean fromReplica,
-      Execution execution) {
-    server.running().remove(ticket);
-    if (execution instanceof Execution.StillOpen open) {
-      if (ticket.isDone()) {
-        TransactionRunner.rollback(connection)
-            .thenAcceptAsync(e -> release(server.name(), connection, e), executor);
-      } else {
-        opened(ticket, server, connection, open);
-      }
-    } else {
-      release(server.name(), connection, execution);
-      finish(ticket, server.name(), term, fromReplica, execution);
+    if (request.transaction() != null) {
+      return transactions
+          .find(request.transaction())
+          .map(t -> List.of(t.server()))
+          .orElse(List.of());
+    }
+    if (request.kind() != RequestKind.READ) {
+      return writes == null ? List.of() : List.of(writes.primary());
+    }
+    RoutingDecision decision = reads.choose(request, ticket.arrival(), now);
+    if (decision instanceof RoutingDecision.Serve serve) {
+      return serve.servers();
     }
-    endIfIdle(server);
-    dispatch();
+    if (decision instanceof RoutingDecision.Primary primary) {
+      return List.of(primary.server());
+    }
+    if (decision instanceof RoutingDecision.Refuse refuse) {
+      unroutable.add(new Refusal(ticket, refuse.reason(), refuse.detail()));
+    }
+    return List.of();
   }
 
-  private void opened(
-      Ticket ticket, ServerInUse server, ServerConnection connection, Execution.StillOpen open) {
-    InteractiveTransactions.Open t =
-        transactions.open(
-            server.name(),
-            connection,
-            ticket.request().idempotencyKey(),
-            environment.clock().instant());
-    t.end(open.results(), environment.clock().instant());
-    ticket.complete(
-        new Outcome.Completed(open.results(), null, false, server.name(), false, t.handle()));
+  private void perform(List<AdmissionAction> actions) {
+    for (AdmissionAction action : actions) {
+      Ticket ticket = tickets.get(action.ticket().id());
+      if (ticket == null) {
+        continue;
+      }
+      if (action instanceof AdmissionAction.Dispatch dispatch) {
+        dispatch(ticket, dispatch.server());
+      } else if (action instanceof AdmissionAction.Refuse refuse) {
+        tickets.remove(ticket.id());
+        ticket.refuse(refuse.reason(), refuse.retryAfter(), "refused by the queue of the group");
+      }
+    }
+    List<Refusal> refusals = List.copyOf(unroutable);
+    unroutable.clear();
+    refusals.forEach(r -> r.ticket().refuse(r.reason(), Retry.afterFor(r.reason()), r.detail()));
   }
 
-  private void continueTransaction(Ticket ticket) {
-    GroupRequest request = ticket.request();
-    InteractiveTransactions.Open t = transactions.find(request.transaction()).orElse(null);
-    if (t == null || t.isBusy()) {
-      refuseIfOpen(
-          ticket,
-          t == null ? NotRunReason.UNKNOWN_TRANSACTION : NotRunReason.NOT_ALLOWED,
-          t == null ? "no such transaction" : "another request of the transaction is running");
-      return;
-    }
-    ServerInUse server = servers.get(t.server());
-    if (server == null) {
-      transactions.remove(t);
-      refuseIfOpen(ticket, NotRunReason.UNKNOWN_TRANSACTION, "its server was lost");
+  private void dispatch(Ticket ticket, String name) {
+    ServerInUse server = servers.get(name);
+    if (server == null || ticket.isDone()) {
+      ticket.refuse(NotRunReason.NOT_HOME, Duration.ZERO, "");
+      executor.execute(() -> freeUnused(ticket));
       return;
     }
-    t.begin();
-    ticket.sendTo(t.connection());
-    server.running().add(ticket);
-    long term = writes == null ? 0 : writes.term();
-    CompletableFuture<Execution> running =
-        switch (request.kind()) {
-          case COMMIT -> TransactionRunner.commit(t.connection(), t.idempotencyKey(), t.results());
-          case ROLLBACK -> TransactionRunner.rollback(t.connection());
-          default -> TransactionRunner.proceed(t.connection(), request.statements());
-        };
-    running.thenAcceptAsync(e -> continued(ticket, t, server, term, e), executor);
-  }
-
-  private void continued(
-      Ticket ticket,
-      InteractiveTransactions.Open t,
-      ServerInUse server,
-      long term,
-      Execution execution) {
-    server.running().remove(ticket);
-    if (execution instanceof Execution.StillOpen open) {
-      t.end(open.results(), environment.clock().instant());
-      ticket.complete(
-          new Outcome.Completed(open.results(), null, false, t.server(), false, t.handle()));
-    } else {
-      transactions.remove(t);
-      release(t.server(), t.connection(), execution);
-      finish(ticket, t.server(), term, false, execution);
-    }
-    endIfIdle(server);
-    dispatch();
+    reads.dispatched(name);
+    ticket.setTerm(writes == null ? ledgerTerm : writes.term());
+    runner.start(ticket, server);
   }
 
-  /** Gives back a connection that is clean, and ends one whose state is not known. */
-  private void release(String serverName, ServerConnection connection, Execution execution) {
-    ServerInUse server = servers.get(serverName);
-    if (server == null) {
-      connection.close();
-    } else if (execution instanceof Execution.InDoubt) {
-      server.pool().discard(connection);
-    } else {
-      server.pool().giveBack(connection);
+  /** Gives back the slot of a ticket that has its answer already. */
+  private void freeUnused(Ticket ticket) {
+    if (tickets.remove(ticket.id()) != null) {
+      perform(queue.slotFreed(ticket.id(), Duration.ZERO, ServiceOutcome.ERROR, now()));
     }
   }
 
-  private void finish(
-      Ticket ticket, String server, long term, boolean fromReplica, Execution execution) {
+  private void finish(Ticket ticket, ServerInUse server, Instant sentAt, Execution execution) {
+    GroupRequest request = ticket.request();
     if (execution instanceof Execution.Refused r) {
       ticket.complete(new Outcome.Rejected(r.sqlState(), r.message(), r.statementIndex()));
     } else if (execution instanceof Execution.KeyReused) {
@@ -422,55 +365,67 @@
           new Outcome.NotRun(
               NotRunReason.KEY_REUSED,
               Duration.ZERO,
-              "idempotency key \"" + ticket.request().idempotencyKey() + "\""));
+              "idempotency key \"" + request.idempotencyKey() + "\""));
     } else if (execution instanceof Execution.InDoubt d) {
-      ticket.doubt(RETRY_AFTER, d.reason());
+      reads.possiblyCommitted(request, now());
+      ticket.doubt(Retry.SOON, d.reason());
     } else if (execution instanceof Execution.Committed c) {
-      committed(ticket, server, term, fromReplica, c);
+      committed(ticket, server, sentAt, c);
     }
   }
 
-  private void committed(
-      Ticket ticket, String server, long term, boolean fromReplica, Execution.Committed c) {
+  private void committed(Ticket ticket, ServerInUse server, Instant sentAt, Execution.Committed c) {
     RequestKind kind = ticket.request().kind();
     if (kind == RequestKind.READ || kind == RequestKind.ROLLBACK) {
-      ticket.complete(new Outcome.Completed(c.results(), null, false, server, fromReplica, null));
+      boolean fromReplica = server.role() == ServerRole.REPLICA;
+      ticket.complete(
+          new Outcome.Completed(c.results(), null, false, server.name(), fromReplica, null));
       return;
     }
-    LogPosition position = new LogPosition(term, c.offset());
-    String id = ticket.request().requestId() + "/" + ticket.id();
-    unconfirmed.put(id, new Unconfirmed(ticket, server, c.results(), position, c.replayed()));
-    settle(tracker.submit(id, position, ticket.request().deadline()));
-    if (tracker.wantsObservation()) {
+    LogPosition position = new LogPosition(ticket.term(), c.offset());
+    reads.committed(ticket.request(), position, sentAt);
+    confirmations.await(ticket, server.name(), c, position);
+    if (!confirmations.isEmpty()) {
       machine.accept(new HomeEvent.ObserveNow());
     }
   }
 
-  private void settle(List<ConfirmationTracker.Settlement> settlements) {
-    for (ConfirmationTracker.Settlement s : settlements) {
-      Unconfirmed u = unconfirmed.remove(s.id());
-      if (u == null) {
-        continue;
-      }
-      if (s.confirmed()) {
-        u.ticket()
-            .complete(
-                new Outcome.Completed(
-                    u.results(), u.position(), u.replayed(), u.server(), false, null));
-      } else {
-        u.ticket().doubt(RETRY_AFTER, "committed on \"" + u.server() + "\" but not confirmed");
-      }
-      ServerInUse server = servers.get(u.server());
-      if (server != null) {
-        endIfIdle(server);
-      }
+  private void writesOpen(HomeAction.OpenWrites opened) {
+    if (opened.equals(opening)) {
+      writes = opened;
+      reads.opened(opened);
+      perform(queue.primaryIs(opened.primary(), now()));
     }
   }
 
+  /** The ledger table has to be there before the first write of a term. */
+  private void createLedger(HomeAction.OpenWrites opened) {
+    ServerInUse primary = servers.get(opened.primary());
+    if (primary == null || !opened.equals(opening)) {
+      return;
+    }
+    primary
+        .pool()
+        .take()
+        .thenCompose(r -> LedgerSetup.run(r, primary.pool()))
+        .thenAcceptAsync(
+            created -> {
+              if (created) {
+                ledgerTerm = opened.term();
+                writesOpen(opened);
+              } else {
+                executor.schedule(
+                    () -> createLedger(opened), LEDGER_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+              }
+            },
+            executor);
+  }
+
   private void doubtRunning(ServerInUse server, String why) {
     for (Ticket t : List.copyOf(server.running())) {
       if (!t.isDone() && t.wasSent()) {
-        t.doubt(RETRY_AFTER, why);
+        reads.possiblyCommitted(t.request(), now());
+        t.doubt(Retry.SOON, why);
       }
     }
     for (InteractiveTransactions.Open t : transactions.removeAll(server.name())) {
@@ -478,35 +433,37 @@
     }
   }
 
-  private void endIfIdle(ServerInUse server) {
-    boolean waits = unconfirmed.values().stream().anyMatch(u -> u.server().equals(server.name()));
-    if (!server.isDropped()
-        || waits
+  private void endIfIdle(String name) {
+    ServerInUse server = servers.get(name);
+    if (server == null
+        || !server.isDropped()
+        || confirmations.waitsOn(name)
         || !server.running().isEmpty()
-        || transactions.openOn(server.name()) > 0
-        || servers.get(server.name()) != server) {
+        || transactions.openOn(name) > 0) {
       return;
     }
-    servers.remove(server.name());
-    machine.accept(new HomeEvent.WorkEnded(server.name()));
+    servers.remove(name);
+    machine.accept(new HomeEvent.WorkEnded(name));
+  }
+
+  private void guardDeadline(Ticket ticket) {
+    Duration left = Duration.between(now(), ticket.request().deadline());
+    executor.schedule(() -> expire(ticket), Math.max(0, left.toMillis()), TimeUnit.MILLISECONDS);
   }
 
   private void expire(Ticket ticket) {
     if (ticket.isDone()) {
       return;
     }
-    if (ticket.wasSent()) {
-      ticket.doubt(RETRY_AFTER, "the deadline passed while the request was running");
-      executor.schedule(
-          () -> abandonIfRunning(ticket), ABANDON_AFTER.toMillis(), TimeUnit.MILLISECONDS);
+    if (!ticket.wasSent()) {
+      NotRunReason reason = NotRunReason.DEADLINE_TOO_CLOSE;
+      ticket.refuse(reason, Retry.SOON, "the deadline passed while the request was waiting");
       return;
     }
-    waiting.remove(ticket);
-    boolean noPrimary = ticket.request().kind().needsPrimary() && writes == null;
-    ticket.refuse(
-        noPrimary ? NotRunReason.NO_PRIMARY : NotRunReason.DEADLINE_TOO_CLOSE,
-        RETRY_AFTER,
-        "the deadline passed while the request was waiting");
+    reads.possiblyCommitted(ticket.request(), now());
+    ticket.doubt(Retry.SOON, "the deadline passed while the request was running");
+    executor.schedule(
+        () -> abandonIfRunning(ticket), ABANDON_AFTER.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /** A connection that still has not answered is taken for silent. */
@@ -517,16 +474,31 @@
   }
 
   private void refuseWaiting() {
-    List<Ticket> all = new ArrayList<>(waiting);
-    waiting.clear();
-    for (Ticket t : all) {
-      refuseIfOpen(t, NotRunReason.NOT_HOME, String.valueOf(movedTo));
+    String hint = movedTo == null ? "" : movedTo;
+    for (Ticket t : List.copyOf(tickets.values())) {
+      if (!t.wasSent() && t.request().transaction() == null) {
+        t.refuse(NotRunReason.NOT_HOME, Duration.ZERO, hint);
+      }
     }
   }
 
-  private static void refuseIfOpen(Ticket ticket, NotRunReason reason, String detail) {
-    if (!ticket.isDone()) {
-      ticket.refuse(reason, reason.isTransient() ? RETRY_AFTER : Duration.ZERO, detail);
+  private static ServiceOutcome serviceOutcome(@Nullable Execution execution) {
+    if (execution == null || execution instanceof Execution.InDoubt) {
+      return ServiceOutcome.ERROR;
     }
+    boolean overload =
+        execution instanceof Execution.Refused r && r.sqlState().startsWith(INSUFFICIENT_RESOURCES);
+    return overload ? ServiceOutcome.OVERLOAD : ServiceOutcome.OK;
+  }
+
+  private Collection<RequestClass> classes() {
+    Map<String, RequestClass> all =
+        new HashMap<>(environment.declarations().get().requestClasses());
+    all.putIfAbsent(DEFAULT_CLASS.name(), DEFAULT_CLASS);
+    return all.values();
+  }
+
+  private Instant now() {
+    return environment.clock().instant();
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/HomeRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/HomeRegistry.java
@@ -82,6 +82,7 @@
         if (!group.equals(declared.put(group.name(), group))) {
           home.tell(new HomeEvent.GroupChanged(group));
         }
+        home.refreshClasses();
         home.tell(new HomeEvent.Preferred(rank == 0, candidates));
       }
     }
@@ -122,6 +123,13 @@
         homes.values().stream().map(GroupHome::drain).toArray(CompletableFuture[]::new));
   }
 
+  /** Lets go of every group at once. */
+  public synchronized void stop() {
+    draining = true;
+    homes.values().forEach(GroupHome::stop);
+    homes.clear();
+  }
+
   private GroupHome start(DatabaseGroup group) {
     long seed = environment.processId().hashCode() * 31L + group.name().hashCode();
     GroupHome home = new GroupHome(environment, group, loops.next(), seed);
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
@@ -92,12 +92,11 @@
     this.idleLimit = idleLimit;
   }
 
-  Open open(
-      String server, ServerConnection connection, @Nullable String idempotencyKey, Instant now) {
+  Open open(String server, ServerConnection connection, Ticket ticket, Instant now) {
     byte[] secret = new byte[SECRET_BYTES];
     random.nextBytes(secret);
     String handle = new TransactionHandle(instance, HexFormat.of().formatHex(secret)).toText();
-    Open transaction = new Open(handle, server, connection, idempotencyKey, now);
+    Open transaction = new Open(handle, server, connection, ticket.request().idempotencyKey(), now);
     byHandle.put(handle, transaction);
     return transaction;
   }
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ReadRouting.java
@@ -0,0 +1,123 @@
+package org.chicorylane.internal.home;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Random;
+import org.chicorylane.internal.declaration.BackendServer;
+import org.chicorylane.internal.failover.CloseReason;
+import org.chicorylane.internal.failover.HomeAction;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.routing.ReadRequest;
+import org.chicorylane.internal.routing.ReplicaRouter;
+import org.chicorylane.internal.routing.RoutingDecision;
+import org.chicorylane.internal.routing.SelectionPolicy;
+import org.chicorylane.internal.routing.ServerAvailability;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the group's {@link ReplicaRouter} told of servers, positions and sessions' writes.
+ *
+ * <p>Runs on the group's executor only.
+ */
+final class ReadRouting {
+  /** After that time a statement whose connection was ended is taken to run no longer. */
+  private static final Duration SETTLE_DELAY = Duration.ofSeconds(1);
+
+  /** A server's incarnation is told by its control connection, whose loss drops its position. */
+  private static final Instant SAME_INCARNATION = Instant.EPOCH;
+
+  private final ReplicaRouter router;
+  private final List<InDoubt> inDoubt = new ArrayList<>();
+  private HomeAction.@Nullable OpenWrites lastOpened;
+
+  /** A session whose write may yet be committed. */
+  private record InDoubt(String session, Instant since) {}
+
+  ReadRouting(long seed) {
+    router = new ReplicaRouter(SelectionPolicy.LEAST_EXPECTED_WAIT, new Random(seed));
+  }
+
+  RoutingDecision choose(GroupRequest request, Instant arrival, Instant now) {
+    return router.choose(
+        new ReadRequest(
+            request.sessionId(),
+            request.floor(),
+            request.maximumAge(),
+            arrival,
+            request.deadline()),
+        now);
+  }
+
+  void use(BackendServer server) {
+    router.setServer(server.name(), server.slots(), ServerAvailability.JOINED);
+  }
+
+  void drop(String server) {
+    router.setServer(server, 0, ServerAvailability.UNUSABLE);
+  }
+
+  void opened(HomeAction.OpenWrites opened) {
+    HomeAction.OpenWrites last = lastOpened;
+    if (last != null && opened.term() > last.term()) {
+      router.newTerm(opened.primary(), opened.history());
+    } else if (last == null || !last.equals(opened)) {
+      router.takeOver(opened.primary(), opened.history(), opened.floor());
+    }
+    lastOpened = opened;
+  }
+
+  void closed(CloseReason reason) {
+    if (reason == CloseReason.PRIMARY_SUSPECTED || reason == CloseReason.REPLACING_PRIMARY) {
+      router.primaryLost();
+    }
+  }
+
+  void released() {
+    lastOpened = null;
+    inDoubt.clear();
+  }
+
+  void sampled(HomeAction.ServerSampled sample, boolean isPrimary, Instant now) {
+    router.observed(sample.server(), SAME_INCARNATION, sample.replayed(), now);
+    if (isPrimary) {
+      router.sampled(sample.sentAt(), sample.replayed());
+      settleBefore(sample.sentAt(), sample.replayed());
+    }
+  }
+
+  void committed(GroupRequest request, LogPosition position, Instant sentAt) {
+    router.sampled(sentAt, position);
+    if (request.sessionId() != null) {
+      router.wrote(request.sessionId(), position);
+    }
+  }
+
+  void possiblyCommitted(GroupRequest request, Instant now) {
+    if (request.sessionId() != null && request.kind().needsPrimary()) {
+      router.possiblyWrote(request.sessionId());
+      inDoubt.add(new InDoubt(request.sessionId(), now));
+    }
+  }
+
+  void dispatched(String server) {
+    router.dispatched(server);
+  }
+
+  void answered(String server, Duration serviceTime) {
+    router.answered(server, serviceTime);
+  }
+
+  private void settleBefore(Instant sentAt, LogPosition position) {
+    for (Iterator<InDoubt> i = inDoubt.iterator(); i.hasNext(); ) {
+      InDoubt d = i.next();
+      if (d.since().plus(SETTLE_DELAY).isBefore(sentAt)) {
+        router.settled(d.session(), position);
+        i.remove();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/Retry.java
@@ -0,0 +1,17 @@
+package org.chicorylane.internal.home;
+
+import java.time.Duration;
+import org.chicorylane.internal.outcome.NotRunReason;
+
+/** When callers of refused requests should come back. */
+final class Retry {
+  /** After a short trouble. */
+  static final Duration SOON = Duration.ofMillis(500);
+
+  private Retry() {}
+
+  /** Returns zero for reasons that time does not mend. */
+  static Duration afterFor(NotRunReason reason) {
+    return reason.isTransient() ? SOON : Duration.ZERO;
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ServerInUse.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ServerInUse.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 import org.chicorylane.internal.declaration.BackendServer;
 import org.chicorylane.internal.failover.ServerRole;
-import org.chicorylane.internal.position.LogPosition;
 
 /** A backend server that the home uses, with what runs there. On the group's executor only. */
 final class ServerInUse {
@@ -12,7 +11,6 @@
   private final ServerPool pool;
   private final Set<Ticket> running = new HashSet<>();
   private ServerRole role;
-  private LogPosition replayed = LogPosition.ZERO;
   private boolean dropped;
 
   ServerInUse(BackendServer server, ServerPool pool, ServerRole role) {
@@ -45,18 +43,6 @@
     return running;
   }
 
-  boolean hasFreeSlot() {
-    return !dropped && running.size() < server.slots();
-  }
-
-  LogPosition replayed() {
-    return replayed;
-  }
-
-  void setReplayed(LogPosition position) {
-    replayed = position;
-  }
-
   boolean isDropped() {
     return dropped;
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.home;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import org.chicorylane.internal.backend.ServerConnection;
 import org.chicorylane.internal.outcome.NotRunReason;
@@ -14,17 +15,20 @@
  * <p>Used on the group's executor only; the outcome may be awaited anywhere.
  */
 final class Ticket {
-  private final long id;
+  private final String id;
   private final GroupRequest request;
+  private final Instant arrival;
   private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
   private @Nullable ServerConnection connection;
+  private long term;
 
-  Ticket(long id, GroupRequest request) {
+  Ticket(String id, GroupRequest request, Instant arrival) {
     this.id = id;
     this.request = request;
+    this.arrival = arrival;
   }
 
-  long id() {
+  String id() {
     return id;
   }
 
@@ -32,10 +36,23 @@
     return request;
   }
 
+  Instant arrival() {
+    return arrival;
+  }
+
   CompletableFuture<Outcome> outcome() {
     return outcome;
   }
 
+  /** Returns the term in which it was dispatched. */
+  long term() {
+    return term;
+  }
+
+  void setTerm(long dispatchTerm) {
+    term = dispatchTerm;
+  }
+
   boolean isDone() {
     return outcome.isDone();
   }
@@ -61,11 +78,14 @@
   }
 
   /**
-   * Ends the request as not run.
+   * Ends the request as not run, if it has no outcome yet.
    *
    * @throws IllegalStateException if it was given to a backend connection: then nobody may say so
    */
   void refuse(NotRunReason reason, Duration retryAfter, String detail) {
+    if (isDone()) {
+      return;
+    }
     if (wasSent()) {
       throw new IllegalStateException("request " + request.requestId() + " was sent already");
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
@@ -166,7 +166,13 @@
     peers.close();
     relayServer.close();
     store.close();
-    vertx.close();
+    homes.stop();
+    vertx
+        .close()
+        .toCompletionStage()
+        .toCompletableFuture()
+        .completeOnTimeout(null, SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .join();
     loops.shutdownGracefully(0, SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
