--- a/chicorylane/src/main/java/org/chicorylane/internal/dissemination/DeclarationFeed.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/dissemination/DeclarationFeed.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -59,7 +58,7 @@
   private final RevisionCore core;
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(DeclarationFeed::newThread);
-  private final List<Consumer<Declarations>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<Declarations>> listeners = new ArrayList<>();
   private volatile DeclarationSnapshot snapshot = DeclarationSnapshot.EMPTY;
   private volatile Declarations current = Declarations.EMPTY;
   private KeyValueStore.@Nullable Watch watch;
@@ -127,9 +126,16 @@
     return snapshot;
   }
 
-  /** Has {@code listener} told of all declarations that come into force from now on. */
+  /** Has {@code listener} told of the declarations in force, if any, and of all later ones. */
   public void addListener(Consumer<Declarations> listener) {
-    listeners.add(listener);
+    run(
+        () -> {
+          listeners.add(listener);
+          if (current.revision() > 0) {
+            listener.accept(current);
+          }
+          return List.of();
+        });
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
@@ -20,10 +20,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -75,8 +75,8 @@
   private final EventLoop loop = group.next();
   private final Channel channel;
   private final MembershipProtocol protocol;
-  private final List<Consumer<MembershipSnapshot>> listeners = new CopyOnWriteArrayList<>();
-  private final List<Consumer<Long>> revisionListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<MembershipSnapshot>> listeners = new ArrayList<>();
+  private final List<Consumer<Long>> revisionListeners = new ArrayList<>();
   private final Map<String, Long> revisions = new ConcurrentHashMap<>();
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile MembershipSnapshot snapshot;
@@ -153,12 +153,20 @@
 
   @Override
   public void addListener(Consumer<MembershipSnapshot> listener) {
-    listeners.add(listener);
+    execute(
+        () -> {
+          listeners.add(listener);
+          listener.accept(snapshot);
+        });
   }
 
   @Override
   public void addRevisionListener(Consumer<Long> listener) {
-    revisionListeners.add(listener);
+    execute(
+        () -> {
+          revisionListeners.add(listener);
+          listener.accept(highestRevisionSeen);
+        });
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/membership/RevisionGossip.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/RevisionGossip.java
@@ -22,9 +22,9 @@
   /** Sets the declarations' revision that this instance has in force. */
   void setRevision(long revision);
 
-  /** Has {@code listener} told of every change of the snapshot from now on. */
+  /** Has {@code listener} told of the present snapshot and of every later one. */
   void addListener(Consumer<MembershipSnapshot> listener);
 
-  /** Has {@code listener} told of every rise of {@link #highestRevisionSeen}. */
+  /** Has {@code listener} told of {@link #highestRevisionSeen}, now and at every rise. */
   void addRevisionListener(Consumer<Long> listener);
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/dissemination/DeclarationFeedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/dissemination/DeclarationFeedTest.java
@@ -88,14 +88,12 @@
 
   private static void await(DeclarationFeed feed, long revision) throws Exception {
     CompletableFuture<Declarations> met = new CompletableFuture<>();
-    Consumer<Declarations> listener =
+    feed.addListener(
         declarations -> {
           if (declarations.revision() >= revision) {
             met.complete(declarations);
           }
-        };
-    feed.addListener(listener);
-    listener.accept(feed.current());
+        });
     assertThat(met.get(10, TimeUnit.SECONDS).revision()).isEqualTo(revision);
   }
 
@@ -134,7 +132,9 @@
     }
 
     @Override
-    public void addListener(Consumer<MembershipSnapshot> listener) {}
+    public void addListener(Consumer<MembershipSnapshot> listener) {
+      listener.accept(snapshot());
+    }
 
     @Override
     public void addRevisionListener(Consumer<Long> listener) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/membership/MembershipAgentFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/membership/MembershipAgentFunctionalTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.chicorylane.internal.platform.InstanceList;
 import org.chicorylane.internal.platform.ListedInstance;
@@ -35,7 +36,7 @@
   @Test
   void testAgentsFindEachOtherAndSeeLeavingAndRevision() throws Exception {
     CompletableFuture<Long> revision = new CompletableFuture<>();
-    two.addRevisionListener(revision::complete);
+    two.addRevisionListener(completeIfPositive(revision));
     await(two, s -> s.live().size() == 2);
     one.setRevision(5);
     assertThat(revision.get(10, TimeUnit.SECONDS)).isEqualTo(5);
@@ -61,7 +62,7 @@
               garbage, garbage.length, InetAddress.getLoopbackAddress(), one.port()));
     }
     CompletableFuture<Long> revision = new CompletableFuture<>();
-    one.addRevisionListener(revision::complete);
+    one.addRevisionListener(completeIfPositive(revision));
     two.setRevision(5);
     revision.get(10, TimeUnit.SECONDS);
     assertThat(metrics.counter("membership.datagrams.dropped").getCount()).isEqualTo(1);
@@ -89,8 +90,14 @@
             met.complete(s);
           }
         });
-    if (!condition.test(agent.snapshot())) {
-      met.get(10, TimeUnit.SECONDS);
-    }
+    met.get(10, TimeUnit.SECONDS);
+  }
+
+  private static Consumer<Long> completeIfPositive(CompletableFuture<Long> future) {
+    return revision -> {
+      if (revision > 0) {
+        future.complete(revision);
+      }
+    };
   }
 }
