Keep membership and declarations running when a listener fails

Cause: an exception of a listener skipped the scheduling of the next tick, so probes or catching up would have stopped for good. Ruled out: a catch around the whole event, which would hide faults of the cores. Change: each listener call is caught and logged.

--- a/chicorylane/src/main/java/org/chicorylane/internal/dissemination/DeclarationFeed.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/dissemination/DeclarationFeed.java
@@ -132,7 +132,7 @@
         () -> {
           listeners.add(listener);
           if (current.revision() > 0) {
-            listener.accept(current);
+            tell(listener, current);
           }
           return List.of();
         });
@@ -299,7 +299,15 @@
     snapshot = newer;
     current = parsed;
     gossip.setRevision(newer.revision());
-    listeners.forEach(listener -> listener.accept(parsed));
+    listeners.forEach(listener -> tell(listener, parsed));
+  }
+
+  private static <T> void tell(Consumer<T> listener, T news) {
+    try {
+      listener.accept(news);
+    } catch (RuntimeException e) {
+      Logger.error(e, "a listener failed on declarations");
+    }
   }
 
   private void scheduleTick() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/MembershipAgent.java
@@ -156,7 +156,7 @@
     execute(
         () -> {
           listeners.add(listener);
-          listener.accept(snapshot);
+          tell(listener, snapshot);
         });
   }
 
@@ -165,7 +165,7 @@
     execute(
         () -> {
           revisionListeners.add(listener);
-          listener.accept(highestRevisionSeen);
+          tell(listener, highestRevisionSeen);
         });
   }
 
@@ -248,14 +248,22 @@
   private void publish() {
     MembershipSnapshot now = new MembershipSnapshot(protocol.self(), protocol.members());
     snapshot = now;
-    listeners.forEach(listener -> listener.accept(now));
+    listeners.forEach(listener -> tell(listener, now));
   }
 
   private void publishRevision() {
     long highest = protocol.highestRevisionSeen();
     if (highest > highestRevisionSeen) {
       highestRevisionSeen = highest;
-      revisionListeners.forEach(listener -> listener.accept(highest));
+      revisionListeners.forEach(listener -> tell(listener, highest));
+    }
+  }
+
+  private static <T> void tell(Consumer<T> listener, T news) {
+    try {
+      listener.accept(news);
+    } catch (RuntimeException e) {
+      Logger.error(e, "a listener failed on membership");
     }
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/dissemination/DeclarationFeedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/dissemination/DeclarationFeedTest.java
@@ -33,6 +33,10 @@
   void testWatcherFollowsChangesAndDeletions() throws Exception {
     long first = apply(StoreTransaction.builder().put(KEY, "{}"));
     try (DeclarationFeed feed = start(true)) {
+      feed.addListener(
+          declarations -> {
+            throw new IllegalStateException("a listener that fails");
+          });
       await(feed, first);
       assertThat(feed.snapshot().documents()).containsExactly("{}");
       long second = apply(StoreTransaction.builder().expect(KEY, first).delete(KEY));
