--- a/chicorylane/src/test/java/org/chicorylane/internal/dissemination/DeclarationFeedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/dissemination/DeclarationFeedTest.java
@@ -33,6 +33,10 @@
   void testWatcherFollowsChangesAndDeletions() throws Exception {
     long first = apply(StoreTransaction.builder().put(KEY, "{}"));
     try (DeclarationFeed feed = start(true)) {
+      feed.addListener(
+          declarations -> {
+            throw new IllegalStateException("a listener that fails");
+          });
       await(feed, first);
       assertThat(feed.snapshot().documents()).containsExactly("{}");
       long second = apply(StoreTransaction.builder().expect(KEY, first).delete(KEY));
@@ -88,14 +92,12 @@
 
   private static void await(DeclarationFeed feed, long revision) throws Exception {
     CompletableFuture<Declarations> met = new CompletableFuture<>();
-    Consumer<Declarations> listener =
+    feed.addListener(
         declarations -> {
           if (declarations.revision() >= revision) {
             met.complete(declarations);
           }
-        };
-    feed.addListener(listener);
-    listener.accept(feed.current());
+        });
     assertThat(met.get(10, TimeUnit.SECONDS).revision()).isEqualTo(revision);
   }
 
@@ -134,7 +136,9 @@
     }
 
     @Override
-    public void addListener(Consumer<MembershipSnapshot> listener) {}
+    public void addListener(Consumer<MembershipSnapshot> listener) {
+      listener.accept(snapshot());
+    }
 
     @Override
     public void addRevisionListener(Consumer<Long> listener) {
