Bound buffered bodies and close gaps in how exchanges end

Cause: found by reading the edge again. Slow uploads could hold a megabyte on each of 20,000 connections; a drain dropped requests that were pipelined behind the one in flight; an upgrade to HTTP/2 behind an unanswered request lost that answer; a failure while an answer was written left the connection without one; the JSON of an answer was written on the home's thread.

Change: a byte budget over all connections; the last answer of a draining connection is the one that nothing follows; no upgrade while a request is served; every failure ends as Unknown; answers are written on the caller's loop; idempotency keys of reads are not passed on.

--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/BufferBudget.java
@@ -0,0 +1,44 @@
+package org.chicorylane.internal.caller;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Bounds the bytes of request bodies that a server holds before it serves them, over all
+ * connections.
+ *
+ * <pre>{@code
+ * if (budget.tryTake(length)) {
+ *   buffer(bytes); // and later budget.giveBack(length)
+ * }
+ * }</pre>
+ *
+ * <p>Thread-safe.
+ */
+final class BufferBudget {
+  private final long limit;
+  private final AtomicLong taken = new AtomicLong();
+
+  /** Makes a budget of {@code limit} bytes. */
+  BufferBudget(long limit) {
+    this.limit = limit;
+  }
+
+  /** Takes the bytes, unless they would exceed the limit. */
+  boolean tryTake(int bytes) {
+    if (taken.addAndGet(bytes) <= limit) {
+      return true;
+    }
+    taken.addAndGet(-bytes);
+    return false;
+  }
+
+  /** Gives bytes back that were taken. */
+  void giveBack(int bytes) {
+    taken.addAndGet(-bytes);
+  }
+
+  /** Returns the bytes that are taken now. */
+  long taken() {
+    return taken.get();
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerPipeline.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerPipeline.java
@@ -41,6 +41,7 @@
   private final DrainState drain;
   private final CallerMetrics metrics;
   private final @Nullable SslContext tls;
+  private final BufferBudget budget;
 
   CallerPipeline(
       CallerLimits limits,
@@ -55,6 +56,7 @@
     this.drain = drain;
     this.metrics = metrics;
     this.tls = tls;
+    this.budget = new BufferBudget(limits.load().bufferedBytes());
   }
 
   @Override
@@ -76,6 +78,7 @@
             http1,
             name ->
                 AsciiString.contentEquals(Http2CodecUtil.HTTP_UPGRADE_PROTOCOL_NAME, name)
+                        && pipeline.get(ExchangeHandler.class).isIdle()
                     ? new UpgradeToHttp2(transport)
                     : null,
             limits.sizes().bodyBytes());
@@ -96,7 +99,7 @@
     transport.onBytes(() -> timer.bytesReceived(clock.instant()));
     RequestAssembler assembler =
         new RequestAssembler(
-            limits.sizes().bodyBytes(), () -> timer.headersReceived(clock.instant()));
+            limits.sizes().bodyBytes(), budget, () -> timer.headersReceived(clock.instant()));
     pipeline.addLast(HTTP_1_ASSEMBLER, assembler);
     pipeline.addLast(HTTP_1_EXCHANGES, exchanges(HttpProtocol.HTTP_1, assembler, timer));
   }
@@ -126,7 +129,7 @@
     ConnectionTimer timer = ConnectionTimer.inBody(limits.times(), clock.instant());
     RequestAssembler assembler =
         new RequestAssembler(
-            limits.sizes().bodyBytes(), () -> timer.headersReceived(clock.instant()));
+            limits.sizes().bodyBytes(), budget, () -> timer.headersReceived(clock.instant()));
     pipeline.addLast(
         new Http2StreamFrameToHttpObjectCodec(true),
         assembler,
@@ -136,7 +139,7 @@
   private ExchangeHandler exchanges(
       HttpProtocol protocol, RequestAssembler assembler, ConnectionTimer timer) {
     return new ExchangeHandler(
-        protocol, processor, assembler, timer, limits, clock, drain, metrics);
+        protocol, processor, assembler, timer, limits, clock, drain, metrics, budget);
   }
 
   private Http2ConnectionHandler connectionHandler(
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/ExchangeHandler.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/ExchangeHandler.java
@@ -30,6 +30,7 @@
  */
 final class ExchangeHandler extends SimpleChannelInboundHandler<ReceivedRequest> {
   private static final String NO_REQUEST_ID = "none";
+  private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(1);
 
   private final HttpProtocol protocol;
   private final RequestProcessor processor;
@@ -39,6 +40,7 @@
   private final InstantSource clock;
   private final DrainState drain;
   private final CallerMetrics metrics;
+  private final BufferBudget budget;
   private final Queue<ReceivedRequest> waiting = new ArrayDeque<>();
   private @Nullable ScheduledFuture<?> check;
   private boolean busy;
@@ -53,7 +55,8 @@
       CallerLimits limits,
       InstantSource clock,
       DrainState drain,
-      CallerMetrics metrics) {
+      CallerMetrics metrics,
+      BufferBudget budget) {
     this.protocol = protocol;
     this.processor = processor;
     this.assembler = assembler;
@@ -62,6 +65,12 @@
     this.clock = clock;
     this.drain = drain;
     this.metrics = metrics;
+    this.budget = budget;
+  }
+
+  /** Returns whether the connection has nothing to serve or to send. */
+  boolean isIdle() {
+    return !busy && waiting.isEmpty();
   }
 
   @Override
@@ -80,6 +89,8 @@
     if (check != null) {
       check.cancel(false);
     }
+    waiting.forEach(this::giveBack);
+    waiting.clear();
   }
 
   @Override
@@ -93,6 +104,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, ReceivedRequest request) {
     if (finished) {
+      giveBack(request);
       return;
     }
     waiting.add(request);
@@ -116,6 +128,7 @@
     if (request == null) {
       return;
     }
+    giveBack(request);
     if (waiting.size() < limits.load().pipelinedRequests()) {
       ctx.channel().config().setAutoRead(true);
     }
@@ -141,7 +154,7 @@
       metrics.outcomeWasLate();
       return;
     }
-    boolean last = !keepAlive || (protocol.endsWithAnswer() && drain.isEnding());
+    boolean last = !keepAlive || endsForDrain();
     if (last) {
       protocol.markLast(answer.headers());
       finished = true;
@@ -161,6 +174,17 @@
                 });
   }
 
+  private boolean endsForDrain() {
+    boolean nothingFollows = waiting.isEmpty() && !assembler.isReceiving();
+    return protocol.endsWithAnswer() && drain.isEnding() && nothingFollows;
+  }
+
+  private void giveBack(ReceivedRequest request) {
+    if (request instanceof ReceivedRequest.Whole whole) {
+      budget.giveBack(whole.body().size());
+    }
+  }
+
   private void answerWritten(ChannelHandlerContext ctx, boolean last) {
     busy = false;
     if (last) {
@@ -176,7 +200,7 @@
     Instant now = clock.instant();
     if (finishedAt != null) {
       Duration since = Duration.between(finishedAt, now);
-      if (since.compareTo(limits.times().drainIdle()) >= 0) {
+      if (since.compareTo(LINGER_TIMEOUT) >= 0) {
         ctx.close();
       }
       return;
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/GroupCallReader.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/GroupCallReader.java
@@ -95,7 +95,7 @@
         maximumAge(body, declared, findings),
         token.map(SessionToken::sessionId).orElse(null),
         token.flatMap(t -> t.floor(route.group())).orElse(null),
-        key.orElse(null),
+        key.filter(k -> route.kind().needsPrimary()).orElse(null),
         body.repeatable() || route.kind() == RequestKind.READ,
         route.transaction(),
         now.plus(headers.timeToWait(limits.times())));
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/RequestAssembler.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/RequestAssembler.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,7 +30,10 @@
  * still comes.
  */
 final class RequestAssembler extends SimpleChannelInboundHandler<HttpObject> {
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
   private final int maximumBody;
+  private final BufferBudget budget;
   private final Runnable onHeaders;
   private @Nullable HttpRequest head;
   private ByteString.Output body = ByteString.newOutput();
@@ -39,9 +43,11 @@
    * Makes an assembler.
    *
    * @param maximumBody the largest body, in bytes
+   * @param budget is charged for the body; whoever takes a whole request gives its bytes back
    * @param onHeaders runs when the header fields of a request are there
    */
-  RequestAssembler(int maximumBody, Runnable onHeaders) {
+  RequestAssembler(int maximumBody, BufferBudget budget, Runnable onHeaders) {
+    this.budget = budget;
     this.maximumBody = maximumBody;
     this.onHeaders = onHeaders;
   }
@@ -51,6 +57,12 @@
     return head != null;
   }
 
+  @Override
+  public void handlerRemoved(ChannelHandlerContext ctx) {
+    budget.giveBack(body.size());
+    body = ByteString.newOutput();
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     if (broken) {
@@ -104,6 +116,13 @@
       refuse(ctx, tooLarge());
       return;
     }
+    if (!budget.tryTake(length)) {
+      refuse(
+          ctx,
+          Problem.overloaded(
+              RETRY_AFTER, "the instance buffers as many bytes of requests as it may"));
+      return;
+    }
     try {
       content.content().readBytes(body, length);
     } catch (IOException e) {
@@ -111,14 +130,16 @@
     }
     if (content instanceof LastHttpContent) {
       HttpRequest whole = head;
+      ByteString wholeBody = body.toByteString();
       head = null;
+      body = ByteString.newOutput();
       if (whole != null) {
         ctx.fireChannelRead(
             new ReceivedRequest.Whole(
                 whole.method().name(),
                 whole.uri(),
                 whole.headers(),
-                body.toByteString(),
+                wholeBody,
                 HttpUtil.isKeepAlive(whole)));
       }
     }
@@ -127,6 +148,8 @@
   private void refuse(ChannelHandlerContext ctx, Problem problem) {
     broken = true;
     head = null;
+    budget.giveBack(body.size());
+    body = ByteString.newOutput();
     ctx.fireChannelRead(new ReceivedRequest.Broken(problem));
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/RequestProcessor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/RequestProcessor.java
@@ -82,7 +82,7 @@
     Optional<String> callersId = RequestHeaders.callersRequestId(request.headers());
     String unique = ids.next();
     String requestId = callersId.map(id -> id + "." + unique).orElse(unique);
-    return answer(request, requestId, loop)
+    return answerSafely(request, requestId, loop)
         .thenApply(
             answer -> {
               metrics.answered(answer.status());
@@ -92,6 +92,18 @@
             });
   }
 
+  private CompletableFuture<CallerAnswer> answerSafely(
+      ReceivedRequest.Whole request, String requestId, ScheduledExecutorService loop) {
+    CompletableFuture<CallerAnswer> answer;
+    try {
+      answer = answer(request, requestId, loop);
+    } catch (RuntimeException e) {
+      answer = CompletableFuture.failedFuture(e);
+    }
+    return answer.exceptionally(
+        failure -> AnswerWriter.problem(Problem.of(failed(requestId, failure)), requestId));
+  }
+
   private CompletableFuture<CallerAnswer> answer(
       ReceivedRequest.Whole request, String requestId, ScheduledExecutorService loop) {
     Route route = Router.route(request.method(), request.uri());
@@ -161,11 +173,12 @@
               inFlight.decrementAndGet();
               metrics.requestCompleted(Duration.between(start, clock.instant()));
               guard.cancel(false);
-              if (!first.complete(outcome == null ? failed(request, failure) : outcome)) {
+              if (!first.complete(
+                  outcome == null ? failed(request.requestId(), failure) : outcome)) {
                 metrics.outcomeWasLate();
               }
             });
-    return first.thenApply(outcome -> toAnswer(call, outcome));
+    return first.thenApplyAsync(outcome -> toAnswer(call, outcome), loop);
   }
 
   private CompletableFuture<Outcome> submitSafely(GroupRequest request) {
@@ -176,13 +189,13 @@
     }
   }
 
-  private static Outcome failed(GroupRequest request, Throwable failure) {
+  private static Outcome.Unknown failed(String requestId, Throwable failure) {
     LogFields.forRequest(
-        request.requestId(), () -> Logger.error(failure, "the request ended without an outcome"));
+        requestId, () -> Logger.error(failure, "the request ended without an outcome"));
     return unknown("the instance failed while it served the request");
   }
 
-  private static Outcome unknown(String detail) {
+  private static Outcome.Unknown unknown(String detail) {
     return new Outcome.Unknown(UNKNOWN_RETRY_AFTER, detail);
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/settings/CallerLimitsReader.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/settings/CallerLimitsReader.java
@@ -47,7 +47,8 @@
         count(r, "connections", 1, 1_000_000, d.connections()),
         count(r, "requestsInFlight", 1, 1_000_000, d.requestsInFlight()),
         count(r, "streamsPerConnection", 1, 10_000, d.streamsPerConnection()),
-        count(r, "pipelinedRequests", 1, 1_000, d.pipelinedRequests()));
+        count(r, "pipelinedRequests", 1, 1_000, d.pipelinedRequests()),
+        r.integer("bufferedBytes", MIB, 1_024L * MIB).orElse(d.bufferedBytes()));
   }
 
   private static TimeLimits times(ObjectReader r, TimeLimits d) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerDrainFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerDrainFunctionalTest.java
@@ -66,6 +66,28 @@
     }
   }
 
+  @Test
+  void testDrainAnswersPipelinedRequestsToo() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits());
+        Socket socket =
+            fixture.send(
+                CallerFixture.rawRead("A", "")
+                    + CallerFixture.rawRead("B", "")
+                    + CallerFixture.rawRead("C", ""))) {
+      FakeGroupService.Pending first = fixture.service.next();
+      fixture.server.drain();
+      awaitNoNewConnection(fixture);
+
+      first.outcome().complete(FakeGroupService.echo(first.request()));
+      for (int i = 0; i < 2; i++) {
+        FakeGroupService.Pending next = fixture.service.next();
+        next.outcome().complete(FakeGroupService.echo(next.request()));
+      }
+
+      assertThat(CallerFixture.readAll(socket).split("HTTP/1.1 200", -1)).hasLength(4);
+    }
+  }
+
   @Test
   void testReadinessFailsFirst() throws Exception {
     try (CallerFixture fixture = new CallerFixture(drainLimits(LONG, LONG))) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
@@ -127,7 +127,7 @@
   @Test
   void testRequestsAboveTheLimitAreNotRun() throws Exception {
     CallerLimits limits = CallerFixture.limits();
-    LoadLimits one = new LoadLimits(50, 1, 10, 4);
+    LoadLimits one = new LoadLimits(50, 1, 10, 4, 100_000);
     try (CallerFixture fixture =
         new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()))) {
       HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
@@ -149,7 +149,7 @@
   @Test
   void testConnectionsAboveTheLimitAreClosed() throws Exception {
     CallerLimits limits = CallerFixture.limits();
-    LoadLimits one = new LoadLimits(1, 10, 10, 4);
+    LoadLimits one = new LoadLimits(1, 10, 10, 4, 100_000);
     try (CallerFixture fixture =
             new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()));
         Socket first = fixture.send("");
@@ -159,6 +159,69 @@
     }
   }
 
+  @Test
+  void testBodiesAboveTheBufferLimitAreNotRunAndTheirBytesAreGivenBack() throws Exception {
+    CallerLimits limits = CallerFixture.limits();
+    LoadLimits small = new LoadLimits(50, 10, 10, 4, 150);
+    try (CallerFixture fixture =
+        new CallerFixture(new CallerLimits(limits.sizes(), small, limits.times()))) {
+      fixture.service.answerWith(FakeGroupService::echo);
+      String body = CallerFixture.statement("x".repeat(150));
+      Fault tooMuch =
+          new Fault("large", post("Content-Length: " + body.length() + "\r\n", body), 503);
+      assertRefused(fixture, List.of(tooMuch, tooMuch));
+
+      HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
+      for (int i = 0; i < 10; i++) {
+        HttpResponse<String> answer =
+            client.send(fixture.read("x".repeat(50)), BodyHandlers.ofString());
+        assertThat(answer.statusCode()).isEqualTo(200);
+      }
+    }
+  }
+
+  @Test
+  void testUpgradeBehindUnansweredRequestIsServedInOrder() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits());
+        Socket socket =
+            fixture.send(
+                CallerFixture.rawRead("FIRST", "")
+                    + CallerFixture.rawRead(
+                        "SECOND",
+                        String.join(
+                            "\r\n",
+                            "Connection: Upgrade, HTTP2-Settings, close",
+                            "Upgrade: h2c",
+                            "HTTP2-Settings: AAMAAABk",
+                            "")))) {
+      for (int i = 0; i < 2; i++) {
+        FakeGroupService.Pending pending = fixture.service.next();
+        pending.outcome().complete(FakeGroupService.echo(pending.request()));
+      }
+
+      String answers = CallerFixture.readAll(socket);
+
+      assertThat(answers.indexOf("[[\"FIRST\"]]")).isGreaterThan(0);
+      assertThat(answers.indexOf("[[\"SECOND\"]]")).isGreaterThan(answers.indexOf("FIRST"));
+    }
+  }
+
+  @Test
+  void testServiceThatThrowsIsAnsweredAsUnknown() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
+      fixture.service.answerWith(
+          r -> {
+            throw new IllegalStateException("a fault on purpose");
+          });
+      HttpResponse<String> answer =
+          CallerFixture.client(HttpClient.Version.HTTP_1_1)
+              .send(fixture.read("S"), BodyHandlers.ofString());
+
+      assertThat(answer.statusCode()).isEqualTo(502);
+      assertThat(answer.body()).contains("\"outcome\":\"unknown\"");
+    }
+  }
+
   private static void assertRefused(CallerFixture fixture, List<Fault> faults) throws Exception {
     for (Fault fault : faults) {
       try (Socket socket = fixture.send(fault.sent())) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
@@ -77,7 +77,7 @@
             Duration.ofSeconds(30),
             Duration.ofMillis(100));
     return new CallerLimits(
-        new SizeLimits(2_048, 10_000, 3, 4, 20), new LoadLimits(50, 20, 10, 4), times);
+        new SizeLimits(2_048, 10_000, 3, 4, 20), new LoadLimits(50, 20, 10, 4, 100_000), times);
   }
 
   HttpRequest.Builder request(String path) {
