Test broken HTTP/2 streams and the routes

Cause: the table of faults reached HTTP/1.1 only; a stream that never ends its body or sends too much must be refused without harm to its connection.

Change: tests only; the code held. Shared limits in the fixture.

--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerDrainFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerDrainFunctionalTest.java
@@ -119,10 +119,9 @@
   }
 
   private static CallerLimits drainLimits(Duration notice, Duration goAwayDelay) {
-    CallerLimits limits = CallerFixture.limits();
     TimeLimits times =
         new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, LONG, notice, goAwayDelay, SHORT);
-    return new CallerLimits(limits.sizes(), limits.load(), times);
+    return CallerFixture.withTimes(times);
   }
 
   private static int status(HttpClient client, CallerFixture fixture, String path)
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
@@ -76,12 +76,9 @@
 
   @Test
   void testHttp2ConnectionThatAnswersNoPingIsClosed() throws Exception {
-    CallerLimits limits = CallerFixture.limits(LONG, LONG);
-    TimeLimits t = limits.times();
     TimeLimits pinging =
-        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, LONG, t.drainIdle());
-    try (CallerFixture fixture =
-            new CallerFixture(new CallerLimits(limits.sizes(), limits.load(), pinging));
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, LONG, SHORT);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withTimes(pinging));
         Socket socket = fixture.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0")) {
       assertThat(CallerFixture.readAll(socket)).isNotEmpty();
       assertThat(fixture.metrics.meter("callers.timed-out").getCount()).isEqualTo(1);
@@ -90,12 +87,9 @@
 
   @Test
   void testSlowReaderIsClosed() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
-    TimeLimits t = limits.times();
     TimeLimits impatient =
-        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, t.drainIdle());
-    try (CallerFixture fixture =
-            new CallerFixture(new CallerLimits(limits.sizes(), limits.load(), impatient));
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, SHORT);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withTimes(impatient));
         Socket socket = new Socket()) {
       String large = "x".repeat(32 * 1024 * 1024);
       fixture.service.answerWith(r -> FakeGroupService.completed(large, null));
@@ -110,6 +104,21 @@
     }
   }
 
+  @Test
+  void testBrokenStreamsAreRefusedAndLeaveTheConnectionToOthers() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits(SHORT, LONG));
+        Http2TestClient client = new Http2TestClient(fixture.server.address())) {
+      fixture.service.answerWith(FakeGroupService::echo);
+      String path = "/v1/groups/ledger/read";
+
+      assertThat(client.open(path).get(10, TimeUnit.SECONDS)).isEqualTo(408);
+      assertThat(client.post(path, "x".repeat(10_001)).get(10, TimeUnit.SECONDS)).isEqualTo(413);
+      assertThat(client.post(path, "{").get(10, TimeUnit.SECONDS)).isEqualTo(400);
+      assertThat(client.post(path, CallerFixture.statement("S")).get(10, TimeUnit.SECONDS))
+          .isEqualTo(200);
+    }
+  }
+
   @Test
   void testOutcomeForCallerThatIsGoneIsDroppedAndCounted() throws Exception {
     try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
@@ -126,10 +135,8 @@
 
   @Test
   void testRequestsAboveTheLimitAreNotRun() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
     LoadLimits one = new LoadLimits(50, 1, 10, 4, 100_000);
-    try (CallerFixture fixture =
-        new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()))) {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withLoad(one))) {
       HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
       CompletableFuture<HttpResponse<String>> first =
           client.sendAsync(fixture.read("S"), BodyHandlers.ofString());
@@ -148,10 +155,8 @@
 
   @Test
   void testConnectionsAboveTheLimitAreClosed() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
     LoadLimits one = new LoadLimits(1, 10, 10, 4, 100_000);
-    try (CallerFixture fixture =
-            new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()));
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withLoad(one));
         Socket first = fixture.send("");
         Socket second = fixture.send("")) {
       assertThat(first.isConnected()).isTrue();
@@ -161,10 +166,8 @@
 
   @Test
   void testBodiesAboveTheBufferLimitAreNotRunAndTheirBytesAreGivenBack() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
     LoadLimits small = new LoadLimits(50, 10, 10, 4, 150);
-    try (CallerFixture fixture =
-        new CallerFixture(new CallerLimits(limits.sizes(), small, limits.times()))) {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withLoad(small))) {
       fixture.service.answerWith(FakeGroupService::echo);
       String body = CallerFixture.statement("x".repeat(150));
       Fault tooMuch =
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFixture.java
@@ -76,10 +76,20 @@
             Duration.ZERO,
             Duration.ofSeconds(30),
             Duration.ofMillis(100));
+    return withTimes(times);
+  }
+
+  /** Returns the usual limits with other times. */
+  static CallerLimits withTimes(TimeLimits times) {
     return new CallerLimits(
         new SizeLimits(2_048, 10_000, 3, 4, 20), new LoadLimits(50, 20, 10, 4, 100_000), times);
   }
 
+  /** Returns the usual limits with another load. */
+  static CallerLimits withLoad(LoadLimits load) {
+    return new CallerLimits(limits().sizes(), load, limits().times());
+  }
+
   HttpRequest.Builder request(String path) {
     return HttpRequest.newBuilder(
             URI.create("http://127.0.0.1:" + server.address().getPort() + path))
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/Http2TestClient.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/Http2TestClient.java
@@ -12,10 +12,11 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
@@ -55,18 +56,26 @@
 
   /** Sends a request on a stream of its own; completes with the status. */
   CompletableFuture<Integer> post(String path, String body) throws Exception {
+    return send(
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.POST,
+            path,
+            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8)));
+  }
+
+  /** Sends the header fields of a request whose body never comes; completes with the status. */
+  CompletableFuture<Integer> open(String path) throws Exception {
+    return send(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path));
+  }
+
+  private CompletableFuture<Integer> send(HttpRequest request) throws Exception {
     CompletableFuture<Integer> status = new CompletableFuture<>();
     Channel stream =
         new Http2StreamChannelBootstrap(connection)
             .handler(new StreamPipeline(status))
             .open()
             .get();
-    FullHttpRequest request =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.POST,
-            path,
-            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     request.headers().set(HttpHeaderNames.HOST, "x");
     request.headers().set(HttpConversionUtil.ExtensionHeaderNames.SCHEME.text(), "http");
     stream.writeAndFlush(request).sync();
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/RouterTest.java
@@ -0,0 +1,34 @@
+package org.chicorylane.internal.caller;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.Map;
+import org.chicorylane.internal.relay.RequestKind;
+import org.junit.jupiter.api.Test;
+
+final class RouterTest {
+  private static final Map<String, Route> ROUTES =
+      Map.ofEntries(
+          Map.entry("POST /v1/sessions", new Route.NewSession()),
+          Map.entry("GET /v1/sessions", new Route.WrongMethod("POST")),
+          Map.entry("GET /v1/health/ready?verbose", new Route.Ready()),
+          Map.entry("GET /v1/health/other", new Route.Unknown()),
+          Map.entry("POST /v1/groups/a%2Fb/read", new Route.Group("a/b", RequestKind.READ, null)),
+          Map.entry("PUT /v1/groups/a/write", new Route.WrongMethod("POST")),
+          Map.entry("POST /v1/groups//write", new Route.Unknown()),
+          Map.entry("POST /v1/groups/%zz/write", new Route.Unknown()),
+          Map.entry("POST /v1/groups/a/transactions/t/more", new Route.Unknown()),
+          Map.entry("POST /v1/groups/a/transactions/t/commit/x", new Route.Unknown()),
+          Map.entry("POST /v2/sessions", new Route.Unknown()),
+          Map.entry("GET *", new Route.Unknown()),
+          Map.entry("GET /", new Route.Unknown()));
+
+  @Test
+  void testFindsRouteOfMethodAndPath() {
+    ROUTES.forEach(
+        (request, route) -> {
+          String[] parts = request.split(" ", -1);
+          assertWithMessage(request).that(Router.route(parts[0], parts[1])).isEqualTo(route);
+        });
+  }
+}
