Name the address that cannot be listened on; read TLS files

Cause: a bind failure surfaced without its address and left threads behind, and each user of the TLS settings would have had to open the two files itself. Request targets in absolute form, which RFC 9112 asks servers to accept, were not found.

--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -77,6 +78,13 @@
             metrics,
             () -> !drain.isAnnounced() && readiness.getAsBoolean());
     listener =
+        bind(
+            new CallerPipeline(limits, processor, builder.clock, drain, metrics, builder.tls),
+            builder.address);
+  }
+
+  private Channel bind(CallerPipeline pipeline, InetSocketAddress address) {
+    ChannelFuture bound =
         new ServerBootstrap()
             .group(acceptors, workers)
             .channel(NioServerSocketChannel.class)
@@ -84,11 +92,14 @@
             .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .handler(new ConnectionCount())
-            .childHandler(
-                new CallerPipeline(limits, processor, builder.clock, drain, metrics, builder.tls))
-            .bind(builder.address)
-            .syncUninterruptibly()
-            .channel();
+            .childHandler(pipeline)
+            .bind(address)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      shutDownLoops();
+      throw new IllegalStateException("cannot listen on " + address, bound.cause());
+    }
+    return bound.channel();
   }
 
   /** Returns a builder with defaults for everything but the service and the tokens. */
@@ -132,6 +143,10 @@
   public void close() {
     listener.close();
     connections.close();
+    shutDownLoops();
+  }
+
+  private void shutDownLoops() {
     long timeout = LOOP_SHUTDOWN_TIMEOUT.toMillis();
     acceptors.shutdownGracefully(0, timeout, TimeUnit.MILLISECONDS);
     workers.shutdownGracefully(0, timeout, TimeUnit.MILLISECONDS);
@@ -240,6 +255,7 @@
      * Starts the server.
      *
      * @throws NullPointerException if the service or the tokens are missing
+     * @throws IllegalStateException if the address cannot be listened on
      */
     public CallerServer start() {
       return new CallerServer(this);
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerTls.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/CallerTls.java
@@ -9,14 +9,17 @@
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslContextBuilder;
 import io.netty.handler.ssl.SupportedCipherSuiteFilter;
+import java.io.IOException;
 import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import javax.net.ssl.SSLException;
 
 /**
  * Makes the TLS context of a {@link CallerServer}.
  *
  * <pre>{@code
- * CallerServer.builder().tls(CallerTls.context(certificateChain, key));
+ * CallerServer.builder().tls(CallerTls.fromFiles(certificateChain, key));
  * }</pre>
  */
 public final class CallerTls {
@@ -25,6 +28,21 @@
 
   private CallerTls() {}
 
+  /**
+   * Returns a context that offers HTTP/2 and HTTP/1.1 by ALPN, over TLS 1.3 and 1.2.
+   *
+   * @param certificateChain a file of X.509 certificates in PEM form, the server's first
+   * @param key a file of the private key in PEM form, PKCS #8, without a password
+   * @throws IOException if a file cannot be read, or they do not form a context
+   * @throws IllegalArgumentException if the content of a file cannot be read
+   */
+  public static SslContext fromFiles(Path certificateChain, Path key) throws IOException {
+    try (InputStream certificates = Files.newInputStream(certificateChain);
+        InputStream privateKey = Files.newInputStream(key)) {
+      return context(certificates, privateKey);
+    }
+  }
+
   /**
    * Returns a context that offers HTTP/2 and HTTP/1.1 by ALPN, over TLS 1.3 and 1.2.
    *
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/Router.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/Router.java
@@ -27,7 +27,7 @@
    * Returns the route.
    *
    * @param method the HTTP method in upper case
-   * @param uri the request target in origin form, with or without a query
+   * @param uri the request target in origin or absolute form, with or without a query
    */
   static Route route(String method, String uri) {
     List<String> path = split(uri);
@@ -93,7 +93,7 @@
 
   private static List<String> split(String uri) {
     int query = uri.indexOf('?');
-    String path = query < 0 ? uri : uri.substring(0, query);
+    String path = withoutAuthority(query < 0 ? uri : uri.substring(0, query));
     List<String> parts = new ArrayList<>();
     if (!path.startsWith("/")) {
       return parts;
@@ -108,6 +108,15 @@
     return parts;
   }
 
+  private static String withoutAuthority(String uri) {
+    int scheme = uri.indexOf("://");
+    if (uri.startsWith("/") || scheme < 0) {
+      return uri;
+    }
+    int path = uri.indexOf('/', scheme + 3);
+    return path < 0 ? "/" : uri.substring(path);
+  }
+
   private static String decode(String part) {
     try {
       return URLDecoder.decode(part.replace("+", "%2B"), StandardCharsets.UTF_8);
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerProtocolsFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerProtocolsFunctionalTest.java
@@ -8,6 +8,8 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.security.KeyStore;
 import java.security.cert.CertificateFactory;
 import java.util.concurrent.CompletableFuture;
@@ -32,11 +34,8 @@
 
   @Test
   void testTlsNegotiatesEitherProtocol() throws Exception {
-    SslContext tls;
-    try (InputStream certificate = resource("test-only-certificate.pem");
-        InputStream key = resource("test-only-key.pem")) {
-      tls = CallerTls.context(certificate, key);
-    }
+    SslContext tls =
+        CallerTls.fromFiles(file("test-only-certificate.pem"), file("test-only-key.pem"));
     assertThat(tls.applicationProtocolNegotiator().protocols())
         .containsExactly("h2", "http/1.1")
         .inOrder();
@@ -54,14 +53,14 @@
     }
   }
 
-  private static InputStream resource(String name) {
-    return CallerProtocolsFunctionalTest.class.getResourceAsStream("/tls/" + name);
+  private static Path file(String name) {
+    return Path.of("src/test/resources/tls", name);
   }
 
   private static SSLContext trusting() throws Exception {
     KeyStore store = KeyStore.getInstance(KeyStore.getDefaultType());
     store.load(null, null);
-    try (InputStream certificate = resource("test-only-certificate.pem")) {
+    try (InputStream certificate = Files.newInputStream(file("test-only-certificate.pem"))) {
       store.setCertificateEntry(
           "server", CertificateFactory.getInstance("X.509").generateCertificate(certificate));
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerServerFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerServerFunctionalTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -202,6 +203,18 @@
     assertThat(fixture.metrics.meter("callers.late").getCount()).isEqualTo(1);
   }
 
+  @Test
+  void testAddressInUseIsNamed() {
+    IllegalStateException thrown =
+        assertThrows(
+            IllegalStateException.class,
+            () ->
+                new CallerFixture(
+                    CallerFixture.limits(), b -> b.address(fixture.server.address())));
+
+    assertThat(thrown).hasMessageThat().contains(fixture.server.address().toString());
+  }
+
   private static SessionToken tokenOf(HttpResponse<String> answer) {
     return valid(answer.headers().firstValue("Chicorylane-Session").orElseThrow());
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/RouterTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/RouterTest.java
@@ -20,6 +20,8 @@
           Map.entry("POST /v1/groups/a/transactions/t/more", new Route.Unknown()),
           Map.entry("POST /v1/groups/a/transactions/t/commit/x", new Route.Unknown()),
           Map.entry("POST /v2/sessions", new Route.Unknown()),
+          Map.entry("GET http://x:7400/v1/health/live", new Route.Live()),
+          Map.entry("GET http://x", new Route.Unknown()),
           Map.entry("GET *", new Route.Unknown()),
           Map.entry("GET /", new Route.Unknown()));
 
