--- a/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/CallerFaultsFunctionalTest.java
@@ -76,12 +76,9 @@
 
   @Test
   void testHttp2ConnectionThatAnswersNoPingIsClosed() throws Exception {
-    CallerLimits limits = CallerFixture.limits(LONG, LONG);
-    TimeLimits t = limits.times();
     TimeLimits pinging =
-        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, LONG, t.drainIdle());
-    try (CallerFixture fixture =
-            new CallerFixture(new CallerLimits(limits.sizes(), limits.load(), pinging));
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, LONG, SHORT);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withTimes(pinging));
         Socket socket = fixture.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0")) {
       assertThat(CallerFixture.readAll(socket)).isNotEmpty();
       assertThat(fixture.metrics.meter("callers.timed-out").getCount()).isEqualTo(1);
@@ -90,12 +87,9 @@
 
   @Test
   void testSlowReaderIsClosed() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
-    TimeLimits t = limits.times();
     TimeLimits impatient =
-        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, t.drainIdle());
-    try (CallerFixture fixture =
-            new CallerFixture(new CallerLimits(limits.sizes(), limits.load(), impatient));
+        new TimeLimits(LONG, LONG, LONG, LONG, LONG, LONG, LONG, SHORT, LONG, LONG, SHORT);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withTimes(impatient));
         Socket socket = new Socket()) {
       String large = "x".repeat(32 * 1024 * 1024);
       fixture.service.answerWith(r -> FakeGroupService.completed(large, null));
@@ -110,6 +104,21 @@
     }
   }
 
+  @Test
+  void testBrokenStreamsAreRefusedAndLeaveTheConnectionToOthers() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits(SHORT, LONG));
+        Http2TestClient client = new Http2TestClient(fixture.server.address())) {
+      fixture.service.answerWith(FakeGroupService::echo);
+      String path = "/v1/groups/ledger/read";
+
+      assertThat(client.open(path).get(10, TimeUnit.SECONDS)).isEqualTo(408);
+      assertThat(client.post(path, "x".repeat(10_001)).get(10, TimeUnit.SECONDS)).isEqualTo(413);
+      assertThat(client.post(path, "{").get(10, TimeUnit.SECONDS)).isEqualTo(400);
+      assertThat(client.post(path, CallerFixture.statement("S")).get(10, TimeUnit.SECONDS))
+          .isEqualTo(200);
+    }
+  }
+
   @Test
   void testOutcomeForCallerThatIsGoneIsDroppedAndCounted() throws Exception {
     try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
@@ -126,10 +135,8 @@
 
   @Test
   void testRequestsAboveTheLimitAreNotRun() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
-    LoadLimits one = new LoadLimits(50, 1, 10, 4);
-    try (CallerFixture fixture =
-        new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()))) {
+    LoadLimits one = new LoadLimits(50, 1, 10, 4, 100_000);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withLoad(one))) {
       HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
       CompletableFuture<HttpResponse<String>> first =
           client.sendAsync(fixture.read("S"), BodyHandlers.ofString());
@@ -148,10 +155,8 @@
 
   @Test
   void testConnectionsAboveTheLimitAreClosed() throws Exception {
-    CallerLimits limits = CallerFixture.limits();
-    LoadLimits one = new LoadLimits(1, 10, 10, 4);
-    try (CallerFixture fixture =
-            new CallerFixture(new CallerLimits(limits.sizes(), one, limits.times()));
+    LoadLimits one = new LoadLimits(1, 10, 10, 4, 100_000);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withLoad(one));
         Socket first = fixture.send("");
         Socket second = fixture.send("")) {
       assertThat(first.isConnected()).isTrue();
@@ -159,6 +164,67 @@
     }
   }
 
+  @Test
+  void testBodiesAboveTheBufferLimitAreNotRunAndTheirBytesAreGivenBack() throws Exception {
+    LoadLimits small = new LoadLimits(50, 10, 10, 4, 150);
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.withLoad(small))) {
+      fixture.service.answerWith(FakeGroupService::echo);
+      String body = CallerFixture.statement("x".repeat(150));
+      Fault tooMuch =
+          new Fault("large", post("Content-Length: " + body.length() + "\r\n", body), 503);
+      assertRefused(fixture, List.of(tooMuch, tooMuch));
+
+      HttpClient client = CallerFixture.client(HttpClient.Version.HTTP_1_1);
+      for (int i = 0; i < 10; i++) {
+        HttpResponse<String> answer =
+            client.send(fixture.read("x".repeat(50)), BodyHandlers.ofString());
+        assertThat(answer.statusCode()).isEqualTo(200);
+      }
+    }
+  }
+
+  @Test
+  void testUpgradeBehindUnansweredRequestIsServedInOrder() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits());
+        Socket socket =
+            fixture.send(
+                CallerFixture.rawRead("FIRST", "")
+                    + CallerFixture.rawRead(
+                        "SECOND",
+                        String.join(
+                            "\r\n",
+                            "Connection: Upgrade, HTTP2-Settings, close",
+                            "Upgrade: h2c",
+                            "HTTP2-Settings: AAMAAABk",
+                            "")))) {
+      for (int i = 0; i < 2; i++) {
+        FakeGroupService.Pending pending = fixture.service.next();
+        pending.outcome().complete(FakeGroupService.echo(pending.request()));
+      }
+
+      String answers = CallerFixture.readAll(socket);
+
+      assertThat(answers.indexOf("[[\"FIRST\"]]")).isGreaterThan(0);
+      assertThat(answers.indexOf("[[\"SECOND\"]]")).isGreaterThan(answers.indexOf("FIRST"));
+    }
+  }
+
+  @Test
+  void testServiceThatThrowsIsAnsweredAsUnknown() throws Exception {
+    try (CallerFixture fixture = new CallerFixture(CallerFixture.limits())) {
+      fixture.service.answerWith(
+          r -> {
+            throw new IllegalStateException("a fault on purpose");
+          });
+      HttpResponse<String> answer =
+          CallerFixture.client(HttpClient.Version.HTTP_1_1)
+              .send(fixture.read("S"), BodyHandlers.ofString());
+
+      assertThat(answer.statusCode()).isEqualTo(502);
+      assertThat(answer.body()).contains("\"outcome\":\"unknown\"");
+    }
+  }
+
   private static void assertRefused(CallerFixture fixture, List<Fault> faults) throws Exception {
     for (Fault fault : faults) {
       try (Socket socket = fixture.send(fault.sent())) {
