--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/ConfirmationTracker.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ConfirmationTracker.java
@@ -3,7 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -41,7 +41,7 @@
   private record Pending(String id, long offset, Instant deadline) {}
 
   private final HeldLog heldLog = new HeldLog();
-  private final Map<String, Pending> byId = new HashMap<>();
+  private final Map<String, Pending> byId = new LinkedHashMap<>();
   private final TreeMap<Long, List<Pending>> byOffset = new TreeMap<>();
   private List<String> voters = List.of();
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeContext.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeContext.java
@@ -19,10 +19,11 @@
   private final HomeTimings timings;
   private final Random random;
   private final TreeMap<String, ServerControl> controls = new TreeMap<>();
-  private final Map<String, BackendServer> knownServers = new HashMap<>();
+  private final Map<String, String> addresses = new HashMap<>();
   private List<HomeAction> actions = new ArrayList<>();
   private DatabaseGroup group;
   private Instant now = Instant.EPOCH;
+  private boolean eager;
   private long promoters;
 
   HomeContext(String instance, DatabaseGroup group, HomeTimings timings, long seed) {
@@ -37,7 +38,7 @@
   void declare(DatabaseGroup declared) {
     group = declared;
     for (BackendServer server : declared.servers()) {
-      knownServers.put(server.name(), server);
+      addresses.put(server.name(), server.host() + ":" + server.port());
       controls.computeIfAbsent(server.name(), name -> new ServerControl(name, this));
     }
   }
@@ -81,7 +82,17 @@
   }
 
   boolean hasPassed(Duration duration, Instant since) {
-    return isDue(since.plus(duration));
+    return !since.isAfter(now.minus(duration));
+  }
+
+  /** Sets whether observations come with each tick, while replicas are waited for. */
+  void setEager(boolean isEager) {
+    eager = isEager;
+  }
+
+  /** Returns the interval of observations in force. */
+  Duration heartbeat() {
+    return eager ? HomeTimings.TICK_INTERVAL : timings.heartbeat();
   }
 
   /** Returns a duration between half and one and a half of {@code mean}. */
@@ -112,8 +123,7 @@
 
   /** Returns {@code host:port} of a server that is or was declared; null if it never was. */
   @Nullable String address(String server) {
-    BackendServer known = knownServers.get(server);
-    return known == null ? null : known.host() + ":" + known.port();
+    return addresses.get(server);
   }
 
   boolean isDeclared(String server) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeMachine.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeMachine.java
@@ -178,18 +178,22 @@
       keeper.wantRead();
     }
     acquiring = mayAcquire;
+    context.setEager(view.isPrimaryServing() && !view.canConfirm(view.voters()));
     context.controls().forEach(control -> control.step(mayAcquire));
-    keeper.step();
     view.infer();
     if (mayAcquire) {
       stepGroup();
     }
+    keeper.step();
     usage.step(!mayAcquire, switchover.leaving());
     gate.step(orderToClose(mayAcquire));
   }
 
   private void stepGroup() {
     suspicion.step();
+    if (suspicion.isPrimarySuspected() && !keeper.isKnownSince(suspicion.suspectedSince())) {
+      keeper.wantReadSince(suspicion.suspectedSince());
+    }
     String peer = suspicion.reachablePeer();
     if (peer != null) {
       suspicion.reset();
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/Ownership.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/Ownership.java
@@ -126,7 +126,9 @@
       return false;
     }
     splitSince = Instant.MAX;
-    asideUntil = context.now().plus(context.jittered(context.timings().stepAside()));
+    takenUntil = Instant.MIN;
+    asideUntil =
+        context.now().plus(context.jittered(context.timings().splitHold().multipliedBy(2)));
     closeAll();
     return true;
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/Promotion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/Promotion.java
@@ -56,7 +56,7 @@
       return;
     }
     if (!keeper.isKnownSince(since)) {
-      keeper.wantRead();
+      keeper.wantReadSince(since);
       return;
     }
     planned = plannedSwitchover;
@@ -211,11 +211,5 @@
             + promoted.timeline()
             + " from "
             + promoted.startOffset());
-    GroupRecord record = keeper.record();
-    if (record != null && promoted.timeline() < record.term()) {
-      context.emit(
-          new HomeAction.InvariantBroken(
-              "a promoted server writes the record's term", promoted + " for " + record));
-    }
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/RecordKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/RecordKeeper.java
@@ -79,9 +79,16 @@
     return swap != null;
   }
 
-  /** Asks for a read as soon as possible. */
+  /** Asks for a read that is sent now or later. */
   void wantRead() {
-    readWanted = true;
+    wantReadSince(context.now());
+  }
+
+  /** Asks for a read, unless one that was sent at {@code since} or later is unanswered. */
+  void wantReadSince(Instant since) {
+    if (request != Request.READ || requestedAt.isBefore(since)) {
+      readWanted = true;
+    }
   }
 
   /** Begins a swap; only if {@link #canSwap}. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerControl.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerControl.java
@@ -39,8 +39,10 @@
   private Instant waitingSince = Instant.MIN;
   private Instant lastHeard = Instant.MIN;
   private Instant lastObserve = Instant.MIN;
+  private long requestedTimeline;
   private int openFailures;
   private boolean observeAgain;
+  private boolean refused;
   private boolean fenced;
   private @Nullable ControlCommand command;
   private @Nullable ServerObservation observation;
@@ -69,8 +71,9 @@
     return state.isLocked();
   }
 
+  /** Returns whether another session held the lock when it was last tried. */
   boolean isRefused() {
-    return state == State.REFUSED;
+    return refused;
   }
 
   /** Returns whether the lock is held, other sessions have ended and the server was observed. */
@@ -118,6 +121,11 @@
     return openFailures > 0 || context.hasPassed(context.timings().suspicion(), lastHeard);
   }
 
+  /** Returns whether the last opening of a connection failed. */
+  boolean hasFailedToOpen() {
+    return openFailures > 0;
+  }
+
   /** Starts counting silence now. */
   void expectAnswers() {
     lastHeard = context.now();
@@ -166,7 +174,7 @@
     if (oldest != null && closeIfSilent(limit, oldest)) {
       return;
     }
-    boolean heartbeatDue = context.hasPassed(context.timings().heartbeat(), lastObserve);
+    boolean heartbeatDue = context.hasPassed(context.heartbeat(), lastObserve);
     if (command == null && (heartbeatDue || observeAgain)) {
       observe();
     }
@@ -236,6 +244,7 @@
 
   private void forgetConnection() {
     state = State.CLOSED;
+    refused = false;
     outstanding.clear();
     observeAgain = false;
     fenced = false;
@@ -256,6 +265,7 @@
 
   /** Sends a promotion. */
   void sendPromote(long timeline) {
+    requestedTimeline = timeline;
     send(ControlCommand.PROMOTE, new HomeAction.Promote(connection, timeline));
   }
 
@@ -301,7 +311,9 @@
     } else if (event instanceof HomeEvent.SealAnswered answered) {
       command = null;
       seal = answered;
-    } else if (event instanceof HomeEvent.Promoted || event instanceof HomeEvent.Followed) {
+    } else if (event instanceof HomeEvent.Promoted promoted) {
+      onPromoted(promoted);
+    } else if (event instanceof HomeEvent.Followed) {
       command = null;
       observeSoon();
     } else if (event instanceof HomeEvent.ControlActionFailed failed) {
@@ -311,6 +323,7 @@
   }
 
   private void onLock(boolean acquired) {
+    refused = !acquired;
     if (acquired) {
       state = State.ENDING_OTHERS;
       waitingSince = context.now();
@@ -332,6 +345,19 @@
     return sentAt;
   }
 
+  private void onPromoted(HomeEvent.Promoted promoted) {
+    if (promoted.timeline() < requestedTimeline) {
+      context.emit(
+          new HomeAction.InvariantBroken(
+              "a promoted server writes the timeline asked for",
+              promoted + " instead of " + requestedTimeline));
+    }
+    command = null;
+    long start = promoted.startOffset();
+    observation = new ServerObservation(false, promoted.timeline(), start, start, null);
+    observeSoon();
+  }
+
   private void onFailed(HomeEvent.ControlActionFailed failed) {
     context.report(
         HomeReport.CONTROL_COMMAND_FAILED,
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerUsage.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerUsage.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.failover;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -41,7 +42,7 @@
    * @param leavingPrimary the primary that is being replaced; null if none
    */
   void step(boolean handingOver, @Nullable String leavingPrimary) {
-    for (String server : Set.copyOf(inUse.keySet())) {
+    for (String server : List.copyOf(inUse.keySet())) {
       if (context.control(server) == null) {
         drop(server, DropReason.LEAVING);
       }
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/Suspicion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/Suspicion.java
@@ -31,18 +31,24 @@
     return suspectedSince;
   }
 
+  /** Returns whether the record's primary is suspected. */
+  boolean isPrimarySuspected() {
+    ServerControl primary = view.primary();
+    return primary != null && primary.name().equals(suspect) && primary.isSuspect();
+  }
+
   /** Returns whether the record's primary is taken to be lost. */
   boolean isPrimaryLost() {
-    ServerControl primary = view.primary();
-    return primary != null
-        && primary.name().equals(suspect)
-        && primary.isSuspect()
-        && context.now().isBefore(lostUntil);
+    return isPrimarySuspected() && context.now().isBefore(lostUntil);
   }
 
-  /** Returns an instance that reaches the suspected server; null if none does. */
+  /**
+   * Returns an instance that reaches the suspected server, to which a new connection of this one
+   * has failed; null if there is none.
+   */
   @Nullable String reachablePeer() {
-    return reachablePeer;
+    ServerControl control = suspect == null ? null : context.control(suspect);
+    return control != null && control.hasFailedToOpen() ? reachablePeer : null;
   }
 
   /** Forgets every suspicion, when the home begins or ends. */
@@ -59,6 +65,7 @@
     String found = findSuspect();
     if (found == null) {
       suspect = null;
+      reachablePeer = null;
       endRound();
       return;
     }
@@ -112,9 +119,9 @@
     suspectedSince = context.now();
     nextRoundAt = context.now();
     lostUntil = Instant.MIN;
+    reachablePeer = null;
     endRound();
-    ServerControl primary = view.primary();
-    if (primary != null && primary.name().equals(server)) {
+    if (isPrimarySuspected()) {
       context.report(HomeReport.PRIMARY_SUSPECTED, server);
     }
   }
@@ -189,8 +196,7 @@
   private void lost(String why) {
     lostUntil = context.now().plus(context.timings().evidenceValidity());
     nextRoundAt = lostUntil;
-    ServerControl primary = view.primary();
-    if (primary != null && primary.name().equals(suspect)) {
+    if (isPrimarySuspected()) {
       context.report(HomeReport.PRIMARY_LOST, suspect + ": " + why);
     }
   }
