--- a/chicorylane/src/test/java/org/chicorylane/internal/failover/FailoverGapTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/failover/FailoverGapTest.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.failover;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.chicorylane.internal.failover.FailoverModel.Mutation;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -90,6 +92,21 @@
     assertWithMessage("maximum of %s", gaps).that(maximum).isAtMost(loss.maximumMillis);
   }
 
+  @Test
+  void testConfirmationTakesAboutOneRoundTrip() {
+    FailoverModel model = new FailoverModel(1, 3, 3, Mutation.NONE);
+    model.prefer("i0");
+    model.runFor(60_000);
+    List<Long> sorted = model.confirmationMicros.stream().sorted().toList();
+    long late = sorted.get(sorted.size() * 99 / 100);
+    System.out.println(
+        "Confirmation after the commit, microseconds: median "
+            + median(sorted)
+            + ", 99th percentile "
+            + late);
+    assertThat(late).isLessThan(6 * FailoverModel.MILLI);
+  }
+
   private static long firstAcknowledgedInNewTerm(FailoverModel model) {
     Long opened = model.firstActions.get(HomeAction.OpenWrites.class);
     assertWithMessage(model.describe()).that(opened).isNotNull();
