--- a/bench/src/main/java/org/chicorylane/bench/demo/Auditor.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/Auditor.java
@@ -39,7 +39,7 @@
     long doubled = kept.values().stream().filter(n -> n > 1).count();
     Map<String, Integer> anywhere = new HashMap<>();
     group.servers().forEach(s -> anywhere.putAll(inserts(s)));
-    long ran = told.notRun(group.name()).stream().filter(anywhere::containsKey).count();
+    long ran = told.refused(group.name()).stream().filter(anywhere::containsKey).count();
     return new Findings(lost, doubled, ran);
   }
 
--- a/bench/src/main/java/org/chicorylane/bench/demo/SessionLoop.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/SessionLoop.java
@@ -79,7 +79,6 @@
 
   private void lookUp() {
     String nonce = plan + "-" + random.nextLong();
-    long least = acknowledgedVersion;
     Reply reply = caller.read(group, "lookup", "lookup", LOOK_UP, List.of(nonce, plan));
     told.answered(reply);
     if (reply.fate() != Reply.Fate.COMPLETED) {
@@ -91,8 +90,16 @@
     if (!row.get(1).equals(nonce)) {
       told.mixed("asked " + nonce + ", got " + row.get(1));
     }
-    if (version < least || version > attemptedVersion) {
-      told.stale("plan " + plan + " of " + group + ": version " + version + ", expected " + least);
+    if (version < acknowledgedVersion || version > attemptedVersion) {
+      told.stale(
+          "plan "
+              + plan
+              + " of "
+              + group
+              + ": version "
+              + version
+              + ", expected "
+              + acknowledgedVersion);
     }
   }
 
@@ -100,7 +107,7 @@
     String id = group + "-" + plan + "-" + writes++;
     List<Object> parameters = withAmount ? List.of(id, plan, 100) : List.of(id, plan);
     if (write(requestClass, sql, parameters, id)) {
-      told.acknowledge(group, id);
+      told.landed(group, id);
     }
   }
 
@@ -132,7 +139,7 @@
             return gaveUp(id, mayHaveRun);
           }
         }
-        case UNKNOWN -> mayHaveRun = true;
+        default -> mayHaveRun = true;
       }
       sleep(reply.retryAfter().compareTo(MIN_PAUSE) > 0 ? reply.retryAfter() : MIN_PAUSE);
     }
@@ -143,7 +150,7 @@
     if (mayHaveRun) {
       told.unresolved();
     } else {
-      told.notRun(group, id);
+      told.refused(group, id);
     }
     return false;
   }
--- a/bench/src/main/java/org/chicorylane/bench/demo/Told.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/Told.java
@@ -40,11 +40,11 @@
     }
   }
 
-  void acknowledge(String group, String id) {
+  void landed(String group, String id) {
     acknowledged.computeIfAbsent(group, g -> ConcurrentHashMap.newKeySet()).add(id);
   }
 
-  void notRun(String group, String id) {
+  void refused(String group, String id) {
     notRun.computeIfAbsent(group, g -> ConcurrentHashMap.newKeySet()).add(id);
   }
 
@@ -62,12 +62,12 @@
     violations.add("mixed: " + evidence);
   }
 
-  Set<String> acknowledged(String group) {
-    return acknowledged.getOrDefault(group, Set.of());
+  Set<String> refused(String group) {
+    return notRun.getOrDefault(group, Set.of());
   }
 
-  Set<String> notRun(String group) {
-    return notRun.getOrDefault(group, Set.of());
+  Set<String> acknowledged(String group) {
+    return acknowledged.getOrDefault(group, Set.of());
   }
 
   Queue<String> violations() {
--- a/bench/src/main/java/org/chicorylane/bench/fleet/StandInFleet.java
+++ b/bench/src/main/java/org/chicorylane/bench/fleet/StandInFleet.java
@@ -106,7 +106,7 @@
       Map<String, StandInGroup> groups = new LinkedHashMap<>();
       for (JsonObject document : documents) {
         if (document.get("kind").getAsString().equals("DatabaseGroup")) {
-          StandInGroup group = start(document);
+          StandInGroup group = startGroup(document);
           groups.put(group.name(), group);
         }
       }
@@ -125,7 +125,7 @@
       }
     }
 
-    private StandInGroup start(JsonObject document) {
+    private StandInGroup startGroup(JsonObject document) {
       JsonArray servers = document.getAsJsonObject("spec").getAsJsonArray("servers");
       JsonObject first = servers.get(0).getAsJsonObject();
       StandInGroup group =
--- a/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
@@ -12,7 +12,8 @@
  * Opens connections to backend servers.
  *
  * <pre>{@code
- * connector.open(group, server, ConnectionPurpose.WORK.applicationName()).thenAccept(result -> ...);
+ * String name = ConnectionPurpose.WORK.applicationName();
+ * connector.open(group, server, name).thenAccept(result -> ...);
  * }</pre>
  *
  * <p>Thread-safe.
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ServeCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ServeCommand.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chicorylane.Settings;
 import org.chicorylane.internal.instance.Instance;
+import org.chicorylane.internal.logging.LogSetup;
 import org.tinylog.Logger;
 
 /** Runs one instance until it is told to stop by SIGTERM, which drains it. */
@@ -31,6 +32,7 @@
     if (settings.isEmpty()) {
       return ExitCode.USAGE;
     }
+    LogSetup.apply(settings.get().log());
     try {
       Instance instance = Instance.start(settings.get());
       Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(instance), "drain"));
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -142,7 +142,7 @@
   }
 
   void closeWrites(CloseReason reason) {
-    String primary = writes == null ? "" : writes.primary();
+    HomeAction.OpenWrites closed = writes;
     writes = null;
     opening = null;
     reads.closed(reason);
@@ -151,13 +151,16 @@
       movedTo = "";
       refuseWaiting();
     }
-    if (!reason.endsPending()) {
-      return;
+    if (reason.endsPending()) {
+      confirmations.end();
+      endWorkOn(closed);
     }
-    confirmations.end();
-    ServerInUse replaced = servers.get(primary);
+  }
+
+  private void endWorkOn(HomeAction.@Nullable OpenWrites closed) {
+    ServerInUse replaced = closed == null ? null : servers.get(closed.primary());
     if (replaced != null) {
-      doubtRunning(replaced, "the primary \"" + primary + "\" is being replaced");
+      doubtRunning(replaced, "the primary \"" + replaced.name() + "\" is being replaced");
     }
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/RecordAdapter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/RecordAdapter.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.chicorylane.internal.failover.GroupRecord;
+import org.chicorylane.internal.failover.GroupRecordCodec;
 import org.chicorylane.internal.failover.HomeEvent;
 import org.chicorylane.internal.failover.StoredRecord;
 import org.chicorylane.internal.failover.SwapResult;
@@ -46,7 +47,7 @@
   }
 
   void swap(long expectedModRevision, GroupRecord record) {
-    swap.swap(key, expectedModRevision, RecordCodec.toJson(record), record.promoter())
+    swap.swap(key, expectedModRevision, GroupRecordCodec.encode(record), record.promoter())
         .thenAcceptAsync(r -> sink.accept(new HomeEvent.RecordSwapped(swapResult(r))), executor);
   }
 
@@ -63,10 +64,12 @@
     if (read.entries().isEmpty()) {
       return new HomeEvent.RecordRead(null);
     }
-    StoredRecord stored = stored(read.entries());
-    return stored == null
-        ? new HomeEvent.RecordUnavailable("the value of \"" + key + "\" is no record")
-        : new HomeEvent.RecordRead(stored);
+    KeyValueEntry entry = read.entries().get(0);
+    GroupRecordCodec.Result decoded = GroupRecordCodec.decode(entry.key(), entry.value());
+    if (decoded instanceof GroupRecordCodec.Decoded d) {
+      return new HomeEvent.RecordRead(new StoredRecord(d.record(), entry.modRevision()));
+    }
+    return new HomeEvent.RecordUnavailable(String.valueOf(decoded));
   }
 
   private static SwapResult swapResult(SettledResult result) {
@@ -84,8 +87,8 @@
       return null;
     }
     KeyValueEntry entry = entries.get(0);
-    return RecordCodec.fromJson(entry.value())
-        .map(r -> new StoredRecord(r, entry.modRevision()))
-        .orElse(null);
+    return GroupRecordCodec.decode(entry.key(), entry.value()) instanceof GroupRecordCodec.Decoded d
+        ? new StoredRecord(d.record(), entry.modRevision())
+        : null;
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
@@ -4,7 +4,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.ssl.SslContext;
 import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -15,6 +18,7 @@
 import org.chicorylane.Settings;
 import org.chicorylane.internal.backend.ServerConnector;
 import org.chicorylane.internal.caller.CallerServer;
+import org.chicorylane.internal.caller.CallerTls;
 import org.chicorylane.internal.declaration.DeclarationReader;
 import org.chicorylane.internal.declaration.Declarations;
 import org.chicorylane.internal.dissemination.DeclarationFeed;
@@ -31,6 +35,8 @@
 import org.chicorylane.internal.relay.RelayTimings;
 import org.chicorylane.internal.session.SessionIds;
 import org.chicorylane.internal.session.SessionTokenCodec;
+import org.chicorylane.internal.settings.TlsFiles;
+import org.chicorylane.internal.time.SteadyInstantSource;
 import org.tinylog.Logger;
 
 /**
@@ -54,7 +60,7 @@
       new MultiThreadIoEventLoopGroup(0, NioIoHandler.newFactory());
   private final Vertx vertx = Vertx.vertx();
   private final MetricRegistry metrics = new MetricRegistry();
-  private final InstantSource clock = InstantSource.system();
+  private final InstantSource clock = SteadyInstantSource.start();
   private final EtcdKeyValueStore store;
   private final RelayServer relayServer;
   private final MembershipAgent membership;
@@ -85,7 +91,6 @@
             clock,
             new SecureRandom().nextLong());
     homes = new HomeRegistry(environment(settings), loops);
-    EntryRouter router = new EntryRouter(fleet, peers, homes, loops, clock, metrics);
     membership.addListener(
         snapshot -> {
           fleet.update(snapshot);
@@ -94,22 +99,20 @@
     declarations.addListener(
         d -> {
           duties.publish(declarations.snapshot());
-          membership.setRevision(d.revision());
           homes.refresh();
         });
-    duties.publish(declarations.snapshot());
-    homes.refresh();
     duties.begin(homes);
     callers =
         CallerServer.builder()
             .address(settings.addresses().caller())
-            .service(router)
+            .service(new EntryRouter(fleet, peers, homes, loops, clock, metrics))
             .declarations(declarations::current)
             .tokens(new SessionTokenCodec(settings.sessionKeys(), settings.sessionTokenLength()))
             .ids(new SessionIds(new SecureRandom()))
             .limits(settings.callerLimits())
             .clock(clock)
             .metrics(metrics)
+            .tls(settings.tls().map(Instance::tlsContext).orElse(null))
             .ready(this::isReady)
             .start();
   }
@@ -176,6 +179,14 @@
     loops.shutdownGracefully(0, SHUTDOWN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  private static SslContext tlsContext(TlsFiles files) {
+    try {
+      return CallerTls.fromFiles(files.certificate(), files.key());
+    } catch (IOException e) {
+      throw new UncheckedIOException("the TLS files of the settings cannot be read", e);
+    }
+  }
+
   private boolean isReady() {
     return !draining && declarations.current().revision() > 0;
   }
