Stand-in database: let lock holders through full slots, and widen the contract

Thread dumps showed two waiters spinning inside the engine and all slots taken, while the locks' holder waited for a slot. The engine lets waiters spin on a transaction that rolled one statement back, which giving the slot back after a short lock timeout had made common.

Ruled out: a lost wake-up and the freeze gate (no session waited there).

Transactions have a class of their own, type mapping moved to the inference, RETURNING is found outside quotes, interval literals and now() in reads are translated, lostTransactions() tells what a replaced primary's tail holds. Contract: a table of types and a pipelined transaction with vertx-pg-client, more statements with pgjdbc.

Left: while a transaction has rolled back to a savepoint, those who wait for its locks spin in the engine.

--- a/standins/src/main/java/org/chicorylane/standin/database/ControlStatement.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/ControlStatement.java
@@ -14,34 +14,34 @@
   BEGIN("(?:BEGIN|START TRANSACTION)(?: WORK| TRANSACTION)?(.*)") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      session.begin(m.group(1));
+      session.transaction().begin(m.group(1));
       return Result.of("BEGIN");
     }
   },
   COMMIT("(?:COMMIT|END)(?: WORK| TRANSACTION)?") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      return Result.of(session.commit());
+      return Result.of(session.transaction().commit());
     }
   },
   ROLLBACK("(?:ROLLBACK|ABORT)(?: WORK| TRANSACTION)?") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      session.rollback();
+      session.transaction().rollback();
       return Result.of("ROLLBACK");
     }
   },
   SAVEPOINT("SAVEPOINT (\\w+)") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      session.savepoint(m.group(1));
+      session.transaction().savepoint(m.group(1));
       return Result.of("SAVEPOINT");
     }
   },
   ROLLBACK_TO("ROLLBACK(?: WORK| TRANSACTION)? TO(?: SAVEPOINT)? (\\w+)") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      session.rollbackTo(m.group(1));
+      session.transaction().rollbackTo(m.group(1));
       return Result.of("ROLLBACK");
     }
   },
@@ -54,14 +54,14 @@
   SET_CHARACTERISTICS("SET SESSION CHARACTERISTICS AS TRANSACTION (.*)") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      session.transactionDefaults(m.group(1));
+      session.transaction().defaults(m.group(1));
       return Result.of("SET");
     }
   },
   SET_TRANSACTION("SET (?:LOCAL )?TRANSACTION (.*)") {
     @Override
     Result run(SqlSession session, Matcher m) throws SqlError {
-      session.transactionModes(m.group(1));
+      session.transaction().modes(m.group(1));
       return Result.of("SET");
     }
   },
--- a/standins/src/main/java/org/chicorylane/standin/database/PgType.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/PgType.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.sql.ResultSet;
 import java.sql.SQLException;
-import java.sql.Types;
 import java.time.LocalDate;
 import java.time.LocalDateTime;
 import java.time.LocalTime;
@@ -17,6 +16,7 @@
 import java.time.format.DateTimeFormatterBuilder;
 import java.time.temporal.ChronoField;
 import java.time.temporal.ChronoUnit;
+import java.util.Locale;
 import java.util.UUID;
 import org.jspecify.annotations.Nullable;
 
@@ -280,27 +280,6 @@
     return TEXT;
   }
 
-  /** Returns the type that stands for a type of JDBC. */
-  static PgType ofJdbc(int type) {
-    return switch (type) {
-      case Types.BOOLEAN -> BOOL;
-      case Types.TINYINT, Types.SMALLINT -> INT2;
-      case Types.INTEGER -> INT4;
-      case Types.BIGINT -> INT8;
-      case Types.REAL -> FLOAT4;
-      case Types.FLOAT, Types.DOUBLE -> FLOAT8;
-      case Types.NUMERIC, Types.DECIMAL -> NUMERIC;
-      case Types.BINARY, Types.VARBINARY, Types.LONGVARBINARY, Types.BLOB -> BYTEA;
-      case Types.DATE -> DATE;
-      case Types.TIME -> TIME;
-      case Types.TIMESTAMP -> TIMESTAMP;
-      case Types.TIMESTAMP_WITH_TIMEZONE -> TIMESTAMPTZ;
-      case Types.CHAR -> BPCHAR;
-      case Types.VARCHAR -> VARCHAR;
-      default -> TEXT;
-    };
-  }
-
   int oid() {
     return oid;
   }
@@ -343,7 +322,7 @@
     } catch (RuntimeException e) {
       throw new SqlError(
           SqlError.INVALID_TEXT_REPRESENTATION,
-          "invalid input for type " + name().toLowerCase(java.util.Locale.ROOT) + ": " + e);
+          "invalid input for type " + name().toLowerCase(Locale.ROOT) + ": " + e);
     }
   }
 
--- a/standins/src/main/java/org/chicorylane/standin/database/QueryHandler.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/QueryHandler.java
@@ -99,16 +99,16 @@
         report(e);
       }
     }
-    status = sql.status();
+    status = sql.transaction().status();
   }
 
   private void report(SqlError error) throws SqlError {
-    sql.fail();
+    sql.transaction().fail();
     writer.error("ERROR", error);
   }
 
   private void ready() {
-    status = sql.status();
+    status = sql.transaction().status();
     if (!status.open()) {
       portals.clear();
     }
@@ -119,7 +119,7 @@
   private void sync() throws SqlError {
     skipping = false;
     try {
-      sql.commitImplicit();
+      sql.transaction().commitImplicit();
     } catch (SqlError e) {
       report(e);
     }
@@ -137,7 +137,7 @@
         }
         complete(prepared, result.tag());
       }
-      sql.commitImplicit();
+      sql.transaction().commitImplicit();
     } catch (SqlError e) {
       report(e);
     }
--- a/standins/src/main/java/org/chicorylane/standin/database/SqlSession.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/SqlSession.java
@@ -4,12 +4,10 @@
 import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
-import java.sql.Savepoint;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -24,7 +22,6 @@
 
   private static final int CACHED_STATEMENTS = 64;
   private static final Duration LOCK_TIMEOUT = Duration.ofSeconds(10);
-  private static final Duration LOCK_WAIT_IN_SLOT = Duration.ofMillis(20);
 
   private final ServerCore server;
   private final int pid;
@@ -32,9 +29,7 @@
   private final BooleanSupplier cancelled;
   private final SessionSettings settings = new SessionSettings();
   private final Connection connection;
-  private final List<LoggedStatement> writes = new ArrayList<>();
-  private final Map<String, Savepoint> savepoints = new LinkedHashMap<>();
-  private final Map<Savepoint, Integer> writesBefore = new LinkedHashMap<>();
+  private final SessionTransaction transaction;
   private final Map<String, PreparedStatement> statements =
       new LinkedHashMap<>(CACHED_STATEMENTS, 0.75f, true) {
         @Override
@@ -42,9 +37,6 @@
           return size() > CACHED_STATEMENTS;
         }
       };
-  private TransactionStatus status = TransactionStatus.IDLE;
-  private boolean readOnly;
-  private boolean readOnlyByDefault;
   private volatile @Nullable PreparedStatement running;
 
   /**
@@ -58,10 +50,11 @@
     this.incarnation = server.incarnation();
     this.cancelled = cancelled;
     try {
-      connection = server.engine().connect(LOCK_WAIT_IN_SLOT);
+      connection = server.engine().connect(LOCK_TIMEOUT);
     } catch (SQLException e) {
       throw SqlError.of(e);
     }
+    transaction = new SessionTransaction(server, connection, incarnation, cancelled);
   }
 
   ServerCore server() {
@@ -76,8 +69,8 @@
     return settings;
   }
 
-  TransactionStatus status() {
-    return status;
+  SessionTransaction transaction() {
+    return transaction;
   }
 
   /** Prepares a statement; {@code declared} holds the client's types, 0 where it gave none. */
@@ -90,7 +83,7 @@
     if (text.kind() == StatementKind.EMPTY) {
       return new PreparedSql(text, List.of(), List.of());
     }
-    if (status == TransactionStatus.FAILED) {
+    if (transaction.status() == TransactionStatus.FAILED) {
       throw failedTransaction();
     }
     ServerFunctions.enter(new FunctionContext(server, pid));
@@ -111,18 +104,15 @@
   Result execute(PreparedSql prepared, List<@Nullable Object> parameters) throws SqlError {
     StatementText text = prepared.text();
     ControlStatement.Match control = text.control();
-    if (status == TransactionStatus.FAILED
+    if (transaction.status() == TransactionStatus.FAILED
         && (control == null || !control.statement().endsFailure())) {
       throw failedTransaction();
     }
     if (control != null) {
       return control.run(this);
     }
-    if (status == TransactionStatus.IDLE) {
-      status = TransactionStatus.IMPLICIT;
-      readOnly = readOnlyByDefault;
-    }
-    if (text.kind().locksOrWrites() && (readOnly || server.replication().inRecovery())) {
+    transaction.beginImplicit();
+    if (text.kind().locksOrWrites() && transaction.refusesWrites()) {
       throw SqlError.readOnly(text.keyword());
     }
     server.executions().count(text.sql());
@@ -132,33 +122,21 @@
     return text.usesServerFunctions() ? run(prepared, parameters) : runInSlot(prepared, parameters);
   }
 
-  /**
-   * Runs a statement in a slot. One that waits for another transaction's lock gives its slot back
-   * now and then, so that the lock's holder can get one.
-   */
   private Result runInSlot(PreparedSql prepared, List<@Nullable Object> parameters)
       throws SqlError {
-    long deadline = System.nanoTime() + LOCK_TIMEOUT.toNanos();
-    Duration serviceTime = server.serviceTime();
-    while (true) {
-      server.slots().enter();
-      try {
-        if (!serviceTime.isZero()) {
-          LockSupport.parkNanos(serviceTime.toNanos());
-        }
-        server.gate().pass();
-        if (cancelled.getAsBoolean() || incarnation != server.incarnation()) {
-          throw SqlError.shutDown();
-        }
-        return run(prepared, parameters);
-      } catch (SqlError e) {
-        if (!e.state().equals(SqlError.LOCK_NOT_AVAILABLE) || System.nanoTime() > deadline) {
-          throw e;
-        }
-        serviceTime = Duration.ZERO;
-      } finally {
-        server.slots().leave();
+    boolean occupied = server.slots().enter(transaction.holdsLocks());
+    try {
+      Duration serviceTime = server.serviceTime();
+      if (!serviceTime.isZero()) {
+        LockSupport.parkNanos(serviceTime.toNanos());
       }
+      server.gate().pass();
+      if (cancelled.getAsBoolean() || incarnation != server.incarnation()) {
+        throw SqlError.shutDown();
+      }
+      return run(prepared, parameters);
+    } finally {
+      server.slots().leave(occupied);
     }
   }
 
@@ -171,12 +149,13 @@
       PreparedStatement statement = engineStatement(engineSql);
       Parameters.bind(statement, parameters);
       running = statement;
+      transaction.noteLocks(text.kind().locksOrWrites());
       boolean hasRows = statement.execute();
       List<@Nullable Object[]> rows =
           hasRows ? rows(statement.getResultSet(), prepared.columns()) : List.of();
       long count = hasRows ? rows.size() : updateCount(statement, false);
       if (writes) {
-        this.writes.add(new LoggedStatement(text.sql(), engineSql, parameters, count));
+        transaction.logWrite(new LoggedStatement(text.sql(), engineSql, parameters, count));
       }
       return new Result(text.kind().tag(text.keyword(), count), prepared.columns(), rows);
     } catch (SQLException e) {
@@ -225,145 +204,12 @@
     return statement;
   }
 
-  void begin(String modes) throws SqlError {
-    if (status == TransactionStatus.BLOCK) {
-      return;
-    }
-    readOnly = readOnlyByDefault;
-    transactionModes(modes);
-    status = TransactionStatus.BLOCK;
-  }
-
-  void transactionModes(String modes) throws SqlError {
-    String text = modes.toUpperCase(Locale.ROOT);
-    if (text.contains("READ ONLY")) {
-      readOnly = true;
-    } else if (text.contains("READ WRITE")) {
-      if (server.replication().inRecovery()) {
-        throw new SqlError("0A000", "cannot set transaction read-write mode during recovery");
-      }
-      readOnly = false;
-    }
-    try {
-      if (text.contains("SERIALIZABLE")) {
-        connection.setTransactionIsolation(Connection.TRANSACTION_SERIALIZABLE);
-      } else if (text.contains("REPEATABLE READ")) {
-        connection.setTransactionIsolation(Connection.TRANSACTION_REPEATABLE_READ);
-      }
-    } catch (SQLException e) {
-      throw SqlError.of(e);
-    }
-  }
-
-  void transactionDefaults(String modes) {
-    String text = modes.toUpperCase(Locale.ROOT);
-    if (text.contains("READ ONLY")) {
-      readOnlyByDefault = true;
-    } else if (text.contains("READ WRITE")) {
-      readOnlyByDefault = false;
-    }
-  }
-
-  /** Commits, or rolls a failed transaction back, and returns the tag that says which. */
-  String commit() throws SqlError {
-    if (status == TransactionStatus.FAILED) {
-      rollback();
-      return "ROLLBACK";
-    }
-    try {
-      if (writes.isEmpty()) {
-        server.gate().pass();
-        connection.commit();
-      } else {
-        server.replication().commit(connection, incarnation, writes, cancelled);
-      }
-    } catch (SQLException e) {
-      throw SqlError.of(e);
-    } finally {
-      finishTransaction();
-    }
-    return "COMMIT";
-  }
-
-  /** Commits the transaction that the server began by itself, if there is one. */
-  void commitImplicit() throws SqlError {
-    if (status == TransactionStatus.IMPLICIT) {
-      commit();
-    }
-  }
-
-  void rollback() throws SqlError {
-    try {
-      connection.rollback();
-    } catch (SQLException e) {
-      throw SqlError.of(e);
-    } finally {
-      finishTransaction();
-    }
-  }
-
-  private void finishTransaction() {
-    writes.clear();
-    savepoints.clear();
-    writesBefore.clear();
-    readOnly = false;
-    status = TransactionStatus.IDLE;
-    try {
-      if (connection.getTransactionIsolation() != Connection.TRANSACTION_READ_COMMITTED) {
-        connection.setTransactionIsolation(Connection.TRANSACTION_READ_COMMITTED);
-      }
-    } catch (SQLException e) {
-      throw new IllegalStateException("cannot reset the isolation of session " + pid, e);
-    }
-  }
-
-  /** Notes that a statement failed: a block waits for its rollback, anything else ends. */
-  void fail() throws SqlError {
-    if (!status.open()) {
-      rollback();
-      return;
-    }
-    status = TransactionStatus.FAILED;
-    if (savepoints.isEmpty()) {
-      try {
-        connection.rollback();
-      } catch (SQLException e) {
-        throw SqlError.of(e);
-      }
-    }
-  }
-
-  void savepoint(String name) throws SqlError {
-    try {
-      Savepoint savepoint = connection.setSavepoint(name);
-      savepoints.put(name, savepoint);
-      writesBefore.put(savepoint, writes.size());
-    } catch (SQLException e) {
-      throw SqlError.of(e);
-    }
-  }
-
-  void rollbackTo(String name) throws SqlError {
-    Savepoint savepoint = savepoints.get(name);
-    if (savepoint == null) {
-      throw new SqlError(SqlError.INVALID_SAVEPOINT, "savepoint \"" + name + "\" does not exist");
-    }
-    try {
-      connection.rollback(savepoint);
-    } catch (SQLException e) {
-      throw SqlError.of(e);
-    }
-    Integer count = writesBefore.get(savepoint);
-    writes.subList(count == null ? 0 : count, writes.size()).clear();
-    status = TransactionStatus.BLOCK;
-  }
-
   String show(String name) throws SqlError {
     ReplicationSnapshot snapshot = server.replication().snapshot();
     String value =
         switch (name) {
           case "primary_conninfo" -> snapshot.setting().text();
-          case "transaction_read_only" -> readOnly || snapshot.inRecovery() ? "on" : "off";
+          case "transaction_read_only" -> transaction.refusesWrites() ? "on" : "off";
           case "in_hot_standby" -> snapshot.inRecovery() ? "on" : "off";
           default -> settings.get(name);
         };
--- a/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
@@ -7,7 +7,9 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
@@ -72,7 +74,7 @@
       for (String text : schema) {
         for (String statement : StatementText.split(text)) {
           session.execute(session.prepare(statement, List.of()), List.of());
-          session.commitImplicit();
+          session.transaction().commitImplicit();
         }
       }
     }
@@ -150,6 +152,21 @@
     return newest;
   }
 
+  /**
+   * Returns the transactions of {@code server}'s log that the newest primary does not have, in
+   * commit order: what is lost if nothing brings that server's tail back.
+   *
+   * @throws IllegalStateException if no primary runs
+   */
+  public List<LogRecord> lostTransactions(StandInServer server) {
+    StandInServer primary = newestPrimary();
+    if (primary == null) {
+      throw new IllegalStateException("no primary runs in " + core.servers());
+    }
+    Set<LogRecord> kept = new HashSet<>(primary.log());
+    return server.log().stream().filter(r -> !r.startsTimeline() && !kept.contains(r)).toList();
+  }
+
   /**
    * Breaks replication between {@code side} and the other servers until {@link #healPartitions}.
    */
--- a/standins/src/main/java/org/chicorylane/standin/database/StatementText.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StatementText.java
@@ -41,7 +41,9 @@
       Pattern.compile("(?i)\\bON\\s+CONFLICT\\s*\\([^)]*\\)\\s*DO\\s+NOTHING");
   private static final Pattern TEXT_TYPE = Pattern.compile("(?i)\\b(text|jsonb?)\\b");
   private static final Pattern HEX_BYTES = Pattern.compile("'\\\\x([0-9a-fA-F]*)'\\s*::bytea");
-  private static final Pattern RETURNING = Pattern.compile("(?is)^(.*)\\bRETURNING\\b(.*)$");
+  private static final Pattern INTERVAL =
+      Pattern.compile("(?i)\\binterval\\s+'(\\d+)\\s+(second|minute|hour|day|month|year)s?'");
+  private static final Pattern RETURNING = Pattern.compile("(?i)\\bRETURNING\\b");
   private static final Pattern NOW =
       Pattern.compile(
           "(?i)\\b(?:now|transaction_timestamp|statement_timestamp|clock_timestamp)\\s*\\(\\s*\\)"
@@ -73,7 +75,7 @@
   }
 
   private static String engineSql(String sql, StatementKind kind, boolean serverFunctions) {
-    String text = sql;
+    String text = INTERVAL.matcher(sql).replaceAll("INTERVAL '$1' $2");
     if (text.contains("::bytea")) {
       text = HEX_BYTES.matcher(text).replaceAll("X'$1'");
     }
@@ -86,17 +88,19 @@
           returning(replaceUnquoted(text, CONFLICT_COLUMNS, "ON CONFLICT DO NOTHING"), kind);
       case UPDATE, DELETE -> returning(text, kind);
       case DEFINITION -> replaceUnquoted(text, TEXT_TYPE, "varchar");
+      case READ, LOCKING_READ -> replaceUnquoted(text, NOW, "CURRENT_TIMESTAMP");
       default -> text;
     };
   }
 
   private static String returning(String sql, StatementKind kind) {
-    Matcher m = RETURNING.matcher(sql);
-    if (!m.matches() || QUOTED.matcher(m.group(2)).find()) {
+    Matcher m = RETURNING.matcher(masked(sql));
+    if (!m.find()) {
       return sql;
     }
     String version = kind == StatementKind.DELETE ? "OLD" : "FINAL";
-    return "SELECT " + m.group(2) + " FROM " + version + " TABLE (" + m.group(1) + ")";
+    String change = sql.substring(0, m.start());
+    return "SELECT " + sql.substring(m.end()) + " FROM " + version + " TABLE (" + change + ")";
   }
 
   /** Returns the engine's text of a write with its volatile functions replaced by values. */
@@ -120,7 +124,7 @@
     if (!keyword.equals("SELECT")) {
       return items;
     }
-    String text = QUOTED.matcher(sql.strip()).replaceAll(m -> "q".repeat(m.group().length()));
+    String text = masked(sql.strip());
     int depth = 0;
     int start = "SELECT".length();
     for (int i = start; i < text.length(); i++) {
@@ -147,7 +151,7 @@
       return List.of(sql);
     }
     List<String> statements = new ArrayList<>();
-    String masked = QUOTED.matcher(sql).replaceAll(m -> "q".repeat(m.group().length()));
+    String masked = masked(sql);
     int start = 0;
     for (int i = masked.indexOf(';'); i >= 0; i = masked.indexOf(';', start)) {
       addIfPresent(statements, sql.substring(start, i));
@@ -157,6 +161,11 @@
     return statements.isEmpty() ? List.of("") : statements;
   }
 
+  /** Returns a text of the same length in which nothing is quoted. */
+  private static String masked(String sql) {
+    return QUOTED.matcher(sql).replaceAll(m -> "q".repeat(m.group().length()));
+  }
+
   private static void addIfPresent(List<String> statements, String statement) {
     if (!statement.isBlank()) {
       statements.add(statement.strip());
--- a/standins/src/main/java/org/chicorylane/standin/database/TypeInference.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/TypeInference.java
@@ -6,6 +6,7 @@
 import java.sql.ResultSet;
 import java.sql.ResultSetMetaData;
 import java.sql.SQLException;
+import java.sql.Types;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -166,7 +167,28 @@
     return switch (name) {
       case "UUID" -> PgType.UUID;
       case "DECFLOAT" -> PgType.NUMERIC;
-      default -> PgType.ofJdbc(jdbcType);
+      default -> ofJdbc(jdbcType);
+    };
+  }
+
+  /** Returns the type that stands for a type of JDBC. */
+  private static PgType ofJdbc(int type) {
+    return switch (type) {
+      case Types.BOOLEAN -> PgType.BOOL;
+      case Types.TINYINT, Types.SMALLINT -> PgType.INT2;
+      case Types.INTEGER -> PgType.INT4;
+      case Types.BIGINT -> PgType.INT8;
+      case Types.REAL -> PgType.FLOAT4;
+      case Types.FLOAT, Types.DOUBLE -> PgType.FLOAT8;
+      case Types.NUMERIC, Types.DECIMAL -> PgType.NUMERIC;
+      case Types.BINARY, Types.VARBINARY, Types.LONGVARBINARY, Types.BLOB -> PgType.BYTEA;
+      case Types.DATE -> PgType.DATE;
+      case Types.TIME -> PgType.TIME;
+      case Types.TIMESTAMP -> PgType.TIMESTAMP;
+      case Types.TIMESTAMP_WITH_TIMEZONE -> PgType.TIMESTAMPTZ;
+      case Types.CHAR -> PgType.BPCHAR;
+      case Types.VARCHAR -> PgType.VARCHAR;
+      default -> PgType.TEXT;
     };
   }
 }
--- a/standins/src/test/java/org/chicorylane/standin/database/FaultFunctionalTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/database/FaultFunctionalTest.java
@@ -316,6 +316,7 @@
     until(() -> !third.streaming());
     assertThat(ask(third, "SELECT count(*) FROM pg_stat_wal_receiver")).isEqualTo("0");
     follow(third, second);
+    assertThat(group.lostTransactions(first)).hasSize(1);
     first.rebuild(second);
     group.awaitReplication(PATIENCE);
     assertThat(first.log()).isEqualTo(second.log());
@@ -400,7 +401,7 @@
   }
 
   @Test
-  void testWaitersForLockLeaveSlotToItsHolder() throws Exception {
+  void testHolderOfLockGetsThroughSlotsFullOfItsWaiters() throws Exception {
     insert(first, 1);
     try (Connection holder = connect(first, "")) {
       holder.setAutoCommit(false);
--- a/standins/src/test/java/org/chicorylane/standin/database/JdbcContractFunctionalTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/database/JdbcContractFunctionalTest.java
@@ -247,6 +247,26 @@
     }
   }
 
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "SELECT now() - interval '2 days' < now() | t",
+        "SELECT current_timestamp IS NOT NULL AS t | t",
+        "INSERT INTO item (id, name) VALUES (1, 'a RETURNING; c') RETURNING name | a RETURNING; c",
+        "SELECT 'pg_stat_activity; now()' | pg_stat_activity; now()",
+        "SELECT coalesce(sum(amount), 0)::bigint FROM item | 0",
+        "SELECT pg_catalog.pg_is_in_recovery() | f",
+        "WITH t AS (SELECT 3 AS n) SELECT n FROM t | 3",
+        "VALUES (4) | 4",
+      })
+  void testAnswersStatement(String sql, String answer) throws SQLException {
+    try (Connection c = connect(1, "");
+        Statement s = c.createStatement()) {
+      assertThat(one(s, sql)).isEqualTo(answer);
+    }
+  }
+
   @Test
   void testRefusesConnectionBeyondLimit() throws SQLException {
     try (StandInGroup small = StandInGroup.builder("small").servers(1).connections(1).start()) {
--- a/standins/src/test/java/org/chicorylane/standin/database/ServerFunctionsFunctionalTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/database/ServerFunctionsFunctionalTest.java
@@ -7,17 +7,23 @@
 import io.vertx.core.Vertx;
 import io.vertx.pgclient.PgConnectOptions;
 import io.vertx.pgclient.PgConnection;
+import io.vertx.pgclient.PgException;
 import io.vertx.sqlclient.Row;
 import io.vertx.sqlclient.Tuple;
 import java.math.BigDecimal;
 import java.time.Duration;
+import java.time.LocalDate;
+import java.time.LocalDateTime;
 import java.time.OffsetDateTime;
+import java.util.UUID;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The contract of the stand-in with the non-blocking client, and its server functions. */
@@ -133,6 +139,75 @@
     assertThat(await(c.preparedQuery(sql).execute(Tuple.from(parameters))).rowCount()).isEqualTo(1);
   }
 
+  private static Stream<Object> typedValues() {
+    return Stream.of(
+        (short) -3,
+        7,
+        1L << 40,
+        1.5f,
+        -2.25,
+        true,
+        "čau",
+        new BigDecimal("-1234.5000"),
+        new BigDecimal("0.0001"),
+        LocalDate.of(1999, 12, 31),
+        OffsetDateTime.parse("2026-02-03T04:05:06.789012Z"),
+        LocalDateTime.parse("2026-02-03T04:05:06.7"),
+        UUID.fromString("00000000-0000-0001-0000-000000000002"));
+  }
+
+  private static String typeName(Object value) {
+    return switch (value.getClass().getSimpleName()) {
+      case "Short" -> "smallint";
+      case "Integer" -> "int";
+      case "Long" -> "bigint";
+      case "Float" -> "real";
+      case "Double" -> "double precision";
+      case "Boolean" -> "boolean";
+      case "BigDecimal" -> "numeric(20,4)";
+      case "LocalDate" -> "date";
+      case "OffsetDateTime" -> "timestamptz";
+      case "LocalDateTime" -> "timestamp";
+      case "UUID" -> "uuid";
+      default -> "text";
+    };
+  }
+
+  @ParameterizedTest
+  @MethodSource("typedValues")
+  void testReturnsValueAsItWasWritten(Object value) throws Exception {
+    PgConnection c = connect(1);
+    await(c.query("DROP TABLE IF EXISTS kind").execute());
+    await(c.query("CREATE TABLE kind (v " + typeName(value) + ")").execute());
+    await(c.preparedQuery("INSERT INTO kind VALUES ($1)").execute(Tuple.of(value)));
+    await(c.preparedQuery("INSERT INTO kind VALUES ($1)").execute(Tuple.of(null)));
+    assertThat(row(c, "SELECT v FROM kind WHERE v = $1", value).get(value.getClass(), 0))
+        .isEqualTo(value);
+    assertThat(row(c, "SELECT v FROM kind WHERE v IS NULL").getValue(0)).isNull();
+    await(c.close());
+  }
+
+  @Test
+  void testPipelinedStatementsFailTogetherWithTheirTransaction() throws Exception {
+    PgConnection c = connect(1);
+    Future<?> begin = c.query("BEGIN").execute();
+    Future<?> good = c.preparedQuery("INSERT INTO item (id) VALUES ($1)").execute(Tuple.of(900));
+    Future<?> bad = c.preparedQuery("INSERT INTO item (id) VALUES ($1)").execute(Tuple.of(900));
+    final Future<?> late = c.query("SELECT 1").execute();
+    await(begin);
+    await(good);
+    assertThat(state(bad)).isEqualTo("23505");
+    assertThat(state(late)).isEqualTo("25P02");
+    await(c.query("COMMIT").execute());
+    assertThat(row(c, "SELECT count(*) FROM item WHERE id = 900").getLong(0)).isEqualTo(0);
+    await(c.close());
+  }
+
+  private static String state(Future<?> failing) {
+    ExecutionException e = assertThrows(ExecutionException.class, () -> await(failing));
+    return ((PgException) e.getCause()).getSqlState();
+  }
+
   @Test
   void testHoldsAdvisoryLockUntilSessionEnds() throws Exception {
     PgConnection first = connect(1);
