Stand-in database: say its limits where its users look

Cause: what the stand-in does otherwise than PostgreSQL stood only in commits.

Change: the group's class documentation lists it.

--- a/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
@@ -31,9 +31,19 @@
  * }
  * }</pre>
  *
- * <p>Thread-safe. Traps: the engine commits before and after a definition (CREATE, ALTER), so keep
- * those in the schema; a write's effect must not depend on rows that other transactions change
- * without a conflict, as replicas run the statements again in the order of commits.
+ * <p>Thread-safe. Traps:
+ *
+ * <ul>
+ *   <li>The engine commits before and after a definition (CREATE, ALTER), so keep those out of
+ *       transactions.
+ *   <li>Replicas run a transaction's statements again in the order of commits, so a write's effect
+ *       must not depend on rows that other transactions change without a conflict.
+ *   <li>Positions compare as text: use {@code pg_wal_lsn_diff}.
+ *   <li>Statements that act on the session or call server functions occupy no slot.
+ *   <li>{@code ON CONFLICT DO UPDATE}, arrays and writes inside WITH are not supported.
+ *   <li>Whoever waits for the locks of a transaction that rolled back to a savepoint keeps a
+ *       processor busy until that transaction ends.
+ * </ul>
  */
 public final class StandInGroup implements AutoCloseable {
 
