--- a/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/StandInGroup.java
@@ -7,7 +7,9 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.jspecify.annotations.Nullable;
@@ -29,9 +31,19 @@
  * }
  * }</pre>
  *
- * <p>Thread-safe. Traps: the engine commits before and after a definition (CREATE, ALTER), so keep
- * those in the schema; a write's effect must not depend on rows that other transactions change
- * without a conflict, as replicas run the statements again in the order of commits.
+ * <p>Thread-safe. Traps:
+ *
+ * <ul>
+ *   <li>The engine commits before and after a definition (CREATE, ALTER), so keep those out of
+ *       transactions.
+ *   <li>Replicas run a transaction's statements again in the order of commits, so a write's effect
+ *       must not depend on rows that other transactions change without a conflict.
+ *   <li>Positions compare as text: use {@code pg_wal_lsn_diff}.
+ *   <li>Statements that act on the session or call server functions occupy no slot.
+ *   <li>{@code ON CONFLICT DO UPDATE}, arrays and writes inside WITH are not supported.
+ *   <li>Whoever waits for the locks of a transaction that rolled back to a savepoint keeps a
+ *       processor busy until that transaction ends.
+ * </ul>
  */
 public final class StandInGroup implements AutoCloseable {
 
@@ -73,7 +85,7 @@
       for (String text : schema) {
         for (String statement : StatementText.split(text)) {
           session.execute(session.prepare(statement, List.of()), List.of());
-          session.commitImplicit();
+          session.transaction().commitImplicit();
         }
       }
     }
@@ -151,6 +163,21 @@
     return newest;
   }
 
+  /**
+   * Returns the transactions of {@code server}'s log that the newest primary does not have, in
+   * commit order: what is lost if nothing brings that server's tail back.
+   *
+   * @throws IllegalStateException if no primary runs
+   */
+  public List<LogRecord> lostTransactions(StandInServer server) {
+    StandInServer primary = newestPrimary();
+    if (primary == null) {
+      throw new IllegalStateException("no primary runs in " + core.servers());
+    }
+    Set<LogRecord> kept = new HashSet<>(primary.log());
+    return server.log().stream().filter(r -> !r.startsTimeline() && !kept.contains(r)).toList();
+  }
+
   /**
    * Breaks replication between {@code side} and the other servers until {@link #healPartitions}.
    */
