--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/routing/SelectionPolicy.java
@@ -0,0 +1,67 @@
+package org.chicorylane.internal.routing;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/** In which order replicas that are fresh enough are preferred. */
+public enum SelectionPolicy {
+  /** By the expected time until the answer, the shortest first. */
+  LEAST_EXPECTED_WAIT {
+    @Override
+    List<ReplicaState> order(List<ReplicaState> replicas, RandomGenerator random) {
+      List<ReplicaState> result = shuffled(replicas, random);
+      result.sort(Comparator.comparingDouble(ReplicaState::expectedSeconds));
+      return result;
+    }
+  },
+  /**
+   * The better of two at random first (M. Mitzenmacher: The Power of Two Choices in Randomized Load
+   * Balancing, IEEE Transactions on Parallel and Distributed Systems, 2001).
+   */
+  TWO_RANDOM_CHOICES {
+    @Override
+    List<ReplicaState> order(List<ReplicaState> replicas, RandomGenerator random) {
+      List<ReplicaState> result = shuffled(replicas, random);
+      if (result.size() > 1 && result.get(0).expectedSeconds() > result.get(1).expectedSeconds()) {
+        Collections.swap(result, 0, 1);
+      }
+      return result;
+    }
+  },
+  /**
+   * At random in proportion to the room below the level at which all would stand with one request
+   * more (Waterfill; Improving DeepEP MoE Load Balance in SGLang with Waterfill and LPLB).
+   */
+  WATERLINE {
+    @Override
+    List<ReplicaState> order(List<ReplicaState> replicas, RandomGenerator random) {
+      List<ReplicaState> result = shuffled(replicas, random);
+      int load = result.stream().mapToInt(ReplicaState::inFlight).sum();
+      int level = Math.floorDiv(load + result.size(), result.size());
+      int room = result.stream().mapToInt(r -> Math.max(0, level - r.inFlight())).sum();
+      int ticket = room == 0 ? 0 : random.nextInt(room);
+      for (int i = 0; i < result.size(); i++) {
+        ticket -= Math.max(0, level - result.get(i).inFlight());
+        if (ticket < 0) {
+          Collections.swap(result, 0, i);
+          return result;
+        }
+      }
+      return result;
+    }
+  };
+
+  /** Returns the replicas in order of preference. */
+  abstract List<ReplicaState> order(List<ReplicaState> replicas, RandomGenerator random);
+
+  private static List<ReplicaState> shuffled(List<ReplicaState> replicas, RandomGenerator random) {
+    List<ReplicaState> result = new ArrayList<>(replicas);
+    for (int i = result.size() - 1; i > 0; i--) {
+      Collections.swap(result, i, random.nextInt(i + 1));
+    }
+    return result;
+  }
+}
