--- a/chicorylane/src/main/java/org/chicorylane/internal/routing/SelectionPolicy.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/routing/SelectionPolicy.java
@@ -30,28 +30,6 @@
       }
       return result;
     }
-  },
-  /**
-   * At random in proportion to the room below the level at which all would stand with one request
-   * more (Waterfill; Improving DeepEP MoE Load Balance in SGLang with Waterfill and LPLB).
-   */
-  WATERLINE {
-    @Override
-    List<ReplicaState> order(List<ReplicaState> replicas, RandomGenerator random) {
-      List<ReplicaState> result = shuffled(replicas, random);
-      int load = result.stream().mapToInt(ReplicaState::inFlight).sum();
-      int level = Math.floorDiv(load + result.size(), result.size());
-      int room = result.stream().mapToInt(r -> Math.max(0, level - r.inFlight())).sum();
-      int ticket = room == 0 ? 0 : random.nextInt(room);
-      for (int i = 0; i < result.size(); i++) {
-        ticket -= Math.max(0, level - result.get(i).inFlight());
-        if (ticket < 0) {
-          Collections.swap(result, 0, i);
-          return result;
-        }
-      }
-      return result;
-    }
   };
 
   /** Returns the replicas in order of preference. */
--- a/chicorylane/src/test/java/org/chicorylane/internal/routing/ReplicaRouterTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/routing/ReplicaRouterTest.java
@@ -43,7 +43,7 @@
 
   @Test
   void testRefusesUntilHomeHasTakenOver() {
-    ReplicaRouter fresh = new ReplicaRouter(SelectionPolicy.WATERLINE, new Random(1));
+    ReplicaRouter fresh = new ReplicaRouter(SelectionPolicy.TWO_RANDOM_CHOICES, new Random(1));
 
     assertThat(reason(fresh.choose(read("s", null, null), NOW))).isEqualTo(NotRunReason.NOT_HOME);
   }
