--- a/chicorylane/src/main/java/org/chicorylane/internal/routing/ReplicaRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/routing/ReplicaRouter.java
@@ -39,7 +39,7 @@
   private static final Duration MIN_CATCH_UP_WAIT = Duration.ofMillis(2);
 
   /** Wait for a slot of a replica after which a read may also go to the primary. */
-  private static final Duration OVERFLOW_AFTER = Duration.ofMillis(20);
+  private static final Duration OVERFLOW_AFTER = Duration.ofMillis(50);
 
   /** A read waits at most this fraction of the time to its deadline for a replica to catch up. */
   private static final int DEADLINE_DIVISOR = 4;
--- a/chicorylane/src/main/java/org/chicorylane/internal/routing/ReplicaState.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/routing/ReplicaState.java
@@ -47,7 +47,6 @@
   /** Forgets the position, which a restart may have taken back. */
   void forgetPosition() {
     replayed = null;
-    bytesPerSecond = 0;
   }
 
   /** Takes an observation, unless it is of an earlier incarnation or older than what is known. */
