Count a session's write from its dispatch, and positions by server process

Cause: a read that followed a write still in flight could go to a replica, and a position was trusted on connections to a server that had restarted with older data between two heartbeats. Now a dispatched write leaves its session to the primary until it has ended, and a work connection is used only if the server names the same start time as on the control connection.

--- a/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnection.java
@@ -28,11 +28,13 @@
   private static final String INVALID_PARAMETER = "22023";
 
   private final PgConnection connection;
+  private final String serverStart;
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile Runnable closeListener = () -> {};
 
-  ServerConnection(PgConnection connection) {
+  ServerConnection(PgConnection connection, String serverStart) {
     this.connection = connection;
+    this.serverStart = serverStart;
     connection.closeHandler(v -> onClosed());
     connection.exceptionHandler(e -> {});
   }
@@ -51,6 +53,11 @@
         .thenApply(v -> outcomes.stream().map(CompletableFuture::join).toList());
   }
 
+  /** Returns when the server's process started, as it says; differs after each restart. */
+  public String serverStart() {
+    return serverStart;
+  }
+
   /** Runs one statement without parameters over the simple protocol. */
   public CompletableFuture<StatementOutcome> runPlain(String sql) {
     return outcome(connection.query(sql).execute());
--- a/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/backend/ServerConnector.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.backend;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.pgclient.PgConnectOptions;
 import io.vertx.pgclient.PgConnection;
@@ -19,6 +20,7 @@
  * <p>Thread-safe.
  */
 public final class ServerConnector {
+  private static final String SERVER_START = "SELECT pg_postmaster_start_time()::text";
   private static final int PIPELINING_LIMIT = 256;
   private static final int PREPARED_STATEMENTS = 256;
 
@@ -50,6 +52,7 @@
             connectTimeout.toMillis(),
             id -> result.complete(new ConnectResult.Failed("no answer within " + connectTimeout)));
     PgConnection.connect(vertx, options(group, server, applicationName))
+        .compose(ServerConnector::readStart)
         .onComplete(
             r -> {
               vertx.cancelTimer(timer);
@@ -57,14 +60,25 @@
                 result.complete(new ConnectResult.Failed(String.valueOf(r.cause().getMessage())));
                 return;
               }
-              ServerConnection opened = new ServerConnection(r.result());
-              if (!result.complete(new ConnectResult.Opened(opened))) {
-                opened.close();
+              ConnectResult opened = r.result();
+              if (!result.complete(opened) && opened instanceof ConnectResult.Opened late) {
+                late.connection().close();
               }
             });
     return result;
   }
 
+  private static Future<ConnectResult> readStart(PgConnection connection) {
+    return connection
+        .query(SERVER_START)
+        .execute()
+        .map(
+            rows -> {
+              String start = rows.iterator().next().getString(0);
+              return new ConnectResult.Opened(new ServerConnection(connection, start));
+            });
+  }
+
   private PgConnectOptions options(
       DatabaseGroup group, BackendServer server, String applicationName) {
     PgConnectOptions options =
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ControlDriver.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ControlDriver.java
@@ -43,6 +43,7 @@
   private final String applicationName;
   private final Consumer<HomeEvent> sink;
   private final Map<ControlConnection, Session> sessions = new HashMap<>();
+  private final Map<String, String> starts = new HashMap<>();
   private DatabaseGroup group;
 
   /** An open connection and the end of its queue of commands. */
@@ -74,6 +75,11 @@
     group = declared;
   }
 
+  /** Returns when the server's process started, by its newest control connection. */
+  String serverStart(String server) {
+    return starts.getOrDefault(server, "");
+  }
+
   boolean hasConnections() {
     return !sessions.isEmpty();
   }
@@ -141,6 +147,7 @@
 
   private void opened(ControlConnection id, ServerConnection connection) {
     sessions.put(id, new Session(connection));
+    starts.put(id.server(), connection.serverStart());
     connection.onClose(() -> executor.execute(() -> lost(id)));
     sink.accept(new HomeEvent.ControlOpened(id));
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ControlStatements.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ControlStatements.java
@@ -39,7 +39,6 @@
           + " ELSE pg_current_wal_lsn() END::text,"
           + " current_setting('primary_conninfo')";
 
-  static final String SERVER_START = "SELECT pg_postmaster_start_time()::text";
   static final String STOP_FOLLOWING = "ALTER SYSTEM SET primary_conninfo = ''";
   static final String RELOAD = "SELECT pg_reload_conf()";
   static final String COUNT_RECEIVERS = "SELECT count(*) FROM pg_stat_wal_receiver";
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
@@ -145,7 +145,7 @@
       Logger.info("group {}: writes closed: {}", name, close.reason());
       work.closeWrites(close.reason());
     } else if (action instanceof HomeAction.UseServer use) {
-      work.useServer(use.server(), use.role());
+      work.useServer(use.server(), use.role(), control.serverStart(use.server()));
     } else if (action instanceof HomeAction.DropServer drop) {
       Logger.info("group {}: server {} dropped: {}", name, drop.server(), drop.reason());
       work.dropServer(drop.server());
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -92,7 +92,7 @@
                 AdmissionSettings.DEFAULT.maxWait(),
                 AdmissionSettings.DEFAULT.maxRetryAfter(),
                 AdmissionSettings.DEFAULT.initialServiceTime()),
-            ConcurrencyPolicy.FIXED,
+            ConcurrencyPolicy.AIMD,
             classes(),
             this::eligible,
             new Random(seed));
@@ -174,7 +174,7 @@
     perform(queue.tick(now()));
   }
 
-  void useServer(String name, ServerRole role) {
+  void useServer(String name, ServerRole role, String serverStart) {
     ServerInUse known = servers.get(name);
     if (known != null && !known.isDropped()) {
       known.setRole(role);
@@ -183,7 +183,8 @@
           .server(name)
           .ifPresent(
               s -> {
-                ServerPool pool = new ServerPool(environment.connector(), executor, group, s);
+                ServerPool pool =
+                    new ServerPool(environment.connector(), executor, group, s, serverStart);
                 servers.put(name, new ServerInUse(s, pool, role));
                 reads.use(s);
                 pool.warmUp();
@@ -249,7 +250,9 @@
     Instant now = now();
     Duration serviceTime = Duration.between(sentAt, now);
     reads.answered(server.name(), serviceTime);
-    if (execution != null) {
+    if (execution == null) {
+      reads.ended(ticket, LogPosition.ZERO);
+    } else {
       finish(ticket, server, sentAt, execution);
     }
     if (tickets.remove(ticket.id()) != null) {
@@ -267,7 +270,7 @@
           NotRunReason.UNKNOWN_TRANSACTION, Duration.ZERO, "no such transaction is open here");
     } else if (server.isDropped()) {
       // A leaving server has no slots in the queue, but its open transactions may end.
-      reads.dispatched(server.name());
+      reads.dispatched(server.name(), ticket);
       ticket.setTerm(ledgerTerm);
       guardDeadline(ticket);
       runner.start(ticket, server);
@@ -347,7 +350,7 @@
       executor.execute(() -> freeUnused(ticket));
       return;
     }
-    reads.dispatched(name);
+    reads.dispatched(name, ticket);
     ticket.setTerm(writes == null ? ledgerTerm : writes.term());
     runner.start(ticket, server);
   }
@@ -361,6 +364,9 @@
 
   private void finish(Ticket ticket, ServerInUse server, Instant sentAt, Execution execution) {
     GroupRequest request = ticket.request();
+    if (!(execution instanceof Execution.Committed) && !(execution instanceof Execution.InDoubt)) {
+      reads.ended(ticket, LogPosition.ZERO);
+    }
     if (execution instanceof Execution.Refused r) {
       ticket.complete(new Outcome.Rejected(r.sqlState(), r.message(), r.statementIndex()));
     } else if (execution instanceof Execution.KeyReused) {
@@ -370,7 +376,7 @@
               Duration.ZERO,
               "idempotency key \"" + request.idempotencyKey() + "\""));
     } else if (execution instanceof Execution.InDoubt d) {
-      reads.possiblyCommitted(request, now());
+      reads.inDoubt(ticket, now());
       ticket.doubt(Retry.SOON, d.reason());
     } else if (execution instanceof Execution.Committed c) {
       committed(ticket, server, sentAt, c);
@@ -386,7 +392,7 @@
       return;
     }
     LogPosition position = new LogPosition(ticket.term(), c.offset());
-    reads.committed(ticket.request(), position, sentAt);
+    reads.committed(ticket, position, sentAt);
     confirmations.await(ticket, server.name(), c, position);
     if (!confirmations.isEmpty()) {
       machine.accept(new HomeEvent.ObserveNow());
@@ -427,7 +433,6 @@
   private void doubtRunning(ServerInUse server, String why) {
     for (Ticket t : List.copyOf(server.running())) {
       if (!t.isDone() && t.wasSent()) {
-        reads.possiblyCommitted(t.request(), now());
         t.doubt(Retry.SOON, why);
       }
     }
@@ -463,7 +468,6 @@
       ticket.refuse(reason, Retry.SOON, "the deadline passed while the request was waiting");
       return;
     }
-    reads.possiblyCommitted(ticket.request(), now());
     ticket.doubt(Retry.SOON, "the deadline passed while the request was running");
     executor.schedule(
         () -> abandonIfRunning(ticket), ABANDON_AFTER.toMillis(), TimeUnit.MILLISECONDS);
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ReadRouting.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ReadRouting.java
@@ -11,6 +11,7 @@
 import org.chicorylane.internal.failover.HomeAction;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.relay.GroupRequest;
+import org.chicorylane.internal.relay.RequestKind;
 import org.chicorylane.internal.routing.ReadRequest;
 import org.chicorylane.internal.routing.ReplicaRouter;
 import org.chicorylane.internal.routing.RoutingDecision;
@@ -34,6 +35,9 @@
   private final List<InDoubt> inDoubt = new ArrayList<>();
   private HomeAction.@Nullable OpenWrites lastOpened;
 
+  /** Counts the moments at which the router settled every write in doubt. */
+  private int epoch = 1;
+
   /** A session whose write may yet be committed. */
   private record InDoubt(String session, Instant since) {}
 
@@ -62,9 +66,14 @@
 
   void opened(HomeAction.OpenWrites opened) {
     HomeAction.OpenWrites last = lastOpened;
+    if (opened.equals(last)) {
+      return;
+    }
+    epoch++;
+    inDoubt.clear();
     if (last != null && opened.term() > last.term()) {
       router.newTerm(opened.primary(), opened.history());
-    } else if (last == null || !last.equals(opened)) {
+    } else {
       router.takeOver(opened.primary(), opened.history(), opened.floor());
     }
     lastOpened = opened;
@@ -78,7 +87,6 @@
 
   void released() {
     lastOpened = null;
-    inDoubt.clear();
   }
 
   void sampled(HomeAction.ServerSampled sample, boolean isPrimary, Instant now) {
@@ -89,22 +97,42 @@
     }
   }
 
-  void committed(GroupRequest request, LogPosition position, Instant sentAt) {
+  /** A request goes to a server; from now on its session may have written. */
+  void dispatched(String server, Ticket ticket) {
+    router.dispatched(server);
+    String session = writingSession(ticket);
+    if (session != null) {
+      ticket.setEpoch(epoch);
+      router.possiblyWrote(session);
+    }
+  }
+
+  void committed(Ticket ticket, LogPosition position, Instant sentAt) {
     router.sampled(sentAt, position);
-    if (request.sessionId() != null) {
-      router.wrote(request.sessionId(), position);
+    ended(ticket, position);
+  }
+
+  /** The request has written nothing beyond that position. */
+  void ended(Ticket ticket, LogPosition position) {
+    String session = writingSession(ticket);
+    if (session != null && ticket.epoch() == epoch) {
+      router.settled(session, position);
     }
   }
 
-  void possiblyCommitted(GroupRequest request, Instant now) {
-    if (request.sessionId() != null && request.kind().needsPrimary()) {
-      router.possiblyWrote(request.sessionId());
-      inDoubt.add(new InDoubt(request.sessionId(), now));
+  /** The request may yet be committed; later samples of the primary settle it. */
+  void inDoubt(Ticket ticket, Instant now) {
+    String session = writingSession(ticket);
+    if (session != null && ticket.epoch() == epoch) {
+      inDoubt.add(new InDoubt(session, now));
     }
   }
 
-  void dispatched(String server) {
-    router.dispatched(server);
+  /** Only what may commit counts as a write. */
+  private static @Nullable String writingSession(Ticket ticket) {
+    RequestKind kind = ticket.request().kind();
+    boolean mayCommit = kind == RequestKind.WRITE || kind == RequestKind.COMMIT;
+    return mayCommit ? ticket.request().sessionId() : null;
   }
 
   void answered(String server, Duration serviceTime) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ServerPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ServerPool.java
@@ -27,6 +27,7 @@
   private final EventExecutor executor;
   private final DatabaseGroup group;
   private final BackendServer server;
+  private final String serverStart;
   private final Deque<ServerConnection> idle = new ArrayDeque<>();
   private final Set<ServerConnection> inUse = new HashSet<>();
   private int opening;
@@ -36,11 +37,13 @@
       ServerConnector connector,
       EventExecutor executor,
       DatabaseGroup group,
-      BackendServer server) {
+      BackendServer server,
+      String serverStart) {
     this.connector = connector;
     this.executor = executor;
     this.group = group;
     this.server = server;
+    this.serverStart = serverStart;
   }
 
   /** Returns the executor that everything here runs on. */
@@ -130,11 +133,21 @@
         .thenApplyAsync(
             r -> {
               opening--;
-              return r;
+              return ofSameStart(r);
             },
             executor);
   }
 
+  /** What is known of the server's position holds only for the process that it was read from. */
+  private ConnectResult ofSameStart(ConnectResult result) {
+    if (!(result instanceof ConnectResult.Opened o)
+        || o.connection().serverStart().equals(serverStart)) {
+      return result;
+    }
+    o.connection().close();
+    return new ConnectResult.Failed("server \"" + server.name() + "\" has restarted");
+  }
+
   private void keepIdle(ConnectResult result) {
     if (!(result instanceof ConnectResult.Opened opened)) {
       return;
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
@@ -21,6 +21,7 @@
   private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
   private @Nullable ServerConnection connection;
   private long term;
+  private int epoch;
 
   Ticket(String id, GroupRequest request, Instant arrival) {
     this.id = id;
@@ -53,6 +54,15 @@
     term = dispatchTerm;
   }
 
+  /** Returns the routing epoch in which it was dispatched; 0 if it was not. */
+  int epoch() {
+    return epoch;
+  }
+
+  void setEpoch(int dispatchEpoch) {
+    epoch = dispatchEpoch;
+  }
+
   boolean isDone() {
     return outcome.isDone();
   }
