Read the record after the primary's lock before writes open

Cause: a home that returned could open writes with the record it knew from an earlier tenure. The term in it is harmless, since the servers' own state rules it out, but its voters may have changed twice since, and then two majorities need not meet. Replacing an unfit primary had the same gap.

Change: writes open, and an unfit primary is replaced, only with a record that was read after the primary's lock was got. While the key-value service does not answer, the servers' word has to do, as before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeMachine.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeMachine.java
@@ -201,10 +201,11 @@
       return;
     }
     switchover.step();
+    ServerControl primary = view.primary();
     if (suspicion.isPrimaryLost()) {
       promotion.begin(suspicion.suspectedSince(), false);
-    } else if (view.isPrimaryUnfit()) {
-      promotion.begin(Instant.MIN, false);
+    } else if (primary != null && view.isPrimaryUnfit()) {
+      promotion.begin(primary.lockedAt(), false);
     } else if (switchover.isReady()) {
       promotion.begin(switchover.quietSince(), true);
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/Ownership.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/Ownership.java
@@ -127,8 +127,7 @@
     }
     splitSince = Instant.MAX;
     takenUntil = Instant.MIN;
-    asideUntil =
-        context.now().plus(context.jittered(context.timings().splitHold().multipliedBy(2)));
+    asideUntil = context.now().plus(context.jittered(context.timings().stepAside()));
     closeAll();
     return true;
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerControl.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/ServerControl.java
@@ -39,6 +39,7 @@
   private Instant waitingSince = Instant.MIN;
   private Instant lastHeard = Instant.MIN;
   private Instant lastObserve = Instant.MIN;
+  private Instant lockedAt = Instant.MAX;
   private long requestedTimeline;
   private int openFailures;
   private boolean observeAgain;
@@ -71,6 +72,11 @@
     return state.isLocked();
   }
 
+  /** Returns when the lock was got; in the far future while it is not held. */
+  Instant lockedAt() {
+    return lockedAt;
+  }
+
   /** Returns whether another session held the lock when it was last tried. */
   boolean isRefused() {
     return refused;
@@ -244,6 +250,7 @@
 
   private void forgetConnection() {
     state = State.CLOSED;
+    lockedAt = Instant.MAX;
     refused = false;
     outstanding.clear();
     observeAgain = false;
@@ -326,6 +333,7 @@
     refused = !acquired;
     if (acquired) {
       state = State.ENDING_OTHERS;
+      lockedAt = context.now();
       waitingSince = context.now();
       context.emit(new HomeAction.EndOthers(connection));
     } else {
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/WritesGate.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/WritesGate.java
@@ -32,7 +32,7 @@
     if (reason == null && !view.isPrimaryServing()) {
       reason = CloseReason.PRIMARY_SUSPECTED;
     }
-    if (reason == null && !view.canConfirm(view.voters())) {
+    if (reason == null && (!view.canConfirm(view.voters()) || isRecordOld())) {
       reason = CloseReason.NO_CONFIRMING_MAJORITY;
     }
     if (reason == null) {
@@ -42,6 +42,15 @@
     }
   }
 
+  /**
+   * Returns whether the record dates from before the primary's lock, so that another home may have
+   * changed the voters since. If the key-value service is down, the servers' word has to do.
+   */
+  private boolean isRecordOld() {
+    ServerControl primary = view.primary();
+    return primary != null && !keeper.isKnownSince(primary.lockedAt()) && !keeper.isUnavailable();
+  }
+
   private void close(CloseReason reason) {
     boolean endsMore = reason.endsPending() && (closedBy == null || !closedBy.endsPending());
     if (open != null || endsMore) {
