Free a lost home's locks after 2 s, and say why the queue refuses

Cause: with the primary's zone and its home cut off, the new home waits for idle_session_timeout. A home that pauses for 2 to 3 s now loses its groups, which is harmless.

--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeTimings.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/HomeTimings.java
@@ -51,7 +51,7 @@
     Duration ownPause) {
 
   /** The {@code idle_session_timeout} that control connections are opened with. */
-  public static final Duration IDLE_SESSION_TIMEOUT = Duration.ofSeconds(3);
+  public static final Duration IDLE_SESSION_TIMEOUT = Duration.ofSeconds(2);
 
   /** The longest interval between two {@link HomeEvent.Tick}s. */
   public static final Duration TICK_INTERVAL = Duration.ofMillis(20);
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -335,7 +335,7 @@
         dispatch(ticket, dispatch.server());
       } else if (action instanceof AdmissionAction.Refuse refuse) {
         tickets.remove(ticket.id());
-        ticket.refuse(refuse.reason(), refuse.retryAfter(), "refused by the queue of the group");
+        ticket.refuse(refuse.reason(), refuse.retryAfter(), detailOf(refuse.reason()));
       }
     }
     List<Refusal> refusals = List.copyOf(unroutable);
@@ -343,6 +343,14 @@
     refusals.forEach(r -> r.ticket().refuse(r.reason(), Retry.afterFor(r.reason()), r.detail()));
   }
 
+  private String detailOf(NotRunReason reason) {
+    return switch (reason) {
+      case NO_PRIMARY -> "no primary of group \"" + group.name() + "\" accepts writes";
+      case DEADLINE_TOO_CLOSE -> "no slot of group \"" + group.name() + "\" is free in time";
+      default -> "the queue of group \"" + group.name() + "\" is " + queue.waiting() + " long";
+    };
+  }
+
   private void dispatch(Ticket ticket, String name) {
     ServerInUse server = servers.get(name);
     if (server == null || ticket.isDone()) {
