Serve the operators' resource API

Operators had no way to change declarations; only stand-ins wrote them. Each change is one transaction that expects the revision of the whole, so that what was checked against other documents takes effect only beside them, and a lost answer is settled by a key that is never deleted. A loss against other documents is planned anew, one against the same document is a conflict with both versions. Ruled out: conditions on single documents only, which lets two fitting changes make a set that does not fit.

--- a/chicorylane/src/main/java/org/chicorylane/internal/declaration/DeclarationReader.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/DeclarationReader.java
@@ -27,6 +27,8 @@
   /** The only value of {@code apiVersion}. */
   public static final String API_VERSION = "chicorylane.example/v1";
 
+  private static final List<String> WRITTEN_BY_SYSTEM =
+      List.of("generation", "changedBy", "changedAt", "changeId");
   private static final int MAX_DOCUMENT_CHARACTERS = 1 << 18;
   private static final int MAX_VERSION_CHARACTERS = 64;
 
@@ -136,7 +138,7 @@
         new Metadata(
             metadata.name("name"),
             metadata.optionalText("resourceVersion", MAX_VERSION_CHARACTERS));
-    metadata.ignore("generation");
+    WRITTEN_BY_SYSTEM.forEach(metadata::ignore);
     metadata.reportUnknownKeys();
     return result;
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.chicorylane.Settings;
@@ -23,6 +24,8 @@
 import org.chicorylane.internal.home.HomeRegistry;
 import org.chicorylane.internal.membership.MembershipAgent;
 import org.chicorylane.internal.membership.MembershipOptions;
+import org.chicorylane.internal.operator.GossipFleetStatus;
+import org.chicorylane.internal.operator.OperatorServer;
 import org.chicorylane.internal.platform.EndpointSliceInstanceList;
 import org.chicorylane.internal.platform.EtcdKeyValueStore;
 import org.chicorylane.internal.relay.EntryRouter;
@@ -63,6 +66,7 @@
   private final HomeRegistry homes;
   private final DeclarationFeed declarations;
   private final CallerServer callers;
+  private final Optional<OperatorServer> operators;
   private volatile boolean draining;
 
   private Instance(Settings settings) {
@@ -112,6 +116,7 @@
             .metrics(metrics)
             .ready(this::isReady)
             .start();
+    operators = settings.operatorToken().map(token -> startOperators(settings, token));
   }
 
   /** Starts an instance; it answers callers when this returns. */
@@ -160,6 +165,7 @@
   /** Stops at once. */
   @Override
   public void close() {
+    operators.ifPresent(OperatorServer::close);
     callers.close();
     membership.close();
     declarations.close();
@@ -180,6 +186,15 @@
     return !draining && declarations.current().revision() > 0;
   }
 
+  private OperatorServer startOperators(Settings settings, String token) {
+    return OperatorServer.start(
+        settings.addresses().operator(),
+        token,
+        store,
+        new GossipFleetStatus(membership, declarations::current),
+        clock);
+  }
+
   private MembershipAgent startMembership(Settings settings) {
     return MembershipAgent.start(
         new MembershipAgent.Identity(
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/GossipFleetStatus.java
@@ -0,0 +1,62 @@
+package org.chicorylane.internal.operator;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.membership.Member;
+import org.chicorylane.internal.membership.MembershipSnapshot;
+import org.chicorylane.internal.membership.RevisionGossip;
+
+/**
+ * The fleet as heard over gossip.
+ *
+ * <pre>{@code
+ * FleetStatus status = new GossipFleetStatus(membershipAgent, declarationFeed::current);
+ * }</pre>
+ *
+ * <p>Thread-safe.
+ */
+public final class GossipFleetStatus implements FleetStatus {
+  private final RevisionGossip gossip;
+  private final Supplier<Declarations> inForce;
+
+  /**
+   * Creates it.
+   *
+   * @param inForce returns the declarations in force here
+   */
+  public GossipFleetStatus(RevisionGossip gossip, Supplier<Declarations> inForce) {
+    this.gossip = gossip;
+    this.inForce = inForce;
+  }
+
+  @Override
+  public String instance() {
+    return gossip.snapshot().self().instanceId();
+  }
+
+  @Override
+  public Declarations inForce() {
+    return inForce.get();
+  }
+
+  @Override
+  public List<InstanceStatus> instances() {
+    MembershipSnapshot snapshot = gossip.snapshot();
+    Map<String, Long> revisions = gossip.revisions();
+    return snapshot.live().stream().map(m -> status(m, snapshot.self(), revisions)).toList();
+  }
+
+  private InstanceStatus status(Member member, Member self, Map<String, Long> revisions) {
+    OptionalLong revision = OptionalLong.empty();
+    if (member.instanceId().equals(self.instanceId())) {
+      revision = OptionalLong.of(inForce.get().revision());
+    } else if (revisions.containsKey(member.instanceId())) {
+      revision = OptionalLong.of(revisions.getOrDefault(member.instanceId(), 0L));
+    }
+    return new InstanceStatus(
+        member.instanceId(), member.availabilityZone(), member.status(), revision);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorRequest.java
@@ -0,0 +1,84 @@
+package org.chicorylane.internal.operator;
+
+import java.net.URI;
+import java.net.URLDecoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request of an operator, read whole. Immutable.
+ *
+ * @param method the HTTP method
+ * @param path the segments of the path
+ * @param query the parameters by name
+ * @param changedBy who asks
+ * @param body the body; empty if there is none
+ */
+record OperatorRequest(
+    String method,
+    List<String> path,
+    Map<String, String> query,
+    String changedBy,
+    ByteBuffer body) {
+
+  /**
+   * Returns the request.
+   *
+   * @throws IllegalArgumentException if the URI is encoded wrongly
+   */
+  static OperatorRequest of(String method, URI uri, String changedBy, byte[] body) {
+    List<String> path =
+        Arrays.stream(uri.getRawPath().split("/", -1)).skip(1).map(s -> decode(s)).toList();
+    Map<String, String> query = new HashMap<>();
+    if (uri.getRawQuery() != null) {
+      for (String pair : uri.getRawQuery().split("&", -1)) {
+        String[] parts = pair.split("=", 2);
+        query.put(decode(parts[0]), parts.length == 2 ? decode(parts[1]) : "");
+      }
+    }
+    return new OperatorRequest(
+        method, path, Map.copyOf(query), changedBy, ByteBuffer.wrap(body).asReadOnlyBuffer());
+  }
+
+  /** Returns whether a parameter is {@code true}. */
+  boolean flag(String parameter) {
+    return "true".equals(query.get(parameter));
+  }
+
+  @Nullable String parameter(String name) {
+    return query.get(name);
+  }
+
+  /** Returns whether the path has that many segments and begins with these. */
+  boolean at(int segments, String... first) {
+    return path.size() == segments
+        && path.subList(0, Math.min(first.length, segments)).equals(Arrays.asList(first));
+  }
+
+  ByteBuffer utf8() {
+    return body.duplicate();
+  }
+
+  /**
+   * Returns the body as text.
+   *
+   * @throws IllegalArgumentException if it is not UTF-8
+   */
+  String text() {
+    try {
+      return StandardCharsets.UTF_8.newDecoder().decode(utf8()).toString();
+    } catch (CharacterCodingException e) {
+      throw new IllegalArgumentException("the body is not UTF-8", e);
+    }
+  }
+
+  private static String decode(String part) {
+    return URLDecoder.decode(part, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/ResourceStore.java
@@ -0,0 +1,125 @@
+package org.chicorylane.internal.operator;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.chicorylane.internal.dissemination.DeclarationKeys;
+import org.chicorylane.internal.platform.KeyValueEntry;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.SettledResult;
+import org.chicorylane.internal.platform.SettledSwap;
+import org.tinylog.Logger;
+
+/**
+ * Reads and changes the declared documents in the platform's key-value service.
+ *
+ * <pre>{@code
+ * ChangeResult result = resources.change(new ChangeSet(changes, "ana", false));
+ * }</pre>
+ *
+ * <p>A change whose answer was lost is looked for by its change id. A change that lost against one
+ * of other documents is worked out anew; one that lost against a change of the same document is a
+ * conflict.
+ *
+ * <p>Thread-safe. Methods block until the store has answered or is given up.
+ */
+final class ResourceStore {
+  private static final int MAX_ATTEMPTS = 16;
+
+  private final KeyValueStore store;
+  private final SettledSwap swap;
+  private final InstantSource clock;
+
+  /**
+   * Creates it.
+   *
+   * @param delayer returns a future that completes normally after the given time
+   */
+  ResourceStore(
+      KeyValueStore store,
+      Function<Duration, CompletableFuture<Void>> delayer,
+      InstantSource clock) {
+    this.store = store;
+    this.swap = new SettledSwap(store, delayer);
+    this.clock = clock;
+  }
+
+  /** Reads all documents and their revision, as of one moment. */
+  DeclaredResult read() {
+    ReadResult documents = store.range(DeclarationKeys.DOCUMENT_PREFIX).join();
+    if (!(documents instanceof ReadResult.Read read)) {
+      return new DeclaredResult.Unavailable(reasonOf(documents));
+    }
+    ReadResult mark = store.getAt(DeclarationKeys.REVISION_KEY, read.revision()).join();
+    if (!(mark instanceof ReadResult.Read markRead)) {
+      return new DeclaredResult.Unavailable(reasonOf(mark));
+    }
+    SortedMap<String, StoredResource> resources = new TreeMap<>();
+    for (KeyValueEntry entry : read.entries()) {
+      StoredResource resource = StoredResource.of(entry);
+      resources.put(resource.key(), resource);
+    }
+    long revision = markRead.first().map(KeyValueEntry::modRevision).orElse(0L);
+    return new DeclaredResult.Read(new DeclaredSet(resources, revision));
+  }
+
+  /** Changes documents, all or none. */
+  ChangeResult change(ChangeSet changeSet) {
+    String changeId = UUID.randomUUID().toString();
+    for (int i = 0; i < MAX_ATTEMPTS; i++) {
+      DeclaredResult result = read();
+      if (!(result instanceof DeclaredResult.Read read)) {
+        return new ChangeResult.Unavailable(((DeclaredResult.Unavailable) result).reason());
+      }
+      ChangePlan plan = ChangePlan.of(changeSet, read.declared(), clock.instant(), changeId);
+      Optional<ChangeResult> rejection = plan.rejection();
+      if (rejection.isPresent()) {
+        return rejection.get();
+      }
+      if (changeSet.dryRun() || !plan.changes()) {
+        return new ChangeResult.Applied(read.declared().revision(), plan.outcomes());
+      }
+      SettledResult settled = swap.transact(plan.transaction(), changeId).join();
+      if (!(settled instanceof SettledResult.Conflict)) {
+        return toResult(settled, plan, changeSet.changedBy(), changeId);
+      }
+    }
+    return new ChangeResult.Unavailable(
+        "other changes came first " + MAX_ATTEMPTS + " times; nothing was changed");
+  }
+
+  private static ChangeResult toResult(
+      SettledResult settled, ChangePlan plan, String changedBy, String changeId) {
+    if (settled instanceof SettledResult.Applied applied) {
+      for (ResourceOutcome outcome : plan.outcomes()) {
+        Logger.info(
+            "operator change: {} {} by {} from version {} to {} (change {})",
+            outcome.key(),
+            outcome.action(),
+            changedBy,
+            outcome.fromVersion(),
+            outcome.changes() ? applied.revision() : outcome.fromVersion(),
+            changeId);
+      }
+      return new ChangeResult.Applied(applied.revision(), plan.outcomes());
+    }
+    if (settled instanceof SettledResult.Refused refused) {
+      return new ChangeResult.Unavailable(refused.reason());
+    }
+    String reason = ((SettledResult.Unsettled) settled).reason();
+    Logger.warn("operator change unsettled: {} by {}: {}", changeId, changedBy, reason);
+    return new ChangeResult.Unsettled(reason, changeId);
+  }
+
+  private static String reasonOf(ReadResult result) {
+    return result instanceof ReadResult.Refused refused
+        ? "the store refused: " + refused.reason()
+        : "the store does not answer: " + ((ReadResult.Unavailable) result).reason();
+  }
+}
