--- a/bench/src/main/java/org/chicorylane/bench/Main.java
+++ b/bench/src/main/java/org/chicorylane/bench/Main.java
@@ -6,15 +6,34 @@
 import java.util.Optional;
 import org.chicorylane.bench.demo.DemoCommand;
 import org.chicorylane.bench.fleet.StandInsCommand;
+import org.chicorylane.internal.command.ApplyCommand;
 import org.chicorylane.internal.command.CheckCommand;
 import org.chicorylane.internal.command.Command;
+import org.chicorylane.internal.command.DeleteCommand;
+import org.chicorylane.internal.command.DiffCommand;
 import org.chicorylane.internal.command.ExitCode;
+import org.chicorylane.internal.command.GetCommand;
 import org.chicorylane.internal.command.ServeCommand;
+import org.chicorylane.internal.command.ServerStateCommand;
+import org.chicorylane.internal.command.StatusCommand;
+import org.chicorylane.internal.command.WaitCommand;
 
 /** Runs the chicorylane program. */
 public final class Main {
   private static final List<Command> COMMANDS =
-      List.of(new DemoCommand(), new ServeCommand(), new CheckCommand(), new StandInsCommand());
+      List.of(
+          new DemoCommand(),
+          new ServeCommand(),
+          new CheckCommand(),
+          new StandInsCommand(),
+          new ApplyCommand(),
+          new DiffCommand(),
+          new GetCommand(),
+          new DeleteCommand(),
+          new WaitCommand(),
+          new ServerStateCommand(ServerStateCommand.Verb.DRAIN),
+          new ServerStateCommand(ServerStateCommand.Verb.JOIN),
+          new StatusCommand());
 
   private Main() {}
 
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/GetCommand.java
@@ -0,0 +1,56 @@
+package org.chicorylane.internal.command;
+
+import com.google.gson.JsonObject;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.Options;
+
+/** Prints what is declared. */
+public final class GetCommand implements Command {
+  private static final int KIND_AND_NAME = 2;
+
+  @Override
+  public String name() {
+    return "get";
+  }
+
+  @Override
+  public String summary() {
+    return "print what is declared: [KIND [NAME]]";
+  }
+
+  @Override
+  public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
+    Optional<OperatorOptions> options =
+        OperatorOptions.read(new Options(), KIND_AND_NAME, arguments, err);
+    if (options.isEmpty()) {
+      return ExitCode.USAGE;
+    }
+    StringBuilder path = new StringBuilder("/v1/resources");
+    options.get().words().forEach(w -> path.append('/').append(OperatorClient.segment(w)));
+    OperatorReply reply = options.get().client().send("GET", path.toString(), "");
+    if (!(reply instanceof OperatorReply.Answered answered) || !answered.ok()) {
+      return OperatorPrinter.failure(reply, err);
+    }
+    if (options.get().json() || options.get().words().size() == KIND_AND_NAME) {
+      OperatorPrinter.json(out, answered.body());
+      return ExitCode.OK;
+    }
+    String row = "%-22s %-20s %8s  %-18s %s%n";
+    out.printf(row, "KIND", "NAME", "VERSION", "HERE", "CHANGED BY");
+    for (JsonObject document : OperatorPrinter.objects(answered.body(), "documents")) {
+      JsonObject metadata = OperatorPrinter.object(document, "metadata");
+      JsonObject condition =
+          OperatorPrinter.objects(OperatorPrinter.object(document, "status"), "conditions").get(0);
+      out.printf(
+          row,
+          OperatorPrinter.text(document, "kind"),
+          OperatorPrinter.text(metadata, "name"),
+          OperatorPrinter.text(metadata, "resourceVersion"),
+          OperatorPrinter.text(condition, "reason"),
+          OperatorPrinter.text(metadata, "changedBy"));
+    }
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ServerStateCommand.java
@@ -0,0 +1,69 @@
+package org.chicorylane.internal.command;
+
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+
+/** Takes a backend server out of its group's work, or back into it. */
+public final class ServerStateCommand implements Command {
+
+  /** What is done to the server. */
+  public enum Verb {
+    /** It gets no new work. */
+    DRAIN("drain", "give a server no new work: SERVER --group GROUP"),
+    /** It works again. */
+    JOIN("join", "let a server work again: SERVER --group GROUP");
+
+    private final String word;
+    private final String summary;
+
+    Verb(String word, String summary) {
+      this.word = word;
+      this.summary = summary;
+    }
+  }
+
+  private final Verb verb;
+
+  /** Creates the command of that name. */
+  public ServerStateCommand(Verb verb) {
+    this.verb = verb;
+  }
+
+  @Override
+  public String name() {
+    return verb.word;
+  }
+
+  @Override
+  public String summary() {
+    return verb.summary;
+  }
+
+  @Override
+  public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
+    Options own =
+        new Options()
+            .addOption(
+                Option.builder().longOpt("group").hasArg().argName("GROUP").required().get());
+    Optional<OperatorOptions> options = OperatorOptions.read(own, 1, arguments, err);
+    if (options.isEmpty()) {
+      return ExitCode.USAGE;
+    }
+    if (options.get().words().isEmpty()) {
+      err.println("chicorylane: " + name() + " takes the name of a server");
+      return ExitCode.USAGE;
+    }
+    String path =
+        "/v1/servers/"
+            + OperatorClient.segment(options.get().line().getOptionValue("group"))
+            + "/"
+            + OperatorClient.segment(options.get().words().get(0))
+            + "/"
+            + verb.word;
+    OperatorReply reply = options.get().client().send("POST", path, "");
+    return OperatorPrinter.change(reply, options.get().json(), out, err);
+  }
+}
--- a/chicorylane/src/test/java/org/chicorylane/internal/operator/OperatorServerFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/operator/OperatorServerFunctionalTest.java
@@ -42,7 +42,8 @@
   private final ResourceStore resources =
       new ResourceStore(interposed, delay -> CompletableFuture.completedFuture(null), CLOCK);
   private final OperatorServer server =
-      OperatorServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), TOKEN, resources, fleet);
+      OperatorServer.start(
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), TOKEN, resources, fleet);
   private final HttpClient http = HttpClient.newHttpClient();
 
   private record Answer(int status, JsonObject body) {}
