--- a/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorAnswer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorAnswer.java
@@ -73,12 +73,13 @@
       answer.body().addProperty("changeId", unsettled.changeId());
       return answer;
     }
-    return unavailable(((ChangeResult.Unavailable) result).reason());
+    String reason = ((ChangeResult.Unavailable) result).reason();
+    return unavailable("nothing was changed: " + reason);
   }
 
-  /** Returns the problem of a store that cannot be used; nothing was changed. */
-  static OperatorAnswer unavailable(String reason) {
-    return problem(UNAVAILABLE, "operator-store-unavailable", "nothing was changed: " + reason);
+  /** Returns the problem of a store that cannot be used. */
+  static OperatorAnswer unavailable(String detail) {
+    return problem(UNAVAILABLE, "operator-store-unavailable", detail);
   }
 
   private static OperatorAnswer applied(ChangeResult.Applied applied, boolean dryRun) {
