Report service-level burn per instance and merged

Cause: operators asked for a report on service-level burn; nothing counted requests against the declared objectives. Bounded rings in each instance count good and bad requests; reports of several instances merge by adding counts; terminal table, JSON and one HTML page with XChart plots render them. Dropwizard metrics go out in the Prometheus text format. Ruled out: keeping history in the platform's service, whose calls are counted.

--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/InstanceCoverage.java
@@ -0,0 +1,11 @@
+package org.chicorylane.internal.report;
+
+import java.time.Instant;
+
+/**
+ * Since when an instance counts; what came before is lost.
+ *
+ * @param instance the instance's name
+ * @param since when it started to count
+ */
+public record InstanceCoverage(String instance, Instant since) {}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/WindowBurn.java
@@ -0,0 +1,19 @@
+package org.chicorylane.internal.report;
+
+import java.time.Duration;
+
+/**
+ * How fast an error budget was spent over one window.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param window the window that ends with the report
+ * @param counts the requests in it
+ * @param burnRate 1 spends the budget exactly within the objective's window
+ */
+public record WindowBurn(Duration window, Counts counts, double burnRate) {
+
+  static WindowBurn of(Duration window, Counts counts, double target) {
+    return new WindowBurn(window, counts, counts.burnRate(target));
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/report/BurnReportTest.java
@@ -0,0 +1,172 @@
+package org.chicorylane.internal.report;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.chicorylane.internal.report.BurnFixture.LATENCY;
+import static org.chicorylane.internal.report.BurnFixture.START;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.chicorylane.internal.declaration.Declarations;
+import org.chicorylane.internal.outcome.NotRunReason;
+import org.chicorylane.internal.outcome.Outcome;
+import org.junit.jupiter.api.Test;
+
+final class BurnReportTest {
+  private static final Declarations ALL = BurnFixture.declarations("billing-fast", 0.99);
+
+  private final ServiceLevels levels = new ServiceLevels("entry-1", START);
+
+  private record BudgetCase(
+      int good, int bad, double target, double burnRate, double budgetLeft, AlertLevel alert) {}
+
+  @Test
+  void testBudgetArithmetic() {
+    List<BudgetCase> cases =
+        List.of(
+            new BudgetCase(0, 0, 0.99, 0, 1, AlertLevel.NONE),
+            new BudgetCase(100, 0, 0.99, 0, 1, AlertLevel.NONE),
+            new BudgetCase(199, 1, 0.99, 0.5, 0.5, AlertLevel.NONE),
+            new BudgetCase(98, 2, 0.99, 2, -1, AlertLevel.TICKET),
+            new BudgetCase(93, 7, 0.99, 7, -6, AlertLevel.PAGE_SLOW),
+            new BudgetCase(85, 15, 0.99, 15, -14, AlertLevel.PAGE_FAST),
+            new BudgetCase(0, 10, 0.9, 10, -9, AlertLevel.PAGE_SLOW));
+    for (BudgetCase c : cases) {
+      Declarations all = BurnFixture.declarations("o", c.target());
+      ServiceLevels fresh = new ServiceLevels("entry-1", START);
+      BurnFixture.count(fresh, all, c.good(), c.bad(), START);
+      ObjectiveBurn burn = fresh.report(all, START).objectives().get(0);
+      assertThat(burn.windows().get(0).burnRate()).isWithin(1e-9).of(c.burnRate());
+      assertThat(burn.budgetLeft()).isWithin(1e-9).of(c.budgetLeft());
+      assertThat(burn.alert()).isEqualTo(c.alert());
+    }
+  }
+
+  @Test
+  void testAlertNeedsBothWindows() {
+    BurnFixture.count(levels, ALL, 0, 100, START);
+    assertThat(burnAt(START).alert()).isEqualTo(AlertLevel.PAGE_FAST);
+    assertThat(burnAt(START.plus(Duration.ofMinutes(6))).alert()).isEqualTo(AlertLevel.PAGE_SLOW);
+    assertThat(burnAt(START.plus(Duration.ofMinutes(31))).alert()).isEqualTo(AlertLevel.TICKET);
+    assertThat(burnAt(START.plus(Duration.ofHours(7))).alert()).isEqualTo(AlertLevel.NONE);
+  }
+
+  @Test
+  void testClassifiesOutcomes() {
+    for (NotRunReason reason : NotRunReason.values()) {
+      RequestVerdict expected =
+          switch (reason) {
+            case OVERLOADED,
+                DEADLINE_TOO_CLOSE,
+                NO_PRIMARY,
+                TOO_STALE,
+                NOT_HOME,
+                HOME_UNREACHABLE,
+                SESSION_HISTORY_LOST,
+                SHUTTING_DOWN ->
+                RequestVerdict.BAD;
+            case UNKNOWN_GROUP, UNKNOWN_TRANSACTION, KEY_REUSED, NOT_ALLOWED ->
+                RequestVerdict.NOT_COUNTED;
+          };
+      assertThat(verdict(BurnFixture.notRun(reason), Duration.ZERO)).isEqualTo(expected);
+    }
+    Outcome rejected = new Outcome.Rejected("23505", "duplicate key", 0);
+    Duration late = LATENCY.plusMillis(1);
+    assertThat(verdict(BurnFixture.COMPLETED, LATENCY)).isEqualTo(RequestVerdict.GOOD);
+    assertThat(verdict(BurnFixture.COMPLETED, late)).isEqualTo(RequestVerdict.BAD);
+    assertThat(verdict(rejected, LATENCY)).isEqualTo(RequestVerdict.GOOD);
+    assertThat(verdict(rejected, late)).isEqualTo(RequestVerdict.BAD);
+    assertThat(verdict(BurnFixture.UNKNOWN, Duration.ZERO)).isEqualTo(RequestVerdict.BAD);
+  }
+
+  @Test
+  void testBucketsRollOver() {
+    BurnFixture.count(levels, ALL, 3, 1, START);
+    assertThat(countsAt(START.plus(Duration.ofSeconds(299)), 0)).isEqualTo(new Counts(3, 1));
+    assertThat(countsAt(START.plus(Duration.ofMinutes(5)), 0)).isEqualTo(Counts.NONE);
+    assertThat(countsAt(START.plus(Duration.ofMinutes(59)), 2)).isEqualTo(new Counts(3, 1));
+    assertThat(countsAt(START.plus(Duration.ofHours(1)), 2)).isEqualTo(Counts.NONE);
+    assertThat(countsAt(START.plus(Duration.ofHours(71)), 4)).isEqualTo(new Counts(3, 1));
+    BurnFixture.count(levels, ALL, 1, 0, START.plus(Duration.ofHours(72)));
+    assertThat(countsAt(START.plus(Duration.ofHours(72)), 4)).isEqualTo(new Counts(1, 0));
+  }
+
+  @Test
+  void testMergeAddsCountsAndRecomputesRates() {
+    ServiceLevels other = new ServiceLevels("entry-2", START.plusSeconds(5));
+    BurnFixture.count(levels, ALL, 100, 0, START);
+    BurnFixture.count(other, ALL, 98, 2, START.plusSeconds(90));
+    Instant now = START.plusSeconds(100);
+    BurnReport merged = other.report(ALL, now).merge(levels.report(ALL, START.plusSeconds(30)));
+    ObjectiveBurn burn = merged.objectives().get(0);
+    assertThat(merged.objectives()).hasSize(1);
+    assertThat(burn.budget()).isEqualTo(new Counts(198, 2));
+    assertThat(burn.windows().get(0).burnRate()).isWithin(1e-9).of(1);
+    assertThat(merged.instances().stream().map(InstanceCoverage::instance))
+        .containsExactly("entry-1", "entry-2")
+        .inOrder();
+    assertThat(burn.lastHour().points().subList(58, 60))
+        .containsExactly(new Counts(100, 0), new Counts(98, 2))
+        .inOrder();
+  }
+
+  @Test
+  void testMergeKeepsDifferentFormsOfAnObjectiveApart() {
+    Declarations changed = BurnFixture.declarations("billing-fast", 0.999);
+    BurnReport merged = levels.report(ALL, START).merge(levels.report(changed, START));
+    assertThat(merged.objectives()).hasSize(2);
+  }
+
+  @Test
+  void testMergeJoinsOverlappingGapsOfOneGroup() {
+    BurnReport a = gaps(gap("plans", 0, 4), gap("fleet", 0, 4), gap("plans", 20, 21));
+    BurnReport b = gaps(gap("plans", 2, 6));
+    assertThat(a.merge(b).failoverGaps())
+        .containsExactly(gap("plans", 0, 6), gap("fleet", 0, 4), gap("plans", 20, 21));
+  }
+
+  @Test
+  void testJsonReadsBack() {
+    BurnFixture.count(levels, ALL, 3, 1, START);
+    BurnReport report =
+        levels.report(ALL, START).merge(gaps(new FailoverGap("plans", START, null)));
+    assertThat(BurnJson.read(BurnJson.write(report))).hasValue(report);
+  }
+
+  @Test
+  void testJsonRejectsWhatIsNoReport() {
+    for (String bad : List.of("", "null", "[]", "{}", "{\"at\":\"soon\"}", "<html>")) {
+      assertThat(BurnJson.read(bad)).isEmpty();
+    }
+  }
+
+  @Test
+  void testPageEscapesNames() {
+    Declarations hostile = BurnFixture.declarations("<script>\"x\"&</script>", 0.99);
+    BurnFixture.count(levels, hostile, 3, 1, START);
+    String page = BurnPage.render(levels.report(hostile, START));
+    assertThat(page).doesNotContain("<script");
+    assertThat(page).contains("&lt;script&gt;&quot;x&quot;&amp;&lt;/script&gt;");
+    assertThat(page).contains("src=\"data:image/png;base64,iVBORw0KGgo");
+  }
+
+  private ObjectiveBurn burnAt(Instant now) {
+    return levels.report(ALL, now).objectives().get(0);
+  }
+
+  private Counts countsAt(Instant now, int window) {
+    return burnAt(now).windows().get(window).counts();
+  }
+
+  private static RequestVerdict verdict(Outcome outcome, Duration elapsed) {
+    return RequestVerdict.of(outcome, elapsed, LATENCY);
+  }
+
+  private static FailoverGap gap(String group, int start, int end) {
+    return new FailoverGap(group, START.plusSeconds(start), START.plusSeconds(end));
+  }
+
+  private static BurnReport gaps(FailoverGap... gaps) {
+    return new BurnReport(START, List.of(), List.of(), List.of(gaps), List.of());
+  }
+}
