--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
@@ -26,14 +26,15 @@
  * Fetches the service-level burn of every given instance and prints it as one report.
  *
  * <pre>{@code
- * report burn --operator http://127.0.0.1:8081 --operator http://127.0.0.2:8081 --output html
+ * report burn --operator http://127.0.0.1:7403 --operator http://127.0.0.2:7403 --output html
  * }</pre>
  *
  * <p>Prints nothing unless all instances answered, so that a report never covers fewer than asked.
  */
 public final class ReportCommand implements Command {
   private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(10);
-  private static final String DEFAULT_OPERATOR = "http://127.0.0.1:8081";
+  private static final String DEFAULT_OPERATOR = "http://127.0.0.1:7403";
+  private static final String TOKEN_VARIABLE = "CHICORYLANE_TOKEN";
   private static final int HTTP_OK = 200;
 
   @Override
@@ -80,7 +81,7 @@
     BurnReport merged = null;
     HttpClient client = HttpClient.newBuilder().connectTimeout(FETCH_TIMEOUT).build();
     for (String operator : operators.stream().distinct().toList()) {
-      Optional<BurnReport> report = fetch(client, operator, line.getOptionValue("token"), err);
+      Optional<BurnReport> report = fetch(client, operator, tokenOf(line), err);
       if (report.isEmpty()) {
         return ExitCode.UNAVAILABLE;
       }
@@ -91,6 +92,11 @@
         : write(output.get().render(merged), line.getOptionValue("file"), out, err);
   }
 
+  private static @Nullable String tokenOf(CommandLine line) {
+    String token = line.getOptionValue("token");
+    return token == null ? System.getenv(TOKEN_VARIABLE) : token;
+  }
+
   private static Optional<BurnReport> fetch(
       HttpClient client, String operator, @Nullable String token, PrintStream err) {
     try {
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/BurnChart.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/BurnChart.java
@@ -12,12 +12,13 @@
 import org.knowm.xchart.XYChart;
 import org.knowm.xchart.XYChartBuilder;
 import org.knowm.xchart.XYSeries;
+import org.knowm.xchart.style.Styler;
 import org.knowm.xchart.style.markers.SeriesMarkers;
 
 /** Draws burn rates over time as PNG. Stateless and thread-safe; needs no display. */
 final class BurnChart {
   private static final int WIDTH_PIXELS = 900;
-  private static final int HEIGHT_PIXELS = 260;
+  private static final int HEIGHT_PIXELS = 300;
   private static final Color BURN_COLOR = new Color(0x1f, 0x5f, 0xa8);
   private static final Color LIMIT_COLOR = new Color(0xc0, 0x39, 0x2b);
 
@@ -69,6 +70,8 @@
     chart.getStyler().setTimezone(TimeZone.getTimeZone("UTC"));
     chart.getStyler().setYAxisMin(0.0);
     chart.getStyler().setChartBackgroundColor(Color.WHITE);
+    chart.getStyler().setLegendPosition(Styler.LegendPosition.OutsideS);
+    chart.getStyler().setLegendLayout(Styler.LegendLayout.Horizontal);
     chart.getStyler().setPlotBorderVisible(false);
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/BurnJson.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/BurnJson.java
@@ -37,19 +37,13 @@
   /** Returns the report, or nothing if the text is no whole report. */
   public static Optional<BurnReport> read(String json) {
     try {
-      return Optional.ofNullable(GSON.fromJson(json, BurnReport.class)).filter(BurnJson::isWhole);
+      return Optional.ofNullable(GSON.fromJson(json, BurnReport.class));
     } catch (RuntimeException e) {
       // Gson wraps what the records' constructors throw in plain runtime exceptions.
       return Optional.empty();
     }
   }
 
-  /** Returns whether rendering meets no missing field; throws on some that miss. */
-  private static boolean isWhole(BurnReport report) {
-    BurnTable.render(report.merge(report));
-    return true;
-  }
-
   private static final class TextAdapter<T> extends TypeAdapter<T> {
     private final Function<String, T> parser;
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/BurnPage.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/BurnPage.java
@@ -43,8 +43,9 @@
       answered it, a refusal included, within the objective's latency. A request that was not run
       for the service's fault, or whose result is unknown, is bad; callers' own mistakes are not
       counted. <b>Alert</b> levels: <i>page fast</i> at 14.4 over 1 h and 5 min, <i>page slow</i>
-      at 6 over 6 h and 30 min, <i>ticket</i> at 1 over 3 d and 6 h. <b>Budget</b> is what is left
-      of the error budget; below zero it is overspent.</p>
+      at 6 over 6 h and 30 min, <i>ticket</i> at 1 over 3 d and 6 h. <b>Budget left</b> is the
+      share of the error budget that is not spent; below zero it is overspent. The last point of a
+      plot covers a minute or an hour that is not over yet.</p>
       """;
 
   private BurnPage() {}
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/BurnReport.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/BurnReport.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 
 /**
@@ -34,6 +35,7 @@
 
   /** Copies the lists. */
   public BurnReport {
+    Objects.requireNonNull(at, "at");
     instances = List.copyOf(instances);
     objectives = List.copyOf(objectives);
     failoverGaps = List.copyOf(failoverGaps);
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/BurnTable.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/BurnTable.java
@@ -81,7 +81,8 @@
   private static List<String> objectiveHeading(ObjectiveBurn objective) {
     List<String> heading =
         new ArrayList<>(
-            List.of("objective", "class", "target", "within", "window", "good", "bad", "budget"));
+            List.of(
+                "objective", "class", "target", "within", "window", "good", "bad", "budget left"));
     objective.windows().forEach(w -> heading.add("burn " + BurnText.window(w.window())));
     heading.add("alert");
     return heading;
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/FailoverGap.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/FailoverGap.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,6 +16,12 @@
  */
 public record FailoverGap(String group, Instant start, @Nullable Instant end) {
 
+  /** Checks that nothing is missing. */
+  public FailoverGap {
+    Objects.requireNonNull(group, "group");
+    Objects.requireNonNull(start, "start");
+  }
+
   /** Returns how long the gap lasted, or has lasted at {@code now} if it is open. */
   public Duration length(Instant now) {
     return Duration.between(start, end == null ? now : end);
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/GroupReads.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/GroupReads.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.report;
 
 import java.time.Duration;
+import java.util.Objects;
 
 /**
  * Which servers of a group served reads.
@@ -14,6 +15,12 @@
  */
 public record GroupReads(String group, Duration window, long replica, long primary) {
 
+  /** Checks that nothing is missing. */
+  public GroupReads {
+    Objects.requireNonNull(group, "group");
+    Objects.requireNonNull(window, "window");
+  }
+
   /** Returns the share served by replicas, from 0 to 1; 0 if nothing was read. */
   public double replicaShare() {
     long total = replica + primary;
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/InstanceCoverage.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/InstanceCoverage.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.report;
 
 import java.time.Instant;
+import java.util.Objects;
 
 /**
  * Since when an instance counts; what came before is lost.
@@ -8,4 +9,11 @@
  * @param instance the instance's name
  * @param since when it started to count
  */
-public record InstanceCoverage(String instance, Instant since) {}
+public record InstanceCoverage(String instance, Instant since) {
+
+  /** Checks that nothing is missing. */
+  public InstanceCoverage {
+    Objects.requireNonNull(instance, "instance");
+    Objects.requireNonNull(since, "since");
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/MeasuredGroupService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/MeasuredGroupService.java
@@ -104,6 +104,12 @@
   }
 
   private static String nameOf(Outcome outcome) {
-    return outcome.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+    if (outcome instanceof Outcome.Completed) {
+      return "completed";
+    }
+    if (outcome instanceof Outcome.Rejected) {
+      return "rejected";
+    }
+    return outcome instanceof Outcome.NotRun ? "not_run" : "unknown";
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/ObjectiveBurn.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/ObjectiveBurn.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 import java.util.stream.IntStream;
 
 /**
@@ -39,6 +40,15 @@
 
   /** Copies the windows and checks the target. */
   public ObjectiveBurn {
+    Objects.requireNonNull(name, "name");
+    Objects.requireNonNull(requestClass, "requestClass");
+    Objects.requireNonNull(latency, "latency");
+    Objects.requireNonNull(declaredWindow, "declaredWindow");
+    Objects.requireNonNull(budgetWindow, "budgetWindow");
+    Objects.requireNonNull(budget, "budget");
+    Objects.requireNonNull(alert, "alert");
+    Objects.requireNonNull(lastHour, "lastHour");
+    Objects.requireNonNull(lastDays, "lastDays");
     windows = List.copyOf(windows);
     if (!(target > 0 && target < 1)) {
       throw new IllegalArgumentException(
@@ -53,6 +63,9 @@
         && target == other.target
         && latency.equals(other.latency)
         && declaredWindow.equals(other.declaredWindow)
+        && budgetWindow.equals(other.budgetWindow)
+        && lastHour.step().equals(other.lastHour.step())
+        && lastDays.step().equals(other.lastDays.step())
         && windows.stream()
             .map(WindowBurn::window)
             .toList()
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/Timeline.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/Timeline.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 
@@ -20,6 +21,7 @@
 
   /** Copies the points. */
   public Timeline {
+    Objects.requireNonNull(start, "start");
     points = List.copyOf(points);
     if (step.isNegative() || step.isZero()) {
       throw new IllegalArgumentException("the step of a timeline is not positive: " + step);
--- a/chicorylane/src/main/java/org/chicorylane/internal/report/WindowBurn.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/report/WindowBurn.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.report;
 
 import java.time.Duration;
+import java.util.Objects;
 
 /**
  * How fast an error budget was spent over one window.
@@ -13,6 +14,12 @@
  */
 public record WindowBurn(Duration window, Counts counts, double burnRate) {
 
+  /** Checks that nothing is missing. */
+  public WindowBurn {
+    Objects.requireNonNull(window, "window");
+    Objects.requireNonNull(counts, "counts");
+  }
+
   static WindowBurn of(Duration window, Counts counts, double target) {
     return new WindowBurn(window, counts, counts.burnRate(target));
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/report/BurnFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/report/BurnFixture.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import org.chicorylane.internal.declaration.DatabaseGroup;
 import org.chicorylane.internal.declaration.Declarations;
 import org.chicorylane.internal.declaration.Objective;
 import org.chicorylane.internal.outcome.NotRunReason;
@@ -24,6 +25,11 @@
     return new Declarations(1, Map.of(), Map.of(), Map.of(), Map.of(objective, declared));
   }
 
+  static Declarations withGroup(String name) {
+    DatabaseGroup group = new DatabaseGroup(name, "d", "u", "p", "liben-1", List.of());
+    return new Declarations(1, Map.of(name, group), Map.of(), Map.of(), Map.of());
+  }
+
   static Outcome notRun(NotRunReason reason) {
     return new Outcome.NotRun(reason, Duration.ZERO, "");
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/report/BurnReportTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/report/BurnReportTest.java
@@ -6,7 +6,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.chicorylane.internal.declaration.Declarations;
 import org.chicorylane.internal.outcome.NotRunReason;
 import org.chicorylane.internal.outcome.Outcome;
@@ -135,7 +137,10 @@
 
   @Test
   void testJsonRejectsWhatIsNoReport() {
-    for (String bad : List.of("", "null", "[]", "{}", "{\"at\":\"soon\"}", "<html>")) {
+    String missingGroup =
+        BurnJson.write(gaps(gap("plans", 0, 4))).replace("\"group\":\"plans\",", "");
+    for (String bad :
+        List.of("", "null", "[]", "{}", "{\"at\":\"soon\"}", missingGroup, "<html>")) {
       assertThat(BurnJson.read(bad)).isEmpty();
     }
   }
@@ -150,6 +155,54 @@
     assertThat(page).contains("src=\"data:image/png;base64,iVBORw0KGgo");
   }
 
+  @Test
+  void testRingAgreesWithListOfEvents() {
+    Random random = new Random(20260301);
+    CountRing ring = new CountRing(Duration.ofSeconds(10), 12);
+    List<Instant> events = new ArrayList<>();
+    Instant now = START;
+    for (int i = 0; i < 5000; i++) {
+      now = now.plusMillis(random.nextInt(20) == 0 ? random.nextInt(200_000) : random.nextInt(900));
+      ring.add(false, now);
+      events.add(now);
+      int buckets = 1 + random.nextInt(12);
+      long end = Math.floorDiv(now.getEpochSecond(), 10) + 1;
+      Instant first = Instant.ofEpochSecond((end - buckets) * 10);
+      assertThat(ring.sum(Duration.ofSeconds(10L * buckets), now).bad())
+          .isEqualTo(events.stream().filter(e -> !e.isBefore(first)).count());
+    }
+  }
+
+  @Test
+  void testGapEndsWithWriteSubmittedWithinIt() {
+    Declarations plans = BurnFixture.withGroup("plans");
+    levels.writesStopped(plans, "plans", START);
+    levels.writesStopped(plans, "plans", START.plusSeconds(1));
+    levels.writesStopped(plans, "unheard-of", START);
+    Instant late = START.plusSeconds(2);
+    levels.writeLanded("plans", START.minusMillis(1), late);
+    assertThat(levels.report(plans, late).failoverGaps())
+        .containsExactly(new FailoverGap("plans", START, null));
+    levels.writeLanded("plans", START.plusMillis(1), late);
+    assertThat(levels.report(plans, late).failoverGaps()).containsExactly(gap("plans", 0, 2));
+    assertThat(levels.report(plans, late.plus(Duration.ofDays(4))).failoverGaps()).isEmpty();
+  }
+
+  @Test
+  void testReplicaShareOfReads() {
+    Declarations plans = BurnFixture.withGroup("plans");
+    for (int i = 0; i < 4; i++) {
+      levels.recordRead(plans, "plans", i != 0, START);
+    }
+    levels.recordRead(plans, "unheard-of", true, START);
+    Instant later = START.plus(Duration.ofHours(2));
+    assertThat(levels.report(plans, later).reads())
+        .containsExactly(
+            new GroupReads("plans", Duration.ofHours(1), 0, 0),
+            new GroupReads("plans", Duration.ofDays(3), 3, 1));
+    assertThat(new GroupReads("plans", Duration.ofDays(3), 3, 1).replicaShare()).isEqualTo(0.75);
+  }
+
   private ObjectiveBurn burnAt(Instant now) {
     return levels.report(ALL, now).objectives().get(0);
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/report/MetricsPageTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/report/MetricsPageTest.java
@@ -23,7 +23,7 @@
     submit("billing", BurnFixture.notRun(NotRunReason.OVERLOADED));
     String page = new MetricsPage(registry).render();
     assertThat(page).contains("not_run_overloaded_total 1.0");
-    assertThat(page).contains("outcomes_undeclared_notrun_total 1.0");
+    assertThat(page).contains("outcomes_undeclared_not_run_total 1.0");
     assertThat(page).contains("requests_undeclared_count 1");
   }
 
