Mount reports and metrics, purge the ledger, wire operators

Walked by hand with three processes: apply into an empty platform, wait for in-force, writes, drain of the primary plans-liben (writes went on at plans-chodov), burn report, metrics.

--- a/bench/src/main/java/org/chicorylane/bench/Main.java
+++ b/bench/src/main/java/org/chicorylane/bench/Main.java
@@ -13,6 +13,7 @@
 import org.chicorylane.internal.command.DiffCommand;
 import org.chicorylane.internal.command.ExitCode;
 import org.chicorylane.internal.command.GetCommand;
+import org.chicorylane.internal.command.ReportCommand;
 import org.chicorylane.internal.command.ServeCommand;
 import org.chicorylane.internal.command.ServerStateCommand;
 import org.chicorylane.internal.command.StatusCommand;
@@ -33,7 +34,8 @@
           new WaitCommand(),
           new ServerStateCommand(ServerStateCommand.Verb.DRAIN),
           new ServerStateCommand(ServerStateCommand.Verb.JOIN),
-          new StatusCommand());
+          new StatusCommand(),
+          new ReportCommand());
 
   private Main() {}
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.chicorylane.internal.declaration.DatabaseGroup;
+import org.chicorylane.internal.failover.CloseReason;
 import org.chicorylane.internal.failover.HomeAction;
 import org.chicorylane.internal.failover.HomeEvent;
 import org.chicorylane.internal.failover.HomeMachine;
@@ -143,6 +144,9 @@
       work.openWrites(open);
     } else if (action instanceof HomeAction.CloseWrites close) {
       Logger.info("group {}: writes closed: {}", name, close.reason());
+      if (close.reason() == CloseReason.PRIMARY_SUSPECTED) {
+        environment.writesStopped().accept(name);
+      }
       work.closeWrites(close.reason());
     } else if (action instanceof HomeAction.UseServer use) {
       work.useServer(use.server(), use.role(), control.serverStart(use.server()));
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -32,6 +32,7 @@
 import org.chicorylane.internal.relay.GroupRequest;
 import org.chicorylane.internal.relay.RequestKind;
 import org.chicorylane.internal.routing.RoutingDecision;
+import org.chicorylane.internal.statement.Statement;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -46,6 +47,7 @@
 
   private static final Duration EXPECTED_FAILOVER = Duration.ofSeconds(2);
   private static final Duration LEDGER_RETRY = Duration.ofMillis(100);
+  private static final Duration PURGE_INTERVAL = Duration.ofMinutes(10);
   private static final Duration ABANDON_AFTER = Duration.ofSeconds(2);
   private static final String INSUFFICIENT_RESOURCES = "53";
 
@@ -65,6 +67,7 @@
   private HomeAction.@Nullable OpenWrites opening;
   private HomeAction.@Nullable OpenWrites writes;
   private @Nullable String movedTo;
+  private Instant nextPurge = Instant.MIN;
   private long ledgerTerm;
   private long nextTicket = 1;
 
@@ -227,6 +230,10 @@
 
   void tick(Instant now) {
     confirmations.expire(now);
+    if (now.isAfter(nextPurge)) {
+      nextPurge = now.plus(PURGE_INTERVAL);
+      purgeLedger(now);
+    }
     perform(queue.tick(now));
     for (InteractiveTransactions.Open t : transactions.removeIdle(now)) {
       ServerInUse server = servers.get(t.server());
@@ -424,7 +431,7 @@
     primary
         .pool()
         .take()
-        .thenCompose(r -> LedgerSetup.run(r, primary.pool()))
+        .thenCompose(r -> LedgerUpkeep.create(r, primary.pool()))
         .thenAcceptAsync(
             created -> {
               if (created) {
@@ -438,6 +445,16 @@
             executor);
   }
 
+  private void purgeLedger(Instant now) {
+    ServerInUse primary = writes == null ? null : servers.get(writes.primary());
+    if (primary == null) {
+      return;
+    }
+    Statement purge = RequestLedger.purge(now, environment.limits().ledgerRetention());
+    ServerPool pool = primary.pool();
+    pool.take().thenAccept(r -> LedgerUpkeep.purge(r, pool, purge));
+  }
+
   private void doubtRunning(ServerInUse server, String why) {
     for (Ticket t : List.copyOf(server.running())) {
       if (!t.isDone() && t.wasSent()) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/HomeEnvironment.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/HomeEnvironment.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.time.InstantSource;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.chicorylane.internal.backend.ServerConnector;
 import org.chicorylane.internal.declaration.Declarations;
@@ -23,6 +24,7 @@
  * @param declarations what is declared at the moment
  * @param timings the timings of failover
  * @param limits what a home lets in and keeps
+ * @param writesStopped told of a group whose primary was lost
  * @param clock tells the time
  * @param metrics where homes are measured
  */
@@ -35,5 +37,6 @@
     Supplier<Declarations> declarations,
     HomeTimings timings,
     HomeLimits limits,
+    Consumer<String> writesStopped,
     InstantSource clock,
     MetricRegistry metrics) {}
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/LedgerSetup.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/LedgerUpkeep.java
@@ -8,9 +8,9 @@
 import org.chicorylane.internal.statement.Statement;
 import org.tinylog.Logger;
 
-/** Creates the request ledger's table on a new primary. Stateless and thread-safe. */
-final class LedgerSetup {
-  private LedgerSetup() {}
+/** Creates and purges the request ledger's table on the primary. Stateless and thread-safe. */
+final class LedgerUpkeep {
+  private LedgerUpkeep() {}
 
   /**
    * Creates the table where it does not exist.
@@ -18,7 +18,7 @@
    * @return completes with false if it should be tried again; a server that refuses is left as it
    *     is, since requests without idempotency keys need no ledger
    */
-  static CompletableFuture<Boolean> run(ConnectResult result, ServerPool pool) {
+  static CompletableFuture<Boolean> create(ConnectResult result, ServerPool pool) {
     if (!(result instanceof ConnectResult.Opened opened)) {
       return CompletableFuture.completedFuture(false);
     }
@@ -44,4 +44,23 @@
             },
             pool.executor());
   }
+
+  /** Deletes entries that are older than their retention; what fails is tried the next time. */
+  static void purge(ConnectResult result, ServerPool pool, Statement purge) {
+    if (!(result instanceof ConnectResult.Opened opened)) {
+      return;
+    }
+    ServerConnection connection = opened.connection();
+    connection
+        .run(List.of(purge))
+        .thenAcceptAsync(
+            outcomes -> {
+              if (outcomes.get(0) instanceof StatementOutcome.Lost) {
+                pool.discard(connection);
+              } else {
+                pool.giveBack(connection);
+              }
+            },
+            pool.executor());
+  }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/instance/Instance.java
@@ -33,9 +33,14 @@
 import org.chicorylane.internal.platform.EndpointSliceInstanceList;
 import org.chicorylane.internal.platform.EtcdKeyValueStore;
 import org.chicorylane.internal.relay.EntryRouter;
+import org.chicorylane.internal.relay.GroupService;
 import org.chicorylane.internal.relay.RelayClient;
 import org.chicorylane.internal.relay.RelayServer;
 import org.chicorylane.internal.relay.RelayTimings;
+import org.chicorylane.internal.report.MeasuredGroupService;
+import org.chicorylane.internal.report.MetricsPage;
+import org.chicorylane.internal.report.ReportPages;
+import org.chicorylane.internal.report.ServiceLevels;
 import org.chicorylane.internal.session.SessionIds;
 import org.chicorylane.internal.session.SessionTokenCodec;
 import org.chicorylane.internal.settings.TlsFiles;
@@ -64,6 +69,7 @@
   private final Vertx vertx = Vertx.vertx();
   private final MetricRegistry metrics = new MetricRegistry();
   private final InstantSource clock = SteadyInstantSource.start();
+  private final ServiceLevels levels;
   private final EtcdKeyValueStore store;
   private final RelayServer relayServer;
   private final MembershipAgent membership;
@@ -76,6 +82,7 @@
   private volatile boolean draining;
 
   private Instance(Settings settings) {
+    levels = new ServiceLevels(settings.instanceId(), clock.instant());
     store =
         new EtcdKeyValueStore(
             settings.platform().keyValue(), EtcdKeyValueStore.Options.DEFAULT, metrics);
@@ -109,7 +116,7 @@
     callers =
         CallerServer.builder()
             .address(settings.addresses().caller())
-            .service(new EntryRouter(fleet, peers, homes, loops, clock, metrics))
+            .service(measuredService())
             .declarations(declarations::current)
             .tokens(new SessionTokenCodec(settings.sessionKeys(), settings.sessionTokenLength()))
             .ids(new SessionIds(new SecureRandom()))
@@ -197,7 +204,21 @@
     return !draining && declarations.current().revision() > 0;
   }
 
+  private GroupService measuredService() {
+    GroupService router = new EntryRouter(fleet, peers, homes, loops, clock, metrics);
+    return new MeasuredGroupService(router, levels, metrics, declarations::current, clock);
+  }
+
   private OperatorServer startOperators(Settings settings, String token) {
+    OperatorServer server = bindOperators(settings, token);
+    ReportPages pages = new ReportPages(levels, metrics, declarations::current, clock);
+    server.mount("/v1/report/burn", "application/json", pages::burnJson);
+    server.mount("/v1/report/burn.html", "text/html; charset=utf-8", pages::burnHtml);
+    server.mount("/metrics", MetricsPage.CONTENT_TYPE, pages::metricsText);
+    return server;
+  }
+
+  private OperatorServer bindOperators(Settings settings, String token) {
     return OperatorServer.start(
         settings.addresses().operator(),
         token,
@@ -233,6 +254,7 @@
         declarations::current,
         HomeTimings.DEFAULTS,
         settings.homeLimits(),
+        group -> levels.writesStopped(declarations.current(), group, clock.instant()),
         clock,
         metrics);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.tinylog.Logger;
 
@@ -98,6 +99,16 @@
     }
   }
 
+  /**
+   * Serves a page at a path, to holders of the token.
+   *
+   * @param contentType the page's media type
+   * @param page makes the page; called for each request
+   */
+  public void mount(String path, String contentType, Supplier<String> page) {
+    http.createContext(path, exchange -> servePage(exchange, contentType, page));
+  }
+
   /** Returns the address that it is bound to. */
   public InetSocketAddress address() {
     return http.getAddress();
@@ -117,11 +128,29 @@
     }
   }
 
+  private void servePage(HttpExchange exchange, String contentType, Supplier<String> page)
+      throws IOException {
+    try (exchange) {
+      if (!authorized(exchange)) {
+        send(exchange, unauthorized(exchange));
+        return;
+      }
+      byte[] bytes = page.get().getBytes(StandardCharsets.UTF_8);
+      exchange.getResponseHeaders().set("Content-Type", contentType);
+      exchange.sendResponseHeaders(OperatorAnswer.OK, bytes.length);
+      exchange.getResponseBody().write(bytes);
+    }
+  }
+
+  private static OperatorAnswer unauthorized(HttpExchange exchange) {
+    Logger.warn("operator refused: wrong bearer token from {}", exchange.getRemoteAddress());
+    return OperatorAnswer.problem(
+        OperatorAnswer.UNAUTHORIZED, "operator-unauthorized", "the bearer token is not right");
+  }
+
   private OperatorAnswer answer(HttpExchange exchange) throws IOException {
     if (!authorized(exchange)) {
-      Logger.warn("operator refused: wrong bearer token from {}", exchange.getRemoteAddress());
-      return OperatorAnswer.problem(
-          OperatorAnswer.UNAUTHORIZED, "operator-unauthorized", "the bearer token is not right");
+      return unauthorized(exchange);
     }
     byte[] body = exchange.getRequestBody().readNBytes(MAXIMUM_BODY_BYTES + 1);
     if (body.length > MAXIMUM_BODY_BYTES) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFunctionalTest.java
@@ -78,6 +78,7 @@
             () -> declarations,
             HomeTimings.DEFAULTS,
             HomeLimits.defaults(),
+            stopped -> {},
             InstantSource.system(),
             new MetricRegistry());
     home = new HomeRegistry(environment, loops);
