Show no secret in findings, decode absurd numbers, refuse no body that fits

Each has its test: BufferBudgetTest failed with tryTake(2): false beside taken(): 6 over a limit of 4 before the change.

--- a/chicorylane/src/main/java/org/chicorylane/Settings.java
+++ b/chicorylane/src/main/java/org/chicorylane/Settings.java
@@ -91,7 +91,7 @@
     return sessionTokenLength;
   }
 
-  /** Returns the operators' bearer token; without one, operators need none. */
+  /** Returns the operators' bearer token; without one, operators are not served. */
   public Optional<String> operatorToken() {
     return Optional.ofNullable(operatorToken);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/caller/BufferBudget.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/caller/BufferBudget.java
@@ -25,11 +25,16 @@
 
   /** Takes the bytes, unless they would exceed the limit. */
   boolean tryTake(int bytes) {
-    if (taken.addAndGet(bytes) <= limit) {
-      return true;
+    // Adding first and taking back would refuse others, for a moment, what would have fitted.
+    while (true) {
+      long now = taken.get();
+      if (now + bytes > limit) {
+        return false;
+      }
+      if (taken.compareAndSet(now, now + bytes)) {
+        return true;
+      }
     }
-    taken.addAndGet(-bytes);
-    return false;
   }
 
   /** Gives bytes back that were taken. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/failover/GroupRecordCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/failover/GroupRecordCodec.java
@@ -164,7 +164,7 @@
           if (exact >= least) {
             return exact;
           }
-        } catch (ArithmeticException e) {
+        } catch (ArithmeticException | NumberFormatException e) {
           find(path, "expected a whole number but was " + value);
           return least;
         }
--- a/chicorylane/src/main/java/org/chicorylane/internal/json/ObjectReader.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/json/ObjectReader.java
@@ -163,15 +163,32 @@
     }
   }
 
-  /** Returns the element's text as findings quote it, shortened when long. */
+  /**
+   * Returns the element's text as findings quote it, shortened when long; arrays and objects, which
+   * may hold secrets, only by their kind.
+   */
   public static String quote(JsonElement e) {
+    if (e.isJsonArray() && !e.getAsJsonArray().isEmpty()) {
+      return "an array";
+    }
+    if (e.isJsonObject() && !e.getAsJsonObject().isEmpty()) {
+      return "an object";
+    }
     return clip(e.toString());
   }
 
+  /** Returns the element's kind, for places whose values may be secret. */
+  private static String kindOf(JsonElement e) {
+    if (!(e instanceof JsonPrimitive p)) {
+      return quote(e);
+    }
+    return p.isString() ? "a string" : p.isNumber() ? "a number" : "a boolean";
+  }
+
   private Optional<ObjectReader> element(String name, int index, JsonElement e) {
     String place = pathOf(name) + "[" + index + "]";
     if (!e.isJsonObject()) {
-      findings.add(new Finding(source, place, "expected an object, not " + quote(e)));
+      findings.add(new Finding(source, place, "expected an object, not " + kindOf(e)));
       return Optional.empty();
     }
     return Optional.of(new ObjectReader(source, place, e.getAsJsonObject(), findings));
--- a/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorServer.java
@@ -23,7 +23,8 @@
  *
  * <pre>{@code
  * OperatorServer server =
- *     OperatorServer.start(address, token, store, new GossipFleetStatus(agent, feed::current), clock);
+ *     OperatorServer.start(
+ *         address, token, store, new GossipFleetStatus(agent, feed::current), clock);
  * }</pre>
  *
  * <p>It is the JDK's server with a few blocking threads: operators are few and wait for the store
--- a/chicorylane/src/test/java/org/chicorylane/SettingsReaderTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/SettingsReaderTest.java
@@ -134,6 +134,20 @@
     assertThat(findings.toString()).doesNotContain("hidden");
   }
 
+  @Test
+  void testWronglyShapedSessionKeysAreNotShown() {
+    for (String keys :
+        List.of(
+            "{\"id\":\"k\",\"secret\":\"TOPSECRET\"}", "[\"TOPSECRET\"]", "[[\"TOPSECRET\"]]")) {
+      String document =
+          MINIMAL
+              .formatted(SECRET, "")
+              .replaceFirst("(?s)\"sessionKeys\": *\\[.*?\\]", "\"sessionKeys\": " + keys);
+      assertWithMessage(document).that(document).contains("TOPSECRET");
+      assertThat(findings(document).toString()).doesNotContain("TOPSECRET");
+    }
+  }
+
   @Test
   void testExampleFilesAreValidAndShareOneKey() {
     Settings first = null;
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/caller/BufferBudgetTest.java
@@ -0,0 +1,35 @@
+package org.chicorylane.internal.caller;
+
+import org.jetbrains.lincheck.datastructures.IntGen;
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
+import org.junit.jupiter.api.Test;
+
+/** Lincheck compares concurrent use of the budget with its use by one thread. */
+@Param(name = "bytes", gen = IntGen.class, conf = "1:3")
+public final class BufferBudgetTest {
+  private static final int LIMIT = 4;
+
+  private final BufferBudget budget = new BufferBudget(LIMIT);
+
+  @Operation
+  public boolean tryTake(@Param(name = "bytes") int bytes) {
+    return budget.tryTake(bytes);
+  }
+
+  @Operation
+  public long taken() {
+    return budget.taken();
+  }
+
+  @Test
+  void testConcurrentTakesAreLinearizable() {
+    new ModelCheckingOptions()
+        .threads(3)
+        .actorsPerThread(2)
+        .iterations(20)
+        .invocationsPerIteration(300)
+        .check(BufferBudgetTest.class);
+  }
+}
--- a/chicorylane/src/test/java/org/chicorylane/internal/failover/GroupRecordCodecTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/failover/GroupRecordCodecTest.java
@@ -32,6 +32,7 @@
         "{\"term\":\"x\"} | $.term",
         "{\"term\":0} | $.term",
         "{\"term\":1.5} | $.term",
+        "{\"term\":1e99999999999} | $.term",
         "{\"primary\":\"\"} | $.primary",
         "{\"promoter\":7} | $.promoter",
         "{\"history\":[]} | $.history",
