--- a/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/operator/OperatorServer.java
@@ -146,7 +146,7 @@
   private static OperatorAnswer unauthorized(HttpExchange exchange) {
     Logger.warn("operator refused: wrong bearer token from {}", exchange.getRemoteAddress());
     return OperatorAnswer.problem(
-        OperatorAnswer.UNAUTHORIZED, "operator-unauthorized", "the bearer token is not right");
+        OperatorAnswer.UNAUTHORIZED, OperatorProblem.UNAUTHORIZED, "the bearer token is not right");
   }
 
   private OperatorAnswer answer(HttpExchange exchange) throws IOException {
@@ -157,7 +157,7 @@
     if (body.length > MAXIMUM_BODY_BYTES) {
       return OperatorAnswer.problem(
           OperatorAnswer.TOO_LARGE,
-          "operator-invalid",
+          OperatorProblem.INVALID,
           "the body is larger than " + MAXIMUM_BODY_BYTES + " bytes");
     }
     try {
@@ -170,12 +170,14 @@
               body));
     } catch (IllegalArgumentException e) {
       return OperatorAnswer.problem(
-          OperatorAnswer.BAD_REQUEST, "operator-invalid", "the URI or the body is encoded wrongly");
+          OperatorAnswer.BAD_REQUEST,
+          OperatorProblem.INVALID,
+          "the URI or the body is encoded wrongly");
     } catch (RuntimeException e) {
       Logger.error(e, "an operator's request failed");
       return OperatorAnswer.problem(
           OperatorAnswer.INTERNAL_ERROR,
-          "operator-internal-error",
+          OperatorProblem.INTERNAL_ERROR,
           "the instance failed on the request; its log says why");
     }
   }
