Close the control connections of a home that is stopped

Cause: a stopped home, such as that of a group declared no more, kept its control connections and went on without ticks: it lost them to idle_session_timeout every 2 s, opened them and took the locks again, so that no other instance became home in 20 s (testTransactionOfLostHomeIsRolledBack).

Change: stopping closes them, those being opened too, and ends all events.

After: the next home takes the group at once; the test is green.

--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ControlDriver.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ControlDriver.java
@@ -45,6 +45,7 @@
   private final Map<ControlConnection, Session> sessions = new HashMap<>();
   private final Map<String, String> starts = new HashMap<>();
   private DatabaseGroup group;
+  private boolean closed;
 
   /** An open connection and the end of its queue of commands. */
   private static final class Session {
@@ -80,6 +81,12 @@
     return starts.getOrDefault(server, "");
   }
 
+  /** Closes every connection, also those that are still being opened. */
+  void closeAll() {
+    closed = true;
+    List.copyOf(sessions.keySet()).forEach(this::close);
+  }
+
   boolean hasConnections() {
     return !sessions.isEmpty();
   }
@@ -146,6 +153,10 @@
   }
 
   private void opened(ControlConnection id, ServerConnection connection) {
+    if (closed) {
+      connection.close();
+      return;
+    }
     sessions.put(id, new Session(connection));
     starts.put(id.server(), connection.serverStart());
     connection.onClose(() -> executor.execute(() -> lost(id)));
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupHome.java
@@ -43,6 +43,7 @@
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private boolean handling;
   private boolean draining;
+  private boolean stopped;
 
   GroupHome(HomeEnvironment environment, DatabaseGroup group, EventExecutor executor, long seed) {
     this.name = group.name();
@@ -98,9 +99,15 @@
     return drained;
   }
 
+  /** Lets go of the group at once and takes it no more. */
   void stop() {
     ticks.cancel(false);
-    executor.execute(() -> work.released(""));
+    executor.execute(
+        () -> {
+          stopped = true;
+          control.closeAll();
+          work.released("");
+        });
   }
 
   private void tick() {
@@ -114,6 +121,9 @@
 
   /** Events that actions cause at once wait until the actions before them are done. */
   private void handle(HomeEvent event) {
+    if (stopped) {
+      return;
+    }
     events.add(event);
     if (handling) {
       return;
