Abandon silent connections of servers that were dropped meanwhile

Cause: a request past its deadline ends its connection only if its server is the one in use. When all connections fall silent, the servers are dropped and used again under the same names before that, so the old requests kept the primary's slots for good, and no write was served in 20 s (testSilentConnectionsEndRequestsWithoutFailover).

Ruled out: a failover; the locks were taken again within a second.

Change: the request itself knows whether it still occupies its connection.

--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -477,15 +477,8 @@
       return;
     }
     ticket.doubt(Retry.SOON, "the deadline passed while the request was running");
-    executor.schedule(
-        () -> abandonIfRunning(ticket), ABANDON_AFTER.toMillis(), TimeUnit.MILLISECONDS);
-  }
-
-  /** A connection that still has not answered is taken for silent. */
-  private void abandonIfRunning(Ticket ticket) {
-    if (servers.values().stream().anyMatch(s -> s.running().contains(ticket))) {
-      ticket.abandonConnection();
-    }
+    // A connection that still has not answered by then is taken for silent.
+    executor.schedule(ticket::abandonConnection, ABANDON_AFTER.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void refuseWaiting() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
@@ -20,6 +20,7 @@
   private final Instant arrival;
   private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
   private @Nullable ServerConnection connection;
+  private boolean running;
   private long term;
   private int epoch;
 
@@ -70,15 +71,21 @@
   /** Notes the backend connection that the request's statements are being given to. */
   void sendTo(ServerConnection backend) {
     connection = backend;
+    running = true;
   }
 
   boolean wasSent() {
     return connection != null;
   }
 
-  /** Ends the connection that the request was given to: nobody waits for its answer any more. */
+  /** Notes that the connection is free for others. */
+  void leaveConnection() {
+    running = false;
+  }
+
+  /** Ends the connection if the request still occupies it: nobody waits for its answer. */
   void abandonConnection() {
-    if (connection != null) {
+    if (connection != null && running) {
       connection.close();
     }
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/WorkRunner.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/WorkRunner.java
@@ -172,6 +172,7 @@
 
   private void end(
       Ticket ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution) {
+    ticket.leaveConnection();
     server.running().remove(ticket);
     listener.onEnded(ticket, server, sentAt, execution);
   }
