Check slots in the tests of moving homes; mend two style findings

Cause: Checkstyle refused the fixture (overloads apart, a variable far from its use), and the audit of moves had no bound on slots.

--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFaultsFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFaultsFunctionalTest.java
@@ -74,7 +74,7 @@
       }
       fixture.assertLoggedOnce(writers.stop());
     }
-    fixture.assertWithinConnections();
+    fixture.assertWithinLimits();
   }
 
   @Test
@@ -88,7 +88,7 @@
       fixture.await("more writes landed", () -> writers.acknowledged().size() > target);
       fixture.assertLoggedOnce(writers.stop());
     }
-    fixture.assertWithinConnections();
+    fixture.assertWithinLimits();
   }
 
   @Test
@@ -97,7 +97,7 @@
     fixture.write(fixture.entry(0), "before", null);
     fixture.server(2).replayDelay(Duration.ofSeconds(3));
     fixture.server(3).replayDelay(Duration.ofSeconds(3));
-    fixture.home(0).submit(fixture.write("lost-answer", null, "session-2"));
+    fixture.home(0).submit(fixture.insertRequest("lost-answer", null, "session-2"));
     fixture.await("the write is committed", () -> fixture.logged("lost-answer") == 1);
     fixture.order(1, 0);
     fixture.await(
@@ -225,7 +225,7 @@
     start(1);
     fixture.write(fixture.entry(0), "before", null);
     GroupRequest request =
-        fixture.write(List.of(HomeFixture.insert("a"), new Statement(sql, List.of())), null);
+        fixture.writeRequest(List.of(HomeFixture.insert("a"), new Statement(sql, List.of())), null);
     Outcome outcome = fixture.submitUntilServed(fixture.entry(0), request);
     assertThat(((Outcome.NotRun) outcome).reason()).isEqualTo(NotRunReason.NOT_ALLOWED);
     assertThat(((Outcome.NotRun) outcome).detail()).contains("$.statements[1].sql");
@@ -238,7 +238,7 @@
     Outcome outcome =
         fixture
             .entry(0)
-            .submit(fixture.write(List.of(sql), null))
+            .submit(fixture.writeRequest(List.of(sql), null))
             .get(HomeFixture.PATIENCE.toSeconds(), TimeUnit.SECONDS);
     assertThat(((Outcome.NotRun) outcome).reason()).isEqualTo(NotRunReason.NOT_ALLOWED);
   }
@@ -270,7 +270,7 @@
   private void assertOldPrimaryIsHarmless(StandInServer old, Runnable fault, Runnable end) {
     fixture.write(fixture.entry(0), "before", null);
     fault.run();
-    Map<String, CompletableFuture<Outcome>> sent = inFlight("during");
+    final Map<String, CompletableFuture<Outcome>> sent = inFlight("during");
     Outcome.Completed after = fixture.write(fixture.entry(1), "after", "key-after");
     assertThat(after.position().term()).isEqualTo(2);
     end.run();
@@ -295,7 +295,7 @@
     for (int i = 0; i < 6; i++) {
       String id = prefix + "-" + i;
       GroupService path = i % 2 == 0 ? fixture.entry(0) : fixture.home(0);
-      sent.put(id, path.submit(fixture.write(id, null, "session-1")));
+      sent.put(id, path.submit(fixture.insertRequest(id, null, "session-1")));
     }
     return sent;
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFixture.java
@@ -272,7 +272,7 @@
   }
 
   Outcome.Completed write(GroupService service, String id, String key) {
-    return completed(service, write(id, key, "session-1"));
+    return completed(service, insertRequest(id, key, "session-1"));
   }
 
   Outcome.Completed completed(GroupService service, GroupRequest request) {
@@ -305,11 +305,11 @@
     return ((SqlValue.Int) done.results().get(0).rows().get(0).get(0)).value();
   }
 
-  GroupRequest write(String id, String key, String session) {
+  GroupRequest insertRequest(String id, String key, String session) {
     return request(RequestKind.WRITE, List.of(insert(id)), session, null, null, key, null);
   }
 
-  GroupRequest write(List<Statement> statements, String key) {
+  GroupRequest writeRequest(List<Statement> statements, String key) {
     return request(RequestKind.WRITE, statements, "session-1", null, null, key, null);
   }
 
@@ -385,9 +385,10 @@
     }
   }
 
-  void assertWithinConnections() {
+  void assertWithinLimits() {
     for (StandInServer s : servers.servers()) {
       assertWithMessage("%s", s).that(s.peakConnections()).isAtMost(CONNECTIONS);
+      assertWithMessage("%s", s).that(s.peakSlotDemand()).isAtMost(SLOTS);
       assertWithMessage("refused by %s", s).that(s.refusedConnections()).isEqualTo(0);
     }
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFunctionalTest.java
@@ -46,7 +46,7 @@
   @Test
   void testSameKeyWithAnotherRequestIsRefused() {
     write("a", "key-1");
-    Outcome other = submitUntilServed(fixture.write("b", "key-1", "session-1"));
+    Outcome other = submitUntilServed(fixture.insertRequest("b", "key-1", "session-1"));
     assertThat(((Outcome.NotRun) other).reason()).isEqualTo(NotRunReason.KEY_REUSED);
   }
 
@@ -55,7 +55,7 @@
     List<Statement> twice =
         List.of(
             HomeFixture.insert("a"), new Statement("INSERT INTO nowhere VALUES (1)", List.of()));
-    Outcome refused = submitUntilServed(fixture.write(twice, "key-1"));
+    Outcome refused = submitUntilServed(fixture.writeRequest(twice, "key-1"));
     assertThat(((Outcome.Rejected) refused).statementIndex()).isEqualTo(1);
     assertThat(count("a", write("b", null))).isEqualTo(0);
   }
@@ -63,7 +63,8 @@
   @Test
   void testTransactionControlIsRefusedWithItsPlace() {
     Outcome refused =
-        submitUntilServed(fixture.write(List.of(new Statement("/* x */ COMMIT", List.of())), null));
+        submitUntilServed(
+            fixture.writeRequest(List.of(new Statement("/* x */ COMMIT", List.of())), null));
     assertThat(((Outcome.NotRun) refused).reason()).isEqualTo(NotRunReason.NOT_ALLOWED);
     assertThat(((Outcome.NotRun) refused).detail()).contains("$.statements[0].sql");
   }
