--- a/bench/src/main/java/org/chicorylane/bench/Main.java
+++ b/bench/src/main/java/org/chicorylane/bench/Main.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.chicorylane.bench.demo.DemoCommand;
 import org.chicorylane.bench.fleet.StandInsCommand;
+import org.chicorylane.bench.load.BenchCommand;
 import org.chicorylane.internal.command.CheckCommand;
 import org.chicorylane.internal.command.Command;
 import org.chicorylane.internal.command.ExitCode;
@@ -14,7 +15,12 @@
 /** Runs the chicorylane program. */
 public final class Main {
   private static final List<Command> COMMANDS =
-      List.of(new DemoCommand(), new ServeCommand(), new CheckCommand(), new StandInsCommand());
+      List.of(
+          new DemoCommand(),
+          new ServeCommand(),
+          new CheckCommand(),
+          new StandInsCommand(),
+          new BenchCommand());
 
   private Main() {}
 
--- a/bench/src/main/java/org/chicorylane/bench/demo/Auditor.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/Auditor.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.chicorylane.standin.database.LogRecord;
 import org.chicorylane.standin.database.LoggedStatement;
 import org.chicorylane.standin.database.StandInGroup;
@@ -11,9 +12,17 @@
  * Compares what callers were told with the logs of the database stand-ins.
  *
  * <p>Every acknowledged insert must be in the log of the newest primary, no insert may be there
- * twice, and none that a caller was told was not run may have been committed anywhere.
+ * twice, and none that a caller was told was not run may have been committed anywhere. Looks at the
+ * inserts of {@link SessionSchema#CHECK_IN} and {@link SessionSchema#BILLING} by their first
+ * parameter.
+ *
+ * <pre>{@code
+ * Auditor.Findings findings = Auditor.audit(group, acknowledgedIds, notRunIds);
+ * }</pre>
+ *
+ * <p>Stateless and thread-safe, but the group must be at rest.
  */
-final class Auditor {
+public final class Auditor {
 
   /**
    * What the audit of one group found.
@@ -22,8 +31,9 @@
    * @param doubled writes that it has more than once
    * @param notRunButRan writes that some server committed although the caller was told otherwise
    */
-  record Findings(long lost, long doubled, long notRunButRan) {
-    Findings plus(Findings other) {
+  public record Findings(long lost, long doubled, long notRunButRan) {
+    /** Returns the sums of both. */
+    public Findings plus(Findings other) {
       return new Findings(
           lost + other.lost, doubled + other.doubled, notRunButRan + other.notRunButRan);
     }
@@ -32,14 +42,24 @@
   private Auditor() {}
 
   static Findings audit(StandInGroup group, Told told) {
+    return audit(group, told.acknowledged(group.name()), told.refused(group.name()));
+  }
+
+  /**
+   * Audits one group.
+   *
+   * @param group the group, at rest
+   * @param acknowledged identifiers of the inserts that callers were told have landed
+   * @param notRun identifiers of the inserts that callers were told were never run
+   */
+  public static Findings audit(StandInGroup group, Set<String> acknowledged, Set<String> notRun) {
     StandInServer primary = group.newestPrimary();
     Map<String, Integer> kept = primary == null ? Map.of() : inserts(primary);
-    long lost =
-        told.acknowledged(group.name()).stream().filter(id -> !kept.containsKey(id)).count();
-    long doubled = kept.values().stream().filter(n -> n > 1).count();
+    final long lost = acknowledged.stream().filter(id -> !kept.containsKey(id)).count();
+    final long doubled = kept.values().stream().filter(n -> n > 1).count();
     Map<String, Integer> anywhere = new HashMap<>();
     group.servers().forEach(s -> anywhere.putAll(inserts(s)));
-    long ran = told.refused(group.name()).stream().filter(anywhere::containsKey).count();
+    long ran = notRun.stream().filter(anywhere::containsKey).count();
     return new Findings(lost, doubled, ran);
   }
 
@@ -47,7 +67,7 @@
     Map<String, Integer> counts = new HashMap<>();
     for (LogRecord record : server.log()) {
       for (LoggedStatement s : record.statements()) {
-        if (s.sql().equals(SessionLoop.CHECK_IN) || s.sql().equals(SessionLoop.BILLING)) {
+        if (s.sql().equals(SessionSchema.CHECK_IN) || s.sql().equals(SessionSchema.BILLING)) {
           counts.merge(String.valueOf(s.parameters().get(0)), 1, Integer::sum);
         }
       }
--- a/bench/src/main/java/org/chicorylane/bench/demo/SessionLoop.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/SessionLoop.java
@@ -14,8 +14,6 @@
  * older one is stale. Writes without a clear answer are asked again with the same key.
  */
 final class SessionLoop implements Runnable {
-  static final String CHECK_IN = "INSERT INTO check_in (id, plan_id) VALUES ($1, $2)";
-  static final String BILLING = "INSERT INTO billing (id, plan_id, amount) VALUES ($1, $2, $3)";
   static final String RENEW = "UPDATE plan SET version = $1 WHERE id = $2 AND version < $3";
   private static final String LOOK_UP =
       "SELECT version, CAST($1 AS varchar(80)) FROM plan WHERE id = $2";
@@ -67,9 +65,9 @@
       if (die < 70) {
         lookUp();
       } else if (die < 85) {
-        insert("check-in", CHECK_IN, false);
+        insert("check-in", SessionSchema.CHECK_IN, false);
       } else if (die < 93) {
-        insert("billing", BILLING, true);
+        insert("billing", SessionSchema.BILLING, true);
       } else {
         renew();
       }
--- a/bench/src/main/java/org/chicorylane/bench/demo/SessionSchema.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/SessionSchema.java
@@ -8,6 +8,13 @@
   /** How many plans there are. */
   public static final int PLANS = 100;
 
+  /** Inserts a check-in: its identifier and the plan's. */
+  public static final String CHECK_IN = "INSERT INTO check_in (id, plan_id) VALUES ($1, $2)";
+
+  /** Inserts a billing change: its identifier, the plan's and the amount. */
+  public static final String BILLING =
+      "INSERT INTO billing (id, plan_id, amount) VALUES ($1, $2, $3)";
+
   /** The statements that make the tables. */
   public static final List<String> STATEMENTS = statements();
 
--- a/bench/src/main/java/org/chicorylane/bench/demo/Told.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/Told.java
@@ -48,6 +48,10 @@
     notRun.computeIfAbsent(group, g -> ConcurrentHashMap.newKeySet()).add(id);
   }
 
+  Set<String> refused(String group) {
+    return notRun.getOrDefault(group, Set.of());
+  }
+
   void unresolved() {
     unresolved.increment();
   }
@@ -62,10 +66,6 @@
     violations.add("mixed: " + evidence);
   }
 
-  Set<String> refused(String group) {
-    return notRun.getOrDefault(group, Set.of());
-  }
-
   Set<String> acknowledged(String group) {
     return acknowledged.getOrDefault(group, Set.of());
   }
