--- a/bench/src/main/java/org/chicorylane/bench/Main.java
+++ b/bench/src/main/java/org/chicorylane/bench/Main.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.chicorylane.bench.demo.DemoCommand;
 import org.chicorylane.bench.fleet.StandInsCommand;
+import org.chicorylane.bench.load.BenchCommand;
 import org.chicorylane.internal.command.ApplyCommand;
 import org.chicorylane.internal.command.CheckCommand;
 import org.chicorylane.internal.command.Command;
@@ -35,7 +36,8 @@
           new ServerStateCommand(ServerStateCommand.Verb.DRAIN),
           new ServerStateCommand(ServerStateCommand.Verb.JOIN),
           new StatusCommand(),
-          new ReportCommand());
+          new ReportCommand(),
+          new BenchCommand());
 
   private Main() {}
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -68,6 +68,7 @@
   private HomeAction.@Nullable OpenWrites writes;
   private @Nullable String movedTo;
   private Instant nextPurge = Instant.MIN;
+  private String lastPrimary = "";
   private long ledgerTerm;
   private long nextTicket = 1;
 
@@ -145,7 +146,6 @@
   }
 
   void closeWrites(CloseReason reason) {
-    HomeAction.OpenWrites closed = writes;
     writes = null;
     opening = null;
     reads.closed(reason);
@@ -156,12 +156,13 @@
     }
     if (reason.endsPending()) {
       confirmations.end();
-      endWorkOn(closed);
+      endWorkOnLastPrimary();
     }
   }
 
-  private void endWorkOn(HomeAction.@Nullable OpenWrites closed) {
-    ServerInUse replaced = closed == null ? null : servers.get(closed.primary());
+  /** Writes were closed on suspicion before, so the primary is the one that was open last. */
+  private void endWorkOnLastPrimary() {
+    ServerInUse replaced = servers.get(lastPrimary);
     if (replaced != null) {
       doubtRunning(replaced, "the primary \"" + replaced.name() + "\" is being replaced");
     }
@@ -417,6 +418,7 @@
   private void writesOpen(HomeAction.OpenWrites opened) {
     if (opened.equals(opening)) {
       writes = opened;
+      lastPrimary = opened.primary();
       reads.opened(opened);
       perform(queue.primaryIs(opened.primary(), now()));
     }
@@ -459,6 +461,7 @@
     for (Ticket t : List.copyOf(server.running())) {
       if (!t.isDone() && t.wasSent()) {
         t.doubt(Retry.SOON, why);
+        t.abandonConnection();
       }
     }
     for (InteractiveTransactions.Open t : transactions.removeAll(server.name())) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/json/ObjectReader.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/json/ObjectReader.java
@@ -177,18 +177,16 @@
     return clip(e.toString());
   }
 
-  /** Returns the element's kind, for places whose values may be secret. */
-  private static String kindOf(JsonElement e) {
-    if (!(e instanceof JsonPrimitive p)) {
-      return quote(e);
-    }
-    return p.isString() ? "a string" : p.isNumber() ? "a number" : "a boolean";
+  /** Quotes an element where an object was expected; a string there may be a secret. */
+  private static String quoteUnlessText(JsonElement e) {
+    boolean text = e instanceof JsonPrimitive p && p.isString();
+    return text ? "a string" : quote(e);
   }
 
   private Optional<ObjectReader> element(String name, int index, JsonElement e) {
     String place = pathOf(name) + "[" + index + "]";
     if (!e.isJsonObject()) {
-      findings.add(new Finding(source, place, "expected an object, not " + kindOf(e)));
+      findings.add(new Finding(source, place, "expected an object, not " + quoteUnlessText(e)));
       return Optional.empty();
     }
     return Optional.of(new ObjectReader(source, place, e.getAsJsonObject(), findings));
--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFaultsFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFaultsFunctionalTest.java
@@ -26,6 +26,8 @@
 
 /** What homes promise while servers, connections, the key-value service or homes fail. */
 final class HomeFaultsFunctionalTest {
+  private static final Duration LONG_DEADLINE = Duration.ofMinutes(5);
+
   private static final int WRITERS = 4;
 
   private HomeFixture fixture;
@@ -49,6 +51,19 @@
     assertOldPrimaryIsHarmless(old, () -> old.isolateCallers("chicorylane"), old::endIsolation);
   }
 
+  @Test
+  void testRequestsOnReplacedPrimaryAreAnsweredLongBeforeTheirDeadline() {
+    start(3);
+    fixture.write(fixture.entry(0), "before", null);
+    StandInServer old = fixture.server(1);
+    old.isolateCallers("chicorylane");
+    GroupRequest patient = fixture.insertRequest("patient", null, "session-1", LONG_DEADLINE);
+    CompletableFuture<Outcome> answer = fixture.home(0).submit(patient);
+    fixture.await("the request on the replaced primary has its answer", answer::isDone);
+    assertThat(answer.join()).isInstanceOf(Outcome.Unknown.class);
+    old.endIsolation();
+  }
+
   @Test
   void testSilentConnectionsEndRequestsWithoutFailover() {
     start(3);
--- a/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/home/HomeFixture.java
@@ -312,6 +312,24 @@
     return request(RequestKind.WRITE, List.of(insert(id)), session, null, null, key, null);
   }
 
+  /** Returns an insert whose caller waits longer than others. */
+  GroupRequest insertRequest(String id, String key, String session, Duration patience) {
+    GroupRequest r = insertRequest(id, key, session);
+    return new GroupRequest(
+        r.requestId(),
+        r.group(),
+        r.kind(),
+        r.statements(),
+        r.requestClass(),
+        r.maximumAge(),
+        r.sessionId(),
+        r.floor(),
+        r.idempotencyKey(),
+        r.repeatable(),
+        r.transaction(),
+        Instant.now().plus(patience));
+  }
+
   GroupRequest writeRequest(List<Statement> statements, String key) {
     return request(RequestKind.WRITE, statements, "session-1", null, null, key, null);
   }
