Make the callers' curl lines run against the example stand-ins

Cause: the page created its table through a write, which the statement guard refuses. Before: 422 on the first write.

--- a/bench/src/main/java/org/chicorylane/bench/demo/SessionSchema.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/SessionSchema.java
@@ -27,6 +27,7 @@
     all.add(
         "CREATE TABLE billing (id varchar(80) NOT NULL, plan_id int NOT NULL,"
             + " amount bigint NOT NULL)");
+    all.add("CREATE TABLE renewals (plan bigint, note text)");
     for (int i = 0; i < PLANS; i++) {
       all.add("INSERT INTO plan (id, version) VALUES (" + i + ", 0)");
     }
