Name a home's requests apart from admission's tickets

Cause: read as a newcomer: two classes were called Ticket, and GroupWork spelled one out by its package. The home's is PendingRequest now. The report command repeated the operators' default address and the token's variable; it uses those of OperatorOptions. No check has changed.

--- a/chicorylane/src/main/java/org/chicorylane/internal/command/OperatorOptions.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/OperatorOptions.java
@@ -22,8 +22,8 @@
  * @param json whether results are printed as JSON
  */
 record OperatorOptions(CommandLine line, OperatorClient client, boolean json) {
-  private static final String DEFAULT_URL = "http://127.0.0.1:7403";
-  private static final String TOKEN_VARIABLE = "CHICORYLANE_TOKEN";
+  static final String DEFAULT_URL = "http://127.0.0.1:7403";
+  static final String TOKEN_VARIABLE = "CHICORYLANE_TOKEN";
 
   /**
    * Returns the options, or nothing after a complaint.
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
@@ -33,8 +33,6 @@
  */
 public final class ReportCommand implements Command {
   private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(10);
-  private static final String DEFAULT_OPERATOR = "http://127.0.0.1:7403";
-  private static final String TOKEN_VARIABLE = "CHICORYLANE_TOKEN";
   private static final int HTTP_OK = 200;
 
   @Override
@@ -77,7 +75,7 @@
       return ExitCode.USAGE;
     }
     String[] urls = line.getOptionValues("operator");
-    List<String> operators = urls == null ? List.of(DEFAULT_OPERATOR) : List.of(urls);
+    List<String> operators = urls == null ? List.of(OperatorOptions.DEFAULT_URL) : List.of(urls);
     BurnReport merged = null;
     HttpClient client = HttpClient.newBuilder().connectTimeout(FETCH_TIMEOUT).build();
     for (String operator : operators.stream().distinct().toList()) {
@@ -94,7 +92,7 @@
 
   private static @Nullable String tokenOf(CommandLine line) {
     String token = line.getOptionValue("token");
-    return token == null ? System.getenv(TOKEN_VARIABLE) : token;
+    return token == null ? System.getenv(OperatorOptions.TOKEN_VARIABLE) : token;
   }
 
   private static Optional<BurnReport> fetch(
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/Confirmations.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/Confirmations.java
@@ -24,7 +24,7 @@
   private final Consumer<String> settledOn;
 
   private record Waiting(
-      Ticket ticket, String server, Execution.Committed committed, LogPosition position) {}
+      PendingRequest ticket, String server, Execution.Committed committed, LogPosition position) {}
 
   /**
    * Makes an empty set.
@@ -35,7 +35,8 @@
     this.settledOn = settledOn;
   }
 
-  void await(Ticket ticket, String server, Execution.Committed committed, LogPosition position) {
+  void await(
+      PendingRequest ticket, String server, Execution.Committed committed, LogPosition position) {
     waiting.put(ticket.id(), new Waiting(ticket, server, committed, position));
     settle(tracker.submit(ticket.id(), position, ticket.request().deadline()));
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/GroupWork.java
@@ -20,6 +20,7 @@
 import org.chicorylane.internal.admission.AdmissionSettings;
 import org.chicorylane.internal.admission.ConcurrencyPolicy;
 import org.chicorylane.internal.admission.ServiceOutcome;
+import org.chicorylane.internal.admission.Ticket;
 import org.chicorylane.internal.declaration.DatabaseGroup;
 import org.chicorylane.internal.declaration.RequestClass;
 import org.chicorylane.internal.failover.CloseReason;
@@ -60,7 +61,7 @@
   private final WorkRunner runner;
   private final Confirmations confirmations = new Confirmations(this::endIfIdle);
   private final Map<String, ServerInUse> servers = new HashMap<>();
-  private final Map<String, Ticket> tickets = new HashMap<>();
+  private final Map<String, PendingRequest> tickets = new HashMap<>();
   private final List<Refusal> unroutable = new ArrayList<>();
   private Set<String> classNames = Set.of();
   private DatabaseGroup group;
@@ -73,7 +74,7 @@
   private long nextTicket = 1;
 
   /** A read that no server may serve, found while the queue looked for one. */
-  private record Refusal(Ticket ticket, NotRunReason reason, String detail) {}
+  private record Refusal(PendingRequest ticket, NotRunReason reason, String detail) {}
 
   GroupWork(
       HomeEnvironment environment,
@@ -106,7 +107,8 @@
 
   CompletableFuture<Outcome> submit(GroupRequest request) {
     Instant now = now();
-    Ticket ticket = new Ticket(request.requestId() + "/" + nextTicket++, request, now);
+    PendingRequest ticket =
+        new PendingRequest(request.requestId() + "/" + nextTicket++, request, now);
     Optional<String> objection = StatementGuard.firstObjection(request.statements());
     if (objection.isPresent()) {
       ticket.refuse(NotRunReason.NOT_ALLOWED, Duration.ZERO, objection.get());
@@ -254,7 +256,7 @@
 
   @Override
   public void onEnded(
-      Ticket ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution) {
+      PendingRequest ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution) {
     Instant now = now();
     Duration serviceTime = Duration.between(sentAt, now);
     reads.answered(server.name(), serviceTime);
@@ -269,7 +271,7 @@
     endIfIdle(server.name());
   }
 
-  private void submitInTransaction(Ticket ticket) {
+  private void submitInTransaction(PendingRequest ticket) {
     Optional<InteractiveTransactions.Open> found =
         transactions.find(ticket.request().transaction());
     ServerInUse server = servers.get(found.map(t -> t.server()).orElse(""));
@@ -287,7 +289,7 @@
     }
   }
 
-  private void offer(Ticket ticket, boolean needsPrimary) {
+  private void offer(PendingRequest ticket, boolean needsPrimary) {
     GroupRequest request = ticket.request();
     tickets.put(ticket.id(), ticket);
     guardDeadline(ticket);
@@ -296,13 +298,11 @@
         classNames.contains(request.requestClass()) ? request.requestClass() : DEFAULT_CLASS.name();
     perform(
         queue.offered(
-            new org.chicorylane.internal.admission.Ticket(
-                ticket.id(), requestClass, needsPrimary, false, request.deadline()),
-            now()));
+            new Ticket(ticket.id(), requestClass, needsPrimary, false, request.deadline()), now()));
   }
 
-  private List<String> eligible(org.chicorylane.internal.admission.Ticket admitted, Instant now) {
-    Ticket ticket = tickets.get(admitted.id());
+  private List<String> eligible(Ticket admitted, Instant now) {
+    PendingRequest ticket = tickets.get(admitted.id());
     if (ticket == null) {
       return List.of();
     }
@@ -335,7 +335,7 @@
 
   private void perform(List<AdmissionAction> actions) {
     for (AdmissionAction action : actions) {
-      Ticket ticket = tickets.get(action.ticket().id());
+      PendingRequest ticket = tickets.get(action.ticket().id());
       if (ticket == null) {
         continue;
       }
@@ -359,7 +359,7 @@
     };
   }
 
-  private void dispatch(Ticket ticket, String name) {
+  private void dispatch(PendingRequest ticket, String name) {
     ServerInUse server = servers.get(name);
     if (server == null || ticket.isDone()) {
       ticket.refuse(NotRunReason.NOT_HOME, Duration.ZERO, "");
@@ -372,13 +372,14 @@
   }
 
   /** Gives back the slot of a ticket that has its answer already. */
-  private void freeUnused(Ticket ticket) {
+  private void freeUnused(PendingRequest ticket) {
     if (tickets.remove(ticket.id()) != null) {
       perform(queue.slotFreed(ticket.id(), Duration.ZERO, ServiceOutcome.ERROR, now()));
     }
   }
 
-  private void finish(Ticket ticket, ServerInUse server, Instant sentAt, Execution execution) {
+  private void finish(
+      PendingRequest ticket, ServerInUse server, Instant sentAt, Execution execution) {
     GroupRequest request = ticket.request();
     if (!(execution instanceof Execution.Committed) && !(execution instanceof Execution.InDoubt)) {
       reads.ended(ticket, LogPosition.ZERO);
@@ -399,7 +400,8 @@
     }
   }
 
-  private void committed(Ticket ticket, ServerInUse server, Instant sentAt, Execution.Committed c) {
+  private void committed(
+      PendingRequest ticket, ServerInUse server, Instant sentAt, Execution.Committed c) {
     RequestKind kind = ticket.request().kind();
     if (kind == RequestKind.READ || kind == RequestKind.ROLLBACK) {
       boolean fromReplica = server.role() == ServerRole.REPLICA;
@@ -458,7 +460,7 @@
   }
 
   private void doubtRunning(ServerInUse server, String why) {
-    for (Ticket t : List.copyOf(server.running())) {
+    for (PendingRequest t : List.copyOf(server.running())) {
       if (!t.isDone() && t.wasSent()) {
         t.doubt(Retry.SOON, why);
         t.abandonConnection();
@@ -482,12 +484,12 @@
     machine.accept(new HomeEvent.WorkEnded(name));
   }
 
-  private void guardDeadline(Ticket ticket) {
+  private void guardDeadline(PendingRequest ticket) {
     Duration left = Duration.between(now(), ticket.request().deadline());
     executor.schedule(() -> expire(ticket), Math.max(0, left.toMillis()), TimeUnit.MILLISECONDS);
   }
 
-  private void expire(Ticket ticket) {
+  private void expire(PendingRequest ticket) {
     if (ticket.isDone()) {
       return;
     }
@@ -503,7 +505,7 @@
 
   private void refuseWaiting() {
     String hint = movedTo == null ? "" : movedTo;
-    for (Ticket t : List.copyOf(tickets.values())) {
+    for (PendingRequest t : List.copyOf(tickets.values())) {
       if (!t.wasSent() && t.request().transaction() == null) {
         t.refuse(NotRunReason.NOT_HOME, Duration.ZERO, hint);
       }
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/InteractiveTransactions.java
@@ -92,7 +92,7 @@
     this.idleLimit = idleLimit;
   }
 
-  Open open(String server, ServerConnection connection, Ticket ticket, Instant now) {
+  Open open(String server, ServerConnection connection, PendingRequest ticket, Instant now) {
     byte[] secret = new byte[SECRET_BYTES];
     random.nextBytes(secret);
     String handle = new TransactionHandle(instance, HexFormat.of().formatHex(secret)).toText();
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/Ticket.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/PendingRequest.java
@@ -14,7 +14,7 @@
  *
  * <p>Used on the group's executor only; the outcome may be awaited anywhere.
  */
-final class Ticket {
+final class PendingRequest {
   private final String id;
   private final GroupRequest request;
   private final Instant arrival;
@@ -24,7 +24,7 @@
   private long term;
   private int epoch;
 
-  Ticket(String id, GroupRequest request, Instant arrival) {
+  PendingRequest(String id, GroupRequest request, Instant arrival) {
     this.id = id;
     this.request = request;
     this.arrival = arrival;
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ReadRouting.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ReadRouting.java
@@ -98,7 +98,7 @@
   }
 
   /** A request goes to a server; from now on its session may have written. */
-  void dispatched(String server, Ticket ticket) {
+  void dispatched(String server, PendingRequest ticket) {
     router.dispatched(server);
     String session = writingSession(ticket);
     if (session != null) {
@@ -107,13 +107,13 @@
     }
   }
 
-  void committed(Ticket ticket, LogPosition position, Instant sentAt) {
+  void committed(PendingRequest ticket, LogPosition position, Instant sentAt) {
     router.sampled(sentAt, position);
     ended(ticket, position);
   }
 
   /** The request has written nothing beyond that position. */
-  void ended(Ticket ticket, LogPosition position) {
+  void ended(PendingRequest ticket, LogPosition position) {
     String session = writingSession(ticket);
     if (session != null && ticket.epoch() == epoch) {
       router.settled(session, position);
@@ -121,7 +121,7 @@
   }
 
   /** The request may yet be committed; later samples of the primary settle it. */
-  void inDoubt(Ticket ticket, Instant now) {
+  void inDoubt(PendingRequest ticket, Instant now) {
     String session = writingSession(ticket);
     if (session != null && ticket.epoch() == epoch) {
       inDoubt.add(new InDoubt(session, now));
@@ -129,7 +129,7 @@
   }
 
   /** Only what may commit counts as a write. */
-  private static @Nullable String writingSession(Ticket ticket) {
+  private static @Nullable String writingSession(PendingRequest ticket) {
     RequestKind kind = ticket.request().kind();
     boolean mayCommit = kind == RequestKind.WRITE || kind == RequestKind.COMMIT;
     return mayCommit ? ticket.request().sessionId() : null;
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/ServerInUse.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/ServerInUse.java
@@ -9,7 +9,7 @@
 final class ServerInUse {
   private final BackendServer server;
   private final ServerPool pool;
-  private final Set<Ticket> running = new HashSet<>();
+  private final Set<PendingRequest> running = new HashSet<>();
   private ServerRole role;
   private boolean dropped;
 
@@ -39,7 +39,7 @@
     role = newRole;
   }
 
-  Set<Ticket> running() {
+  Set<PendingRequest> running() {
     return running;
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/home/WorkRunner.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/home/WorkRunner.java
@@ -28,7 +28,8 @@
   interface Listener {
 
     /** The request left its server; a refusal before anything was sent has no execution. */
-    void onEnded(Ticket ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution);
+    void onEnded(
+        PendingRequest ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution);
   }
 
   WorkRunner(
@@ -42,7 +43,7 @@
     this.listener = listener;
   }
 
-  void start(Ticket ticket, ServerInUse server) {
+  void start(PendingRequest ticket, ServerInUse server) {
     server.running().add(ticket);
     if (ticket.request().transaction() != null) {
       proceed(ticket, server);
@@ -72,7 +73,7 @@
             executor);
   }
 
-  private void run(Ticket ticket, ServerInUse server, ServerConnection connection) {
+  private void run(PendingRequest ticket, ServerInUse server, ServerConnection connection) {
     if (ticket.isDone()) {
       server.pool().giveBack(connection);
       end(ticket, server, clock.instant(), null);
@@ -92,7 +93,7 @@
   }
 
   private void ran(
-      Ticket ticket,
+      PendingRequest ticket,
       ServerInUse server,
       ServerConnection connection,
       Instant sentAt,
@@ -119,7 +120,7 @@
     end(ticket, server, sentAt, execution);
   }
 
-  private void proceed(Ticket ticket, ServerInUse server) {
+  private void proceed(PendingRequest ticket, ServerInUse server) {
     GroupRequest request = ticket.request();
     InteractiveTransactions.Open t = transactions.find(request.transaction()).orElse(null);
     if (t == null) {
@@ -144,7 +145,7 @@
   }
 
   private void proceeded(
-      Ticket ticket,
+      PendingRequest ticket,
       InteractiveTransactions.Open t,
       ServerInUse server,
       Instant sentAt,
@@ -160,18 +161,19 @@
   }
 
   private static void completeOpen(
-      Ticket ticket, InteractiveTransactions.Open t, Execution.StillOpen open) {
+      PendingRequest ticket, InteractiveTransactions.Open t, Execution.StillOpen open) {
     ticket.complete(
         new Outcome.Completed(open.results(), null, false, t.server(), false, t.handle()));
   }
 
-  private void refuse(Ticket ticket, ServerInUse server, NotRunReason reason, String detail) {
+  private void refuse(
+      PendingRequest ticket, ServerInUse server, NotRunReason reason, String detail) {
     ticket.refuse(reason, Retry.afterFor(reason), detail);
     end(ticket, server, clock.instant(), null);
   }
 
   private void end(
-      Ticket ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution) {
+      PendingRequest ticket, ServerInUse server, Instant sentAt, @Nullable Execution execution) {
     ticket.leaveConnection();
     server.running().remove(ticket);
     listener.onEnded(ticket, server, sentAt, execution);
