Serve sessions on the users' platform through homes of groups

The whole path, thin: session edge, homes with pools of server connections, records and promotion in the product; wire, store, entries, settings and readiness in platform/.

--- a/chicorylane/src/main/java/org/chicorylane/internal/membership/Rendezvous.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/membership/Rendezvous.java
@@ -65,7 +65,8 @@
     return ranked;
   }
 
-  private static long weight(String name, String instanceId) {
+  /** Returns the hash that orders instances for {@code name}; all 64 bits are spread. */
+  public static long weight(String name, String instanceId) {
     long hash = FNV_OFFSET;
     for (byte b : (name + '\0' + instanceId).getBytes(StandardCharsets.UTF_8)) {
       hash = (hash ^ (b & 0xff)) * FNV_PRIME;
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshMessages.java
@@ -0,0 +1,61 @@
+package org.chicorylane.internal.mesh;
+
+import org.chicorylane.internal.mesh.generated.MeshAnswer;
+import org.chicorylane.internal.mesh.generated.MeshConfiguration;
+import org.chicorylane.internal.mesh.generated.MeshFrame;
+import org.chicorylane.internal.mesh.generated.MeshPong;
+import org.chicorylane.internal.mesh.generated.MeshPosition;
+import org.chicorylane.internal.mesh.generated.MeshWork;
+import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.pool.Work;
+import org.chicorylane.internal.position.LogPosition;
+
+/** Frames between instances, and what they hold. Stateless. */
+public final class MeshMessages {
+
+  private MeshMessages() {}
+
+  /** Returns the work that a message holds. */
+  public static Work work(MeshWork message) {
+    return MeshCodec.decode(message);
+  }
+
+  /** Returns the answer that a message holds. */
+  public static Answer answer(MeshAnswer message) {
+    return MeshCodec.decode(message);
+  }
+
+  /** Returns a frame with an answer. */
+  public static MeshFrame answer(long call, Answer answer) {
+    return MeshFrame.newBuilder().setAnswer(MeshCodec.encode(call, answer)).build();
+  }
+
+  /** Returns a frame that says that the instance is not the group's home. */
+  public static MeshFrame notHome(long call) {
+    return MeshFrame.newBuilder()
+        .setAnswer(MeshAnswer.newBuilder().setCall(call).setNotHome(true))
+        .build();
+  }
+
+  /** Returns the answer to a heartbeat. */
+  public static MeshFrame pong(long sequence, long configurationVersion) {
+    return MeshFrame.newBuilder()
+        .setPong(
+            MeshPong.newBuilder()
+                .setSequence(sequence)
+                .setConfigurationVersion(configurationVersion))
+        .build();
+  }
+
+  /** Returns a frame with a configuration. */
+  public static MeshFrame configuration(String text) {
+    return MeshFrame.newBuilder()
+        .setConfiguration(MeshConfiguration.newBuilder().setText(text))
+        .build();
+  }
+
+  /** Returns a position as a message. */
+  public static MeshPosition position(LogPosition position) {
+    return MeshCodec.encode(position);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/TransactionState.java
@@ -0,0 +1,8 @@
+package org.chicorylane.internal.passthrough;
+
+/** Where a session is, as an answer says. */
+public enum TransactionState {
+  IDLE,
+  OPEN,
+  FAILED
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolListener.java
@@ -0,0 +1,16 @@
+package org.chicorylane.internal.pool;
+
+import org.chicorylane.internal.passthrough.ServerStatus;
+
+/** Follows what a pool learns about its servers. */
+public interface PoolListener {
+
+  /** A server does not answer, or its process is not running. */
+  void onServerLost(String serverId, String reason);
+
+  /** A server told its state. */
+  void onServerStatus(String serverId, ServerStatus status);
+
+  /** The server that is taken for the primary refused to act as one. */
+  void onPrimaryDenied(String serverId);
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
@@ -0,0 +1,52 @@
+package org.chicorylane.internal.pool;
+
+import java.util.Comparator;
+import org.jspecify.annotations.Nullable;
+
+/** A piece of work that waits for a server, or runs there. */
+final class Waiting {
+
+  /** Statements of running transactions first: they hold a connection. */
+  static final Comparator<Waiting> ORDER =
+      Comparator.<Waiting>comparingInt(w -> w.holdsConnection() ? 0 : 1)
+          .thenComparingInt(w -> w.work.priority())
+          .thenComparingLong(w -> w.sequence);
+
+  final Work work;
+  final WorkHandler handler;
+  final long arrivedNanos;
+  final long sequence;
+  final @Nullable PoolTransaction transaction;
+  private final boolean pinned;
+  int attempts;
+  long notBeforeNanos;
+  @Nullable String avoid;
+
+  Waiting(
+      Work work,
+      WorkHandler handler,
+      long arrivedNanos,
+      long sequence,
+      @Nullable PoolTransaction transaction) {
+    this.work = work;
+    this.handler = handler;
+    this.arrivedNanos = arrivedNanos;
+    this.sequence = sequence;
+    this.transaction = transaction;
+    this.pinned = transaction != null && transaction.connection != null;
+  }
+
+  private boolean holdsConnection() {
+    return pinned;
+  }
+
+  /** Returns when its client gives up. */
+  long deadlineNanos() {
+    return arrivedNanos + work.budgetMillis() * 1_000_000L;
+  }
+
+  /** Returns whether it continues a transaction that has begun on a server. */
+  boolean isPinned() {
+    return transaction != null && transaction.begun;
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -0,0 +1,112 @@
+package org.chicorylane.internal.proxy;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.chicorylane.internal.platform.KeyValueEntry;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.StoreTransaction;
+import org.chicorylane.internal.platform.WriteResult;
+import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.topology.PeerInstance;
+
+/**
+ * The instances that have registered themselves in the key-value store. An entry may outlive its
+ * instance; whoever uses it finds out by connecting.
+ *
+ * <p>Confined to the instance's thread.
+ */
+final class InstanceRegistry {
+
+  static final String KEY_PREFIX = "lane/instances/";
+
+  private static final Duration RETRY = Duration.ofMillis(300);
+
+  private final KeyValueStore store;
+  private final Scheduler scheduler;
+  private final PeerInstance self;
+  private final TreeMap<String, PeerInstance> peers = new TreeMap<>();
+  private boolean leaving;
+
+  InstanceRegistry(KeyValueStore store, Scheduler scheduler, PeerInstance self) {
+    this.store = store;
+    this.scheduler = scheduler;
+    this.self = self;
+  }
+
+  List<PeerInstance> instances() {
+    List<PeerInstance> all = new ArrayList<>(peers.values());
+    all.removeIf(p -> p.name().equals(self.name()));
+    if (!leaving) {
+      all.add(self);
+    }
+    return all;
+  }
+
+  void register() {
+    if (leaving) {
+      return;
+    }
+    store
+        .transact(
+            StoreTransaction.builder().put(KEY_PREFIX + self.name(), encode(self)).build())
+        .thenAccept(
+            result -> {
+              if (!(result instanceof WriteResult.Applied)) {
+                scheduler.schedule(RETRY, this::register);
+              }
+            });
+  }
+
+  void leave() {
+    leaving = true;
+    store.transact(StoreTransaction.builder().delete(KEY_PREFIX + self.name()).build());
+  }
+
+  void onEntry(KeyValueEntry entry, boolean deleted) {
+    String name = entry.key().substring(KEY_PREFIX.length());
+    if (deleted) {
+      peers.remove(name);
+    } else {
+      decode(entry.value()).ifPresent(p -> peers.put(name, p));
+    }
+  }
+
+  void clear() {
+    peers.clear();
+  }
+
+  private static String encode(PeerInstance p) {
+    JsonObject o = new JsonObject();
+    o.addProperty("name", p.name());
+    o.addProperty("incarnation", p.incarnation());
+    o.addProperty("address", p.address());
+    o.addProperty("zone", p.zone());
+    o.addProperty("weight", p.weight());
+    return o.toString();
+  }
+
+  private static Optional<PeerInstance> decode(String text) {
+    try {
+      JsonObject o = JsonParser.parseString(text).getAsJsonObject();
+      return Optional.of(
+          new PeerInstance(
+              o.get("name").getAsString(),
+              o.get("incarnation").getAsString(),
+              o.get("address").getAsString(),
+              o.get("zone").getAsString(),
+              o.get("weight").getAsInt()));
+    } catch (JsonParseException
+        | IllegalStateException
+        | NullPointerException
+        | UnsupportedOperationException
+        | NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -0,0 +1,209 @@
+package org.chicorylane.internal.proxy;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.chicorylane.internal.mesh.MeshChannel;
+import org.chicorylane.internal.mesh.MeshMessages;
+import org.chicorylane.internal.mesh.NettyMeshTransport;
+import org.chicorylane.internal.mesh.PeerLink;
+import org.chicorylane.internal.mesh.generated.MeshFrame;
+import org.chicorylane.internal.mesh.generated.MeshPing;
+import org.chicorylane.internal.mesh.generated.MeshQuestion;
+import org.chicorylane.internal.mesh.generated.MeshReply;
+import org.chicorylane.internal.mesh.generated.MeshWork;
+import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.ServerCommand;
+import org.chicorylane.internal.passthrough.ServerConnector;
+import org.chicorylane.internal.passthrough.ServerLink;
+import org.chicorylane.internal.pool.WorkHandler;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.tenure.GroupTenure;
+import org.chicorylane.internal.tenure.HomeRecord;
+import org.jspecify.annotations.Nullable;
+
+/** Answers what other instances send: statements for homes, questions, heartbeats. */
+final class MeshService implements NettyMeshTransport.MeshAcceptor {
+
+  /** Time within which a probed server must answer; less than the asker's patience. */
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(350);
+
+  /** Age up to which a home counts as heard. */
+  private static final Duration HEARD_AGE = Duration.ofMillis(700);
+
+  private final Scheduler scheduler;
+  private final ServerConnector connector;
+  private final Function<String, @Nullable GroupTenure> tenures;
+  private final Collection<GroupTenure> allTenures;
+  private final Function<String, PeerLink> links;
+  private final ConfigurationKeeper configuration;
+
+  MeshService(
+      Scheduler scheduler,
+      ServerConnector connector,
+      Function<String, @Nullable GroupTenure> tenures,
+      Collection<GroupTenure> allTenures,
+      Function<String, PeerLink> links,
+      ConfigurationKeeper configuration) {
+    this.scheduler = scheduler;
+    this.connector = connector;
+    this.tenures = tenures;
+    this.allTenures = allTenures;
+    this.links = links;
+    this.configuration = configuration;
+  }
+
+  @Override
+  public void onFrame(MeshChannel channel, MeshFrame frame) {
+    switch (frame.getBodyCase()) {
+      case WORK -> onWork(channel, frame.getWork());
+      case PING -> onPing(channel, frame.getPing());
+      case ABANDON -> {
+        GroupTenure tenure = tenures.apply(frame.getAbandon().getGroup());
+        if (tenure != null) {
+          tenure.abandon(channel, frame.getAbandon().getTransaction());
+        }
+      }
+      case CONFIGURATION -> configuration.onText(frame.getConfiguration().getText(), "a peer");
+      case QUESTION -> onQuestion(channel, frame.getQuestion());
+      default -> {
+        // The other kinds of frame only come in the other direction.
+      }
+    }
+  }
+
+  @Override
+  public void onClosed(MeshChannel channel) {
+    allTenures.forEach(t -> t.abandonAll(channel));
+  }
+
+  private void onWork(MeshChannel channel, MeshWork work) {
+    GroupTenure tenure = tenures.apply(work.getGroup());
+    if (tenure == null) {
+      channel.send(MeshMessages.notHome(work.getCall()));
+      return;
+    }
+    tenure.submit(
+        channel,
+        MeshMessages.work(work),
+        new WorkHandler() {
+          @Override
+          public void onAnswer(Answer answer) {
+            channel.send(MeshMessages.answer(work.getCall(), answer));
+          }
+
+          @Override
+          public void onNotHome() {
+            channel.send(MeshMessages.notHome(work.getCall()));
+          }
+        });
+  }
+
+  private void onPing(MeshChannel channel, MeshPing ping) {
+    channel.send(MeshMessages.pong(ping.getSequence(), configuration.version()));
+    if (ping.getConfigurationVersion() < configuration.version()) {
+      channel.send(MeshMessages.configuration(configuration.text()));
+    }
+  }
+
+  private void onQuestion(MeshChannel channel, MeshQuestion question) {
+    GroupTenure tenure = tenures.apply(question.getGroup());
+    Consumer<Boolean> reply = yes -> reply(channel, question, yes, null);
+    switch (PeerQuestion.NUMBERS.constant(question.getKind())) {
+      case PROBE_SERVER ->
+          probe(
+              new ServerConnector.Target(
+                  question.getGroup(), question.getServerId(), question.getAddress()),
+              reply);
+      case HEARS_HOME -> reply.accept(tenure != null && hearsHome(tenure));
+      case TAKE_HOME -> {
+        if (tenure != null) {
+          tenure.takeOver();
+        }
+        reply.accept(tenure != null);
+      }
+      case STOP_HOME -> {
+        LogPosition acknowledged =
+            tenure == null
+                ? LogPosition.ZERO
+                : tenure.stopFor(question.getIncarnation());
+        reply(channel, question, true, acknowledged);
+      }
+    }
+  }
+
+  private boolean hearsHome(GroupTenure tenure) {
+    HomeRecord record = tenure.record();
+    return tenure.isHome()
+        || (record != null && links.apply(record.home().address()).heardWithin(HEARD_AGE));
+  }
+
+  private static void reply(
+      MeshChannel channel, MeshQuestion question, boolean yes, @Nullable LogPosition position) {
+    MeshReply.Builder reply = MeshReply.newBuilder().setCall(question.getCall()).setYes(yes);
+    if (position != null) {
+      reply.setPosition(MeshMessages.position(position));
+    }
+    channel.send(MeshFrame.newBuilder().setReply(reply).build());
+  }
+
+  private void probe(ServerConnector.Target target, Consumer<Boolean> reply) {
+    Probe probe = new Probe(reply);
+    scheduler.schedule(PROBE_TIMEOUT, () -> probe.finish(false));
+    connector.connect(target, probe);
+  }
+
+  /** One attempt to get an answer from a server. */
+  private static final class Probe implements ServerConnector.Listener, ServerLink.AnswerHandler {
+    private final Consumer<Boolean> reply;
+    private @Nullable ServerLink link;
+    private boolean done;
+
+    Probe(Consumer<Boolean> reply) {
+      this.reply = reply;
+    }
+
+    @Override
+    public void onOpen(ServerLink opened, @Nullable LogPosition position) {
+      link = opened;
+      if (done) {
+        opened.close();
+      } else {
+        opened.send(new ServerCommand.Status(), this);
+      }
+    }
+
+    @Override
+    public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
+      finish(false);
+    }
+
+    @Override
+    public void onClosed() {
+      finish(false);
+    }
+
+    @Override
+    public void onAnswer(Answer answer) {
+      finish(true);
+    }
+
+    @Override
+    public void onLost() {
+      finish(false);
+    }
+
+    void finish(boolean reached) {
+      if (done) {
+        return;
+      }
+      done = true;
+      if (link != null) {
+        link.close();
+      }
+      reply.accept(reached);
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -0,0 +1,18 @@
+package org.chicorylane.internal.proxy;
+
+import org.chicorylane.internal.mesh.EnumNumbers;
+
+/** Questions between instances. */
+enum PeerQuestion {
+  /** Does the instance reach a server? */
+  PROBE_SERVER,
+  /** Does the instance hear the home of a group? */
+  HEARS_HOME,
+  /** Become the home of a group. */
+  TAKE_HOME,
+  /** Stop working as the home of a group. */
+  STOP_HOME;
+
+  /** The numbers in messages. */
+  static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -0,0 +1,359 @@
+package org.chicorylane.internal.proxy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chicorylane.internal.entry.HomeRouter;
+import org.chicorylane.internal.entry.SessionEdge;
+import org.chicorylane.internal.mesh.MeshTransport;
+import org.chicorylane.internal.mesh.NettyMeshTransport;
+import org.chicorylane.internal.mesh.PeerLink;
+import org.chicorylane.internal.passthrough.ServerConnector;
+import org.chicorylane.internal.platform.KeyValueEntry;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.SettledSwap;
+import org.chicorylane.internal.runtime.DecisionLog;
+import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.tenure.GroupTenure;
+import org.chicorylane.internal.tenure.HomeRecord;
+import org.chicorylane.internal.tenure.HomeTimings;
+import org.chicorylane.internal.tenure.Promoter;
+import org.chicorylane.internal.topology.BackendServer;
+import org.chicorylane.internal.topology.Configuration;
+import org.chicorylane.internal.topology.GroupDeclaration;
+import org.chicorylane.internal.topology.PeerInstance;
+import org.chicorylane.internal.topology.ServerDirectory;
+import org.chicorylane.internal.topology.TopologyDecoder;
+
+/**
+ * An instance that serves clients' sessions: entry for its clients, home of some groups, and peer of
+ * the other instances.
+ *
+ * <pre>{@code
+ * ProxyInstance instance = new ProxyInstance(self, ports);
+ * instance.start();
+ * }</pre>
+ *
+ * <p>Confined to one thread.
+ */
+public final class ProxyInstance {
+
+  /** Everything outside of the instance that it talks to. */
+  public record Ports(
+      KeyValueStore store,
+      ServerConnector connector,
+      Promoter promoter,
+      TopologyDecoder decoder,
+      MeshTransport mesh,
+      Scheduler scheduler,
+      DecisionLog log) {}
+
+  /** How often homes and candidates look at what has to be done. */
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  /** Time after a stop was asked for in which the balancer still sends new connections. */
+  private static final Duration BALANCER_DELAY = Duration.ofMillis(2_200);
+
+  private final PeerInstance self;
+  private final Ports ports;
+  private final HomeTimings timings = HomeTimings.defaults();
+  private final ConfigurationKeeper configuration;
+  private final ServerDirectory servers;
+  private final InstanceRegistry registry;
+  private final Map<String, PeerLink> links = new HashMap<>();
+  private final Map<String, GroupTenure> tenures = new HashMap<>();
+  private final Map<String, KeyValueEntry> records = new HashMap<>();
+  private final HomeRouter router;
+  private final SessionEdge sessions;
+  private final MeshService service;
+  private final GroupTenure.Context context;
+  private boolean laneKnown;
+  private boolean serversKnown;
+  private boolean draining;
+  private boolean confirming;
+
+  /** Creates an instance that does nothing yet. */
+  public ProxyInstance(PeerInstance self, Ports ports) {
+    this.self = self;
+    this.ports = ports;
+    Scheduler scheduler = ports.scheduler();
+    this.configuration = new ConfigurationKeeper(ports.decoder(), ports.log(), this::declare);
+    this.servers = new ServerDirectory(scheduler, this::declare);
+    this.registry = new InstanceRegistry(ports.store(), scheduler, self);
+    this.router =
+        new HomeRouter(scheduler, ports.log(), tenures::get, this::link, self.name());
+    this.sessions = new SessionEdge(configuration::current, router);
+    this.service =
+        new MeshService(
+            scheduler, ports.connector(), tenures::get, tenures.values(), this::link, configuration);
+    SettledSwap swaps =
+        new SettledSwap(
+            ports.store(),
+            delay -> {
+              java.util.concurrent.CompletableFuture<Void> done =
+                  new java.util.concurrent.CompletableFuture<>();
+              scheduler.schedule(delay, () -> done.complete(null));
+              return done;
+            });
+    this.context =
+        new GroupTenure.Context(
+            new HomeRecord.Holder(self.name(), self.incarnation(), self.address()),
+            ports.store(),
+            swaps,
+            ports.connector(),
+            ports.promoter(),
+            new MeshPeers(registry, this::link),
+            scheduler,
+            ports.log(),
+            timings);
+  }
+
+  /** Begins to follow the store and to take part. */
+  public void start() {
+    registry.register();
+    follow(ports.decoder().configurationKey(), new ConfigurationListener());
+    follow(ports.decoder().serverPrefix(), new ServerListener());
+    follow("lane/", new LaneListener());
+    ports.scheduler().repeat(TICK, () -> new ArrayList<>(tenures.values()).forEach(GroupTenure::tick));
+    ports.scheduler().repeat(timings.confirmInterval(), this::confirm);
+  }
+
+  /** Returns where clients' sessions are opened. */
+  public SessionEdge sessions() {
+    return sessions;
+  }
+
+  /** Returns what answers other instances. */
+  public NettyMeshTransport.MeshAcceptor meshAcceptor() {
+    return service;
+  }
+
+  /** Returns whether new clients should come here. */
+  public boolean isReady() {
+    return !draining && configuration.current() != null && laneKnown && serversKnown;
+  }
+
+  /** Says that the store answers again after an outage. */
+  public void onStoreReturned() {
+    servers.onStoreReturned();
+  }
+
+  /**
+   * Leaves without breaking requests.
+   *
+   * @param limit the time after which all sessions are closed
+   * @param onDone called when nothing is left
+   */
+  public void drain(Duration limit, Runnable onDone) {
+    if (draining) {
+      return;
+    }
+    draining = true;
+    ports.log().event(DecisionLog.Weight.BELIEF, "draining").with("sessions", sessions.count()).write();
+    registry.leave();
+    tenures.values().forEach(GroupTenure::leave);
+    long begun = ports.scheduler().nanoTime();
+    leaveStep(begun, limit, onDone);
+  }
+
+  private void leaveStep(long begun, Duration limit, Runnable onDone) {
+    long passed = ports.scheduler().nanoTime() - begun;
+    boolean over = passed > limit.toNanos();
+    int open = sessions.count();
+    if (passed > BALANCER_DELAY.toNanos()) {
+      open = sessions.closeSessions(!over);
+    }
+    boolean idle =
+        open == 0
+            && router.isIdle()
+            && tenures.values().stream().allMatch(GroupTenure::isIdle)
+            && passed > BALANCER_DELAY.toNanos();
+    if (idle || passed > limit.toNanos() * 5 / 4) {
+      ports.log().event(DecisionLog.Weight.BELIEF, "stopped").with("sessions", open).write();
+      onDone.run();
+      return;
+    }
+    ports.scheduler().schedule(TICK, () -> leaveStep(begun, limit, onDone));
+  }
+
+  private void follow(String prefix, PrefixFollower.Listener listener) {
+    new PrefixFollower(ports.store(), prefix, ports.scheduler(), listener).start();
+  }
+
+  private void confirm() {
+    if (confirming || tenures.values().stream().noneMatch(GroupTenure::isHome)) {
+      return;
+    }
+    confirming = true;
+    long sent = ports.scheduler().nanoTime();
+    ports
+        .store()
+        .range(HomeRecord.KEY_PREFIX)
+        .thenAccept(
+            result -> {
+              confirming = false;
+              if (result instanceof ReadResult.Read read) {
+                Map<String, KeyValueEntry> byKey = new HashMap<>();
+                read.entries().forEach(e -> byKey.put(e.key(), e));
+                tenures.forEach(
+                    (group, t) -> t.onConfirmation(byKey.get(HomeRecord.keyOf(group)), sent));
+              }
+            });
+  }
+
+  private void declare() {
+    Configuration c = configuration.current();
+    if (c == null) {
+      return;
+    }
+    for (GroupDeclaration group : c.groups().values()) {
+      GroupTenure tenure =
+          tenures.computeIfAbsent(
+              group.name(),
+              name -> {
+                GroupTenure t = new GroupTenure(name, context, () -> onHomeChanged(name));
+                if (laneKnown) {
+                  t.onRecord(records.get(HomeRecord.keyOf(name)));
+                }
+                return t;
+              });
+      List<BackendServer> present = servers.ofGroup(group.name());
+      tenure.declare(group, c.transactionIdleLimit(), present);
+    }
+  }
+
+  private void onHomeChanged(String group) {
+    watchHomes();
+    router.onHomeChanged(group);
+  }
+
+  private void watchHomes() {
+    Set<String> homes = new HashSet<>();
+    for (GroupTenure t : tenures.values()) {
+      HomeRecord r = t.record();
+      if (r != null && !r.home().name().equals(self.name())) {
+        homes.add(r.home().address());
+      }
+    }
+    homes.forEach(address -> link(address).watch(true));
+    links.forEach((address, link) -> {
+      if (!homes.contains(address)) {
+        link.watch(false);
+      }
+    });
+  }
+
+  private PeerLink link(String address) {
+    return links.computeIfAbsent(
+        address,
+        a ->
+            new PeerLink(
+                a, ports.mesh(), ports.scheduler(), configuration::version, new Links()));
+  }
+
+  /** Follows the links to other instances. */
+  private final class Links implements PeerLink.LinkListener {
+    @Override
+    public void onLost(String address, boolean refused) {
+      for (GroupTenure t : tenures.values()) {
+        HomeRecord r = t.record();
+        if (r != null && r.home().address().equals(address)) {
+          t.onHomeLost(refused);
+        }
+      }
+    }
+
+    @Override
+    public void onHeard(String address) {
+      for (GroupTenure t : tenures.values()) {
+        HomeRecord r = t.record();
+        if (r != null && r.home().address().equals(address)) {
+          t.onHomeHeard();
+        }
+      }
+    }
+
+    @Override
+    public void onPeerVersion(PeerLink link, long version) {
+      if (version < configuration.version()) {
+        link.sendConfiguration(configuration.text());
+      }
+    }
+
+    @Override
+    public void onConfiguration(String text) {
+      configuration.onText(text, "a home");
+    }
+  }
+
+  private final class ConfigurationListener implements PrefixFollower.Listener {
+    @Override
+    public void onAll(List<KeyValueEntry> entries) {
+      entries.forEach(e -> onChange(e, false));
+    }
+
+    @Override
+    public void onChange(KeyValueEntry entry, boolean deleted) {
+      if (!deleted && entry.key().equals(ports.decoder().configurationKey())) {
+        configuration.onText(entry.value(), "the store");
+      }
+    }
+  }
+
+  private final class ServerListener implements PrefixFollower.Listener {
+    @Override
+    public void onAll(List<KeyValueEntry> entries) {
+      Map<String, BackendServer> present = new HashMap<>();
+      entries.forEach(
+          e ->
+              ports
+                  .decoder()
+                  .server(e.key(), e.value())
+                  .ifPresent(s -> present.put(s.id(), s)));
+      serversKnown = true;
+      servers.replaceAll(present);
+    }
+
+    @Override
+    public void onChange(KeyValueEntry entry, boolean deleted) {
+      String id = entry.key().substring(ports.decoder().serverPrefix().length());
+      if (deleted) {
+        servers.remove(id);
+      } else {
+        ports
+            .decoder()
+            .server(entry.key(), entry.value())
+            .ifPresentOrElse(servers::put, () -> servers.remove(id));
+      }
+    }
+  }
+
+  private final class LaneListener implements PrefixFollower.Listener {
+    @Override
+    public void onAll(List<KeyValueEntry> entries) {
+      registry.clear();
+      records.clear();
+      laneKnown = true;
+      entries.forEach(e -> onChange(e, false));
+      tenures.forEach((group, t) -> t.onRecord(records.get(HomeRecord.keyOf(group))));
+    }
+
+    @Override
+    public void onChange(KeyValueEntry entry, boolean deleted) {
+      if (entry.key().startsWith(InstanceRegistry.KEY_PREFIX)) {
+        registry.onEntry(entry, deleted);
+      } else if (entry.key().startsWith(HomeRecord.KEY_PREFIX) && !deleted) {
+        records.put(entry.key(), entry);
+        GroupTenure t = tenures.get(entry.key().substring(HomeRecord.KEY_PREFIX.length()));
+        if (t != null) {
+          t.onRecord(entry);
+        }
+      }
+    }
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/routing/FreshnessSamples.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/routing/FreshnessSamples.java
@@ -14,18 +14,19 @@
  * drops every second one of the older half, so old ages become coarser and never too low. Not
  * thread-safe.
  */
-final class FreshnessSamples {
+public final class FreshnessSamples {
   private record Sample(Instant sentAt, long offset) {}
 
   private final int capacity;
   private final List<Sample> samples = new ArrayList<>();
 
-  FreshnessSamples(int capacity) {
+  /** Creates an empty history of at most {@code capacity} samples. */
+  public FreshnessSamples(int capacity) {
     this.capacity = capacity;
   }
 
   /** Adds a sample, unless a later question reported an earlier end. */
-  void add(Instant sentAt, long offset) {
+  public void add(Instant sentAt, long offset) {
     if (!samples.isEmpty()) {
       Sample last = samples.get(samples.size() - 1);
       if (sentAt.isBefore(last.sentAt()) || offset < last.offset()) {
@@ -41,12 +42,13 @@
     }
   }
 
-  void clear() {
+  /** Forgets all samples. */
+  public void clear() {
     samples.clear();
   }
 
   /** Returns the age of data up to an offset; empty if no sample is as low. */
-  Optional<Duration> age(long offset, Instant now) {
+  public Optional<Duration> age(long offset, Instant now) {
     int low = 0;
     int high = samples.size();
     while (low < high) {
@@ -63,7 +65,7 @@
   }
 
   /** Returns the lowest sampled offset whose data is young enough; empty if none is. */
-  Optional<Long> offsetWithin(Duration maximumAge, Instant now) {
+  public Optional<Long> offsetWithin(Duration maximumAge, Instant now) {
     Instant oldest = now.minus(maximumAge);
     return samples.stream()
         .filter(s -> !s.sentAt().isBefore(oldest))
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/EventLoopScheduler.java
@@ -0,0 +1,39 @@
+package org.chicorylane.internal.runtime;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Timers on a Netty event loop, which is the instance's thread.
+ *
+ * <p>Confined to that thread.
+ */
+public final class EventLoopScheduler implements Scheduler {
+
+  private final EventLoop loop;
+  private final LongSupplier clock;
+
+  /**
+   * Creates a scheduler.
+   *
+   * @param clock nanoseconds that never go back
+   */
+  public EventLoopScheduler(EventLoop loop, LongSupplier clock) {
+    this.loop = loop;
+    this.clock = clock;
+  }
+
+  @Override
+  public long nanoTime() {
+    return clock.getAsLong();
+  }
+
+  @Override
+  public Timer schedule(Duration delay, Runnable task) {
+    Future<?> future = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    return () -> future.cancel(false);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/NoLine.java
@@ -0,0 +1,21 @@
+package org.chicorylane.internal.runtime;
+
+import org.jspecify.annotations.Nullable;
+
+/** A line that is left out. */
+enum NoLine implements DecisionLog.Line {
+  INSTANCE;
+
+  @Override
+  public DecisionLog.Line with(String name, @Nullable Object value) {
+    return this;
+  }
+
+  @Override
+  public DecisionLog.Line with(String name, long value) {
+    return this;
+  }
+
+  @Override
+  public void write() {}
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/RepeatingTimer.java
@@ -0,0 +1,36 @@
+package org.chicorylane.internal.runtime;
+
+import java.time.Duration;
+
+/** Schedules a task again after each run. */
+final class RepeatingTimer implements Scheduler.Timer {
+
+  private final Scheduler scheduler;
+  private final Duration period;
+  private final Runnable task;
+  private Scheduler.Timer next;
+  private boolean cancelled;
+
+  RepeatingTimer(Scheduler scheduler, Duration period, Runnable task) {
+    this.scheduler = scheduler;
+    this.period = period;
+    this.task = task;
+    this.next = scheduler.schedule(period, this::run);
+  }
+
+  private void run() {
+    if (cancelled) {
+      return;
+    }
+    task.run();
+    if (!cancelled) {
+      next = scheduler.schedule(period, this::run);
+    }
+  }
+
+  @Override
+  public void cancel() {
+    cancelled = true;
+    next.cancel();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -0,0 +1,537 @@
+package org.chicorylane.internal.tenure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.LongConsumer;
+import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.FailureCode;
+import org.chicorylane.internal.passthrough.ServerConnector;
+import org.chicorylane.internal.passthrough.ServerStatus;
+import org.chicorylane.internal.passthrough.TransactionState;
+import org.chicorylane.internal.platform.KeyValueEntry;
+import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.SettledResult;
+import org.chicorylane.internal.platform.SettledSwap;
+import org.chicorylane.internal.pool.GroupPool;
+import org.chicorylane.internal.pool.PoolListener;
+import org.chicorylane.internal.pool.Work;
+import org.chicorylane.internal.pool.WorkHandler;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.DecisionLog;
+import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.topology.BackendServer;
+import org.chicorylane.internal.topology.GroupDeclaration;
+import org.chicorylane.internal.topology.PeerInstance;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One instance's part in one database group: knows who is the home, becomes it when the home is
+ * lost, and as the home keeps the pool and replaces lost primaries.
+ *
+ * <p>A home may work while its last confirmation of the record was sent less than {@link
+ * HomeTimings#validity} ago. A later home may use the same primary at once, but promotes another
+ * only when each earlier home has stopped, or the validity has passed since its own swap.
+ *
+ * <p>Confined to the instance's thread.
+ */
+public final class GroupTenure {
+
+  /** The collaborators of all groups of an instance. */
+  public record Context(
+      HomeRecord.Holder self,
+      KeyValueStore store,
+      SettledSwap swaps,
+      ServerConnector connector,
+      Promoter promoter,
+      Peers peers,
+      Scheduler scheduler,
+      DecisionLog log,
+      HomeTimings timings) {}
+
+  private static final int PRIOR_HOMES_KEPT = 6;
+
+  /** How long transactions may go on at an instance that is no longer the home. */
+  private static final Duration RETIREMENT = Duration.ofSeconds(3);
+
+  /** The transaction's connection ended with its home. */
+  private static final Answer TRANSACTION_GONE =
+      Answer.failure(
+          FailureCode.ABORTED, "the home of the group changed", TransactionState.FAILED);
+
+  private final String group;
+  private final Context context;
+  private final Runnable onHomeChanged;
+  private @Nullable HomeRecord record;
+  private long revision;
+  private boolean recordKnown;
+  private boolean taking;
+  private boolean leaving;
+  private long confirmedNanos;
+  private @Nullable GroupPool pool;
+  private @Nullable PrimaryKeeper keeper;
+  private final List<GroupPool> retiring = new ArrayList<>();
+  private List<BackendServer> servers = List.of();
+  private @Nullable GroupDeclaration declaration;
+  private Duration transactionIdleLimit = Duration.ofSeconds(30);
+  private long lostSinceNanos;
+  private long absentSinceNanos;
+
+  /**
+   * Creates the group's tenure.
+   *
+   * @param onHomeChanged told when another instance, or none, is the home
+   */
+  public GroupTenure(String group, Context context, Runnable onHomeChanged) {
+    this.group = group;
+    this.context = context;
+    this.onHomeChanged = onHomeChanged;
+  }
+
+  /** Returns the home's record, null if there is none yet. */
+  public @Nullable HomeRecord record() {
+    return record;
+  }
+
+  /** Returns the pool, if this instance is the home. */
+  public @Nullable GroupPool pool() {
+    return pool;
+  }
+
+  /** Returns whether this instance is the home. */
+  public boolean isHome() {
+    return pool != null;
+  }
+
+  /** Runs work that came over {@code owner}, if this instance is the home. */
+  public void submit(Object owner, Work work, WorkHandler handler) {
+    GroupPool p = pool;
+    if (!work.inTransaction() || work.begins()) {
+      if (p == null) {
+        handler.onNotHome();
+      } else {
+        p.submit(owner, work, handler);
+      }
+      return;
+    }
+    for (GroupPool each : pools()) {
+      if (each.hasTransaction(owner, work.transaction())) {
+        each.submit(owner, work, handler);
+        return;
+      }
+    }
+    handler.onAnswer(TRANSACTION_GONE);
+  }
+
+  /** Rolls back a transaction that came over {@code owner}. */
+  public void abandon(Object owner, long transaction) {
+    pools().forEach(p -> p.abandon(owner, transaction));
+  }
+
+  /** Rolls back all transactions that came over {@code owner}. */
+  public void abandonAll(Object owner) {
+    pools().forEach(p -> p.abandonAll(owner));
+  }
+
+  /** Returns whether work of clients is still running here. */
+  public boolean isIdle() {
+    return pools().stream().allMatch(GroupPool::isIdle);
+  }
+
+  private List<GroupPool> pools() {
+    List<GroupPool> all = new ArrayList<>(retiring);
+    if (pool != null) {
+      all.add(pool);
+    }
+    return all;
+  }
+
+  /** Returns the group's name. */
+  public String group() {
+    return group;
+  }
+
+  /** Takes what operators and servers declare. */
+  public void declare(
+      GroupDeclaration declared, Duration idleLimit, List<BackendServer> present) {
+    declaration = declared;
+    transactionIdleLimit = idleLimit;
+    servers = present;
+    if (pool != null) {
+      pool.configure(declared.maximumConnections(), idleLimit);
+      pool.setServers(present);
+    }
+  }
+
+  /** Takes the record as the store has it; {@code entry} is null if it has none. */
+  public void onRecord(@Nullable KeyValueEntry entry) {
+    recordKnown = true;
+    if (entry == null) {
+      if (record != null && revision > 0) {
+        return;
+      }
+      absentSinceNanos = absentSinceNanos == 0 ? now() : absentSinceNanos;
+      return;
+    }
+    if (entry.modRevision() <= revision) {
+      return;
+    }
+    Optional<HomeRecord> decoded = HomeRecord.decode(entry);
+    if (decoded.isEmpty()) {
+      log("record-unreadable").with("revision", entry.modRevision()).write();
+      return;
+    }
+    HomeRecord before = record;
+    adopt(decoded.get(), entry.modRevision());
+    if (before == null || !before.home().equals(decoded.get().home())) {
+      lostSinceNanos = 0;
+      log("home")
+          .with("home", decoded.get().home().name())
+          .with("epoch", decoded.get().epoch())
+          .with("revision", entry.modRevision())
+          .write();
+      if (isHome() && !decoded.get().home().equals(context.self())) {
+        retire("another instance is the home");
+      }
+      onHomeChanged.run();
+    }
+  }
+
+  /** Takes the result of a linearizable read that was sent at {@code sentNanos}. */
+  public void onConfirmation(@Nullable KeyValueEntry entry, long sentNanos) {
+    onRecord(entry);
+    if (entry != null
+        && entry.modRevision() == revision
+        && record != null
+        && record.home().equals(context.self())) {
+      confirmedNanos = Math.max(confirmedNanos, sentNanos);
+    }
+  }
+
+  /** Says that the home cannot be reached; {@code refused} if its process is not running. */
+  public void onHomeLost(boolean refused) {
+    HomeRecord r = record;
+    if (r == null || isHome() || taking || leaving || lostSinceNanos != 0) {
+      return;
+    }
+    lostSinceNanos = now();
+    HomeRecord.Holder lost = r.home();
+    log("home-lost").with("home", lost.name()).with("refused", refused).write();
+    Duration delay = context.timings().rankDelay().multipliedBy(rank(lost.name()));
+    context.scheduler().schedule(delay, () -> replace(lost, refused));
+  }
+
+  /** Says that the home answers. */
+  public void onHomeHeard() {
+    lostSinceNanos = 0;
+  }
+
+  /** Stops this instance's work on the group for a later home. Returns what it acknowledged. */
+  public LogPosition stopFor(String incarnation) {
+    LogPosition acknowledged = pool == null ? LogPosition.ZERO : pool.acknowledged();
+    if (incarnation.equals(context.self().incarnation())) {
+      retire("a later home asked to stop");
+      for (GroupPool old : List.copyOf(retiring)) {
+        acknowledged = acknowledged.max(old.acknowledged());
+        old.stop();
+      }
+      retiring.clear();
+    }
+    return acknowledged;
+  }
+
+  /** Becomes the home because the present one asked for it. */
+  public void takeOver() {
+    if (!isHome() && !leaving) {
+      take("asked by the home");
+    }
+  }
+
+  /** Hands the group over before this instance stops. */
+  public void leave() {
+    leaving = true;
+    if (!isHome()) {
+      return;
+    }
+    List<PeerInstance> candidates = candidates(context.self().name());
+    handOver(candidates, 0);
+  }
+
+  /** Looks at what has to be done; called often. */
+  public void tick() {
+    if (!recordKnown || declaration == null || leaving) {
+      return;
+    }
+    HomeRecord r = record;
+    if (r == null) {
+      long waited = now() - absentSinceNanos;
+      if (!servers.isEmpty()
+          && waited > context.timings().rankDelay().toNanos() * (2 + 2L * rank(""))) {
+        take("no home yet");
+      }
+      return;
+    }
+    boolean earlierLife =
+        r.home().name().equals(context.self().name()) && !r.home().equals(context.self());
+    if (earlierLife) {
+      take("was the home before the restart");
+    }
+    PrimaryKeeper k = keeper;
+    if (k != null) {
+      k.tick();
+    }
+  }
+
+  /** Writes the record while this instance is the home. */
+  void write(HomeRecord next, LongConsumer onApplied, Runnable onFailed) {
+    long sent = now();
+    context
+        .swaps()
+        .swap(HomeRecord.keyOf(group), revision, next.encode(), next.writer())
+        .thenAccept(
+            result -> {
+              if (result instanceof SettledResult.Applied applied) {
+                if (applied.revision() >= revision) {
+                  adopt(next, applied.revision());
+                }
+                confirmedNanos = Math.max(confirmedNanos, sent);
+                onApplied.accept(applied.revision());
+              } else {
+                log("record-not-written").with("result", result).write();
+                if (result instanceof SettledResult.Conflict conflict) {
+                  conflict.current().forEach(this::onRecord);
+                }
+                onFailed.run();
+              }
+            });
+  }
+
+  /** Returns whether this home may work at {@code nanos}. */
+  boolean mayWork(long nanos) {
+    return nanos - confirmedNanos < context.timings().validity().toNanos();
+  }
+
+  /** Returns a record like the present one, with a new writer. */
+  HomeRecord changed(
+      @Nullable String primaryId, long term, @Nullable String promoting, boolean exclusive) {
+    HomeRecord r = Objects.requireNonNull(record);
+    return new HomeRecord(
+        r.epoch(),
+        r.home(),
+        primaryId,
+        term,
+        promoting,
+        exclusive ? List.of() : r.priorHomes(),
+        UUID.randomUUID().toString());
+  }
+
+  /** Returns the group's servers. */
+  List<BackendServer> servers() {
+    return servers;
+  }
+
+  /** Returns the instances that may take the group, without {@code except}; the best first. */
+  List<PeerInstance> candidates(String except) {
+    return Candidates.rank(
+        group, context.peers().instances().stream().filter(p -> !p.name().equals(except)).toList());
+  }
+
+  /** Begins a line about the group. */
+  DecisionLog.Line log(String event) {
+    return context.log().event(DecisionLog.Weight.BELIEF, event).with("group", group);
+  }
+
+  private void adopt(HomeRecord next, long newRevision) {
+    record = next;
+    revision = newRevision;
+  }
+
+  private int rank(String lost) {
+    List<PeerInstance> order = candidates(lost);
+    for (int i = 0; i < order.size(); i++) {
+      if (order.get(i).name().equals(context.self().name())) {
+        return i;
+      }
+    }
+    return order.size();
+  }
+
+  private void replace(HomeRecord.Holder lost, boolean refused) {
+    HomeRecord r = record;
+    if (r == null || !r.home().equals(lost) || lostSinceNanos == 0 || leaving || isHome()) {
+      return;
+    }
+    if (refused) {
+      take("the home's process is not running");
+      return;
+    }
+    List<PeerInstance> others =
+        candidates(lost.name()).stream()
+            .filter(p -> !p.name().equals(context.self().name()))
+            .limit(3)
+            .toList();
+    if (others.isEmpty()) {
+      take("the home does not answer and there is no other instance");
+      return;
+    }
+    Poll.ask(
+        others,
+        (peer, verdict) -> context.peers().hearsHome(peer, group, verdict),
+        (yes, no) -> {
+          if (yes == null && no > 0) {
+            take("the home answers neither this instance nor " + no + " others");
+          } else {
+            lostSinceNanos = 0;
+          }
+        });
+  }
+
+  private void take(String reason) {
+    if (taking || isHome()) {
+      return;
+    }
+    taking = true;
+    HomeRecord r = record;
+    HomeRecord next =
+        new HomeRecord(
+            r == null ? 1 : r.epoch() + 1,
+            context.self(),
+            r == null ? null : r.primaryId(),
+            r == null ? 0 : r.term(),
+            r == null ? null : r.promoting(),
+            r == null ? List.of() : priorOf(r),
+            UUID.randomUUID().toString());
+    log("home-taking").with("reason", reason).with("revision", revision).write();
+    long before = revision;
+    write(
+        next,
+        applied -> {
+          taking = false;
+          if (next.equals(record)) {
+            begin();
+          }
+        },
+        () -> {
+          taking = false;
+          lostSinceNanos = 0;
+          if (revision == before) {
+            readRecord();
+          }
+        });
+  }
+
+  private List<HomeRecord.Holder> priorOf(HomeRecord r) {
+    List<HomeRecord.Holder> prior = new ArrayList<>(r.priorHomes());
+    prior.add(r.home());
+    prior.removeIf(h -> h.name().equals(context.self().name()));
+    int drop = Math.max(0, prior.size() - PRIOR_HOMES_KEPT);
+    return List.copyOf(prior.subList(drop, prior.size()));
+  }
+
+  private void readRecord() {
+    long sent = now();
+    context
+        .store()
+        .get(HomeRecord.keyOf(group))
+        .thenAccept(
+            result -> {
+              if (result instanceof ReadResult.Read read) {
+                onConfirmation(read.first().orElse(null), sent);
+              }
+            });
+  }
+
+  private void begin() {
+    lostSinceNanos = 0;
+    Listener listener = new Listener();
+    GroupPool p =
+        new GroupPool(
+            group,
+            context.connector(),
+            context.scheduler(),
+            context.log(),
+            this::mayWork,
+            listener);
+    pool = p;
+    PrimaryKeeper k = new PrimaryKeeper(this, context, p, now());
+    keeper = k;
+    GroupDeclaration d = declaration;
+    if (d != null) {
+      p.configure(d.maximumConnections(), transactionIdleLimit);
+    }
+    HomeRecord r = record;
+    if (r != null && r.primaryId() != null) {
+      p.setPrimary(r.primaryId(), r.term());
+    }
+    p.setServers(servers);
+    log("home-begun").with("epoch", r == null ? 0 : r.epoch()).with("revision", revision).write();
+    onHomeChanged.run();
+  }
+
+  private void retire(String reason) {
+    GroupPool p = pool;
+    if (p != null) {
+      pool = null;
+      keeper = null;
+      log("home-ended").with("reason", reason).with("revision", revision).write();
+      retiring.add(p);
+      p.retire();
+      context.scheduler().schedule(RETIREMENT, () -> end(p));
+      onHomeChanged.run();
+    }
+  }
+
+  private void end(GroupPool old) {
+    if (retiring.remove(old)) {
+      old.stop();
+    }
+  }
+
+  private void handOver(List<PeerInstance> candidates, int index) {
+    if (index >= candidates.size() || !isHome()) {
+      return;
+    }
+    context
+        .peers()
+        .takeHome(
+            candidates.get(index),
+            group,
+            verdict -> {
+              if (verdict != Peers.Verdict.YES) {
+                handOver(candidates, index + 1);
+              }
+            });
+  }
+
+  private long now() {
+    return context.scheduler().nanoTime();
+  }
+
+  /** Passes on what the pool learns. */
+  private final class Listener implements PoolListener {
+    @Override
+    public void onServerLost(String serverId, String reason) {
+      if (keeper != null) {
+        keeper.onServerLost(serverId, reason);
+      }
+    }
+
+    @Override
+    public void onServerStatus(String serverId, ServerStatus status) {
+      if (keeper != null) {
+        keeper.onServerStatus(serverId, status);
+      }
+    }
+
+    @Override
+    public void onPrimaryDenied(String serverId) {
+      if (keeper != null) {
+        keeper.onPrimaryDenied(serverId);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/Peers.java
@@ -0,0 +1,41 @@
+package org.chicorylane.internal.tenure;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.chicorylane.internal.passthrough.ServerConnector;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.topology.PeerInstance;
+
+/** Questions to other instances. Each is answered once, at the latest after its timeout. */
+public interface Peers {
+
+  /** Returns the known instances, this one included. */
+  List<PeerInstance> instances();
+
+  /** Asks an instance whether it reaches a server. */
+  void probe(PeerInstance peer, ServerConnector.Target server, Consumer<Verdict> verdict);
+
+  /** Asks an instance whether it hears the home of a group. */
+  void hearsHome(PeerInstance peer, String group, Consumer<Verdict> verdict);
+
+  /** Asks an instance to become the home of a group. */
+  void takeHome(PeerInstance peer, String group, Consumer<Verdict> verdict);
+
+  /** Asks an earlier home to stop its work on a group's primary. */
+  void stopHome(String group, HomeRecord.Holder earlier, Consumer<Stop> outcome);
+
+  /** An answer to a question. */
+  enum Verdict {
+    YES,
+    NO,
+    UNKNOWN
+  }
+
+  /**
+   * Whether an earlier home has stopped.
+   *
+   * @param stopped whether it surely has
+   * @param acknowledged the highest position that it acknowledged, as far as it told
+   */
+  record Stop(boolean stopped, LogPosition acknowledged) {}
+}
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/topology/Freshness.java
@@ -0,0 +1,29 @@
+package org.chicorylane.internal.topology;
+
+/** Which commits a read of a route must see. */
+public enum Freshness {
+  /** All commits; only the primary serves. */
+  LATEST(false, false),
+  /** All commits older than the route's age. */
+  BOUNDED_AGE(true, false),
+  /** All commits older than the route's age, and the session's own. */
+  OWN_WRITES(true, true);
+
+  private final boolean replicasServe;
+  private final boolean sessionMatters;
+
+  Freshness(boolean replicasServe, boolean sessionMatters) {
+    this.replicasServe = replicasServe;
+    this.sessionMatters = sessionMatters;
+  }
+
+  /** Returns whether replicas may serve reads. */
+  public boolean replicasServe() {
+    return replicasServe;
+  }
+
+  /** Returns whether reads must see the session's own writes. */
+  public boolean sessionMatters() {
+    return sessionMatters;
+  }
+}
