--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -130,8 +130,7 @@
     }
     if (state == TransactionState.FAILED) {
       endTransaction(true);
-      done.accept(
-          Answer.failure(FailureCode.ABORTED, "the transaction was rolled back", state));
+      done.accept(Answer.failure(FailureCode.ABORTED, "the transaction was rolled back", state));
       return;
     }
     submit(
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
@@ -118,10 +118,7 @@
   }
 
   static MeshPosition encode(LogPosition position) {
-    return MeshPosition.newBuilder()
-        .setTerm(position.term())
-        .setNumber(position.offset())
-        .build();
+    return MeshPosition.newBuilder().setTerm(position.term()).setNumber(position.offset()).build();
   }
 
   static @Nullable LogPosition decode(MeshPosition position) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/FloorTracker.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/FloorTracker.java
@@ -74,10 +74,7 @@
     if (position.term() != term) {
       return -1;
     }
-    return samples
-        .age(position.offset(), instant(nowNanos))
-        .map(Duration::toMillis)
-        .orElse(-1L);
+    return samples.age(position.offset(), instant(nowNanos)).map(Duration::toMillis).orElse(-1L);
   }
 
   private static Instant instant(long nanos) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -744,15 +744,13 @@
     if (t != null && t.abandoned) {
       return;
     }
-    boolean doubtful =
-        t == null ? w.work.writes() : w.work.kind() == WorkKind.COMMIT && t.wrote;
+    boolean doubtful = t == null ? w.work.writes() : w.work.kind() == WorkKind.COMMIT && t.wrote;
     if (doubtful) {
       forget(w);
       deliver(
           w,
           c.server,
-          Answer.failure(
-              FailureCode.IN_DOUBT, "server " + server + " did not answer", ended(w)),
+          Answer.failure(FailureCode.IN_DOUBT, "server " + server + " did not answer", ended(w)),
           0);
     } else if (t == null || (w.work.begins() && w.work.kind() != WorkKind.COMMIT)) {
       if (w.attempts < MAXIMUM_ATTEMPTS && scheduler.nanoTime() < w.deadlineNanos()) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -53,8 +53,7 @@
       return;
     }
     store
-        .transact(
-            StoreTransaction.builder().put(KEY_PREFIX + self.name(), encode(self)).build())
+        .transact(StoreTransaction.builder().put(KEY_PREFIX + self.name(), encode(self)).build())
         .thenAccept(
             result -> {
               if (!(result instanceof WriteResult.Applied)) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeers.java
@@ -35,8 +35,7 @@
   }
 
   @Override
-  public void probe(
-      PeerInstance peer, ServerConnector.Target server, Consumer<Verdict> verdict) {
+  public void probe(PeerInstance peer, ServerConnector.Target server, Consumer<Verdict> verdict) {
     MeshQuestion.Builder question =
         question(PeerQuestion.PROBE_SERVER, server.service())
             .setServerId(server.serverId())
@@ -80,10 +79,7 @@
   }
 
   private void ask(
-      String address,
-      MeshQuestion.Builder question,
-      Duration timeout,
-      Consumer<Verdict> verdict) {
+      String address, MeshQuestion.Builder question, Duration timeout, Consumer<Verdict> verdict) {
     links
         .apply(address)
         .ask(
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -126,9 +126,7 @@
       }
       case STOP_HOME -> {
         LogPosition acknowledged =
-            tenure == null
-                ? LogPosition.ZERO
-                : tenure.stopFor(question.getIncarnation());
+            tenure == null ? LogPosition.ZERO : tenure.stopFor(question.getIncarnation());
         reply(channel, question, true, acknowledged);
       }
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -35,8 +35,7 @@
   private final Listener listener;
   private KeyValueStore.@Nullable Watch watch;
 
-  PrefixFollower(
-      KeyValueStore store, String prefix, Scheduler scheduler, Listener listener) {
+  PrefixFollower(KeyValueStore store, String prefix, Scheduler scheduler, Listener listener) {
     this.store = store;
     this.prefix = prefix;
     this.scheduler = scheduler;
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -31,8 +31,8 @@
 import org.chicorylane.internal.topology.TopologyDecoder;
 
 /**
- * An instance that serves clients' sessions: entry for its clients, home of some groups, and peer of
- * the other instances.
+ * An instance that serves clients' sessions: entry for its clients, home of some groups, and peer
+ * of the other instances.
  *
  * <pre>{@code
  * ProxyInstance instance = new ProxyInstance(self, ports);
@@ -85,12 +85,16 @@
     this.configuration = new ConfigurationKeeper(ports.decoder(), ports.log(), this::declare);
     this.servers = new ServerDirectory(scheduler, this::declare);
     this.registry = new InstanceRegistry(ports.store(), scheduler, self);
-    this.router =
-        new HomeRouter(scheduler, ports.log(), tenures::get, this::link, self.name());
+    this.router = new HomeRouter(scheduler, ports.log(), tenures::get, this::link, self.name());
     this.sessions = new SessionEdge(configuration::current, router);
     this.service =
         new MeshService(
-            scheduler, ports.connector(), tenures::get, tenures.values(), this::link, configuration);
+            scheduler,
+            ports.connector(),
+            tenures::get,
+            tenures.values(),
+            this::link,
+            configuration);
     SettledSwap swaps =
         new SettledSwap(
             ports.store(),
@@ -119,7 +123,9 @@
     follow(ports.decoder().configurationKey(), new ConfigurationListener());
     follow(ports.decoder().serverPrefix(), new ServerListener());
     follow("lane/", new LaneListener());
-    ports.scheduler().repeat(TICK, () -> new ArrayList<>(tenures.values()).forEach(GroupTenure::tick));
+    ports
+        .scheduler()
+        .repeat(TICK, () -> new ArrayList<>(tenures.values()).forEach(GroupTenure::tick));
     ports.scheduler().repeat(timings.confirmInterval(), this::confirm);
   }
 
@@ -154,7 +160,11 @@
       return;
     }
     draining = true;
-    ports.log().event(DecisionLog.Weight.BELIEF, "draining").with("sessions", sessions.count()).write();
+    ports
+        .log()
+        .event(DecisionLog.Weight.BELIEF, "draining")
+        .with("sessions", sessions.count())
+        .write();
     registry.leave();
     tenures.values().forEach(GroupTenure::leave);
     long begun = ports.scheduler().nanoTime();
@@ -241,19 +251,18 @@
       }
     }
     homes.forEach(address -> link(address).watch(true));
-    links.forEach((address, link) -> {
-      if (!homes.contains(address)) {
-        link.watch(false);
-      }
-    });
+    links.forEach(
+        (address, link) -> {
+          if (!homes.contains(address)) {
+            link.watch(false);
+          }
+        });
   }
 
   private PeerLink link(String address) {
     return links.computeIfAbsent(
         address,
-        a ->
-            new PeerLink(
-                a, ports.mesh(), ports.scheduler(), configuration::version, new Links()));
+        a -> new PeerLink(a, ports.mesh(), ports.scheduler(), configuration::version, new Links()));
   }
 
   /** Follows the links to other instances. */
@@ -310,11 +319,7 @@
     public void onAll(List<KeyValueEntry> entries) {
       Map<String, BackendServer> present = new HashMap<>();
       entries.forEach(
-          e ->
-              ports
-                  .decoder()
-                  .server(e.key(), e.value())
-                  .ifPresent(s -> present.put(s.id(), s)));
+          e -> ports.decoder().server(e.key(), e.value()).ifPresent(s -> present.put(s.id(), s)));
       serversKnown = true;
       servers.replaceAll(present);
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -60,8 +60,7 @@
 
   /** The transaction's connection ended with its home. */
   private static final Answer TRANSACTION_GONE =
-      Answer.failure(
-          FailureCode.ABORTED, "the home of the group changed", TransactionState.FAILED);
+      Answer.failure(FailureCode.ABORTED, "the home of the group changed", TransactionState.FAILED);
 
   private final String group;
   private final Context context;
@@ -156,8 +155,7 @@
   }
 
   /** Takes what operators and servers declare. */
-  public void declare(
-      GroupDeclaration declared, Duration idleLimit, List<BackendServer> present) {
+  public void declare(GroupDeclaration declared, Duration idleLimit, List<BackendServer> present) {
     declaration = declared;
     transactionIdleLimit = idleLimit;
     servers = present;
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeTimings.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeTimings.java
@@ -5,8 +5,8 @@
 /**
  * The times of homes and promotions.
  *
- * @param validity how long after sending a confirmed read of the record a home may work; longer than
- *     usual outages of the store
+ * @param validity how long after sending a confirmed read of the record a home may work; longer
+ *     than usual outages of the store
  * @param confirmInterval how often a home reads its record
  * @param rankDelay how much longer the next candidate waits before it takes a home that was lost
  * @param evidenceTimeout how long other instances may take to say whether they reach a server
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -455,8 +455,12 @@
             target,
             token,
             outcome -> {
-              tenure.log("promotion-order").with("server", target).with("token", token)
-                  .with("outcome", outcome).write();
+              tenure
+                  .log("promotion-order")
+                  .with("server", target)
+                  .with("token", token)
+                  .with("outcome", outcome)
+                  .write();
               if (mine != attempt || step != Step.PROMOTING) {
                 return;
               }
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -0,0 +1,314 @@
+package org.chicorylane.internal.passthrough;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.Scheduler;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A database server in model time: terms, a log of request ids, slots, session state, and the faults
+ * that tests inject.
+ */
+public final class ModelServer {
+
+  /** A write in the log. */
+  public record LogEntry(LogPosition position, String requestId) {}
+
+  private final ModelGroup group;
+  private final Scheduler scheduler;
+  final String id;
+  final List<LogEntry> log = new ArrayList<>();
+  final List<Connection> connections = new ArrayList<>();
+  private final Deque<Runnable> queue = new ArrayDeque<>();
+  private final int slots;
+  public boolean primary;
+  public boolean running = true;
+  public boolean silent;
+  public boolean deaf;
+  public boolean loseNextAnswer;
+  public boolean refuseNext;
+  public long term = 1;
+  public long sealedTerm;
+  public Duration work = Duration.ofMillis(10);
+  public Duration lag = Duration.ofMillis(20);
+  public int statements;
+  public int greatestBusy;
+  LogPosition applied = LogPosition.ZERO;
+  private int busy;
+  private int life;
+
+  ModelServer(ModelGroup group, Scheduler scheduler, String id, int slots) {
+    this.group = group;
+    this.scheduler = scheduler;
+    this.id = id;
+    this.slots = slots;
+  }
+
+  /** Returns the end of its log. */
+  public LogPosition received() {
+    return log.isEmpty() ? LogPosition.ZERO : log.get(log.size() - 1).position();
+  }
+
+  /** Returns its log. */
+  public List<LogEntry> log() {
+    return List.copyOf(log);
+  }
+
+  /** Ends the process; connections break at once. */
+  public void crash() {
+    running = false;
+    life++;
+    queue.clear();
+    busy = 0;
+    List.copyOf(connections).forEach(Connection::breakDown);
+  }
+
+  /** Starts the process again with its log, as a replica if the term moved on. */
+  public void restart() {
+    running = true;
+    silent = false;
+    if (group.term() > term) {
+      becomeReplica(group.term());
+    }
+  }
+
+  /** Becomes a replica of a later term, without what the primary of that term lacks. */
+  void becomeReplica(long newTerm) {
+    primary = false;
+    term = newTerm;
+    group.copyFromPrimary(this);
+  }
+
+  private void occupy(Duration time, Runnable done) {
+    Runnable start =
+        () -> {
+          int mine = life;
+          busy++;
+          greatestBusy = Math.max(greatestBusy, busy);
+          scheduler.schedule(
+              time,
+              () -> {
+                if (mine != life) {
+                  return;
+                }
+                busy--;
+                done.run();
+                Runnable next = queue.poll();
+                if (next != null) {
+                  next.run();
+                }
+              });
+        };
+    if (busy < slots) {
+      start.run();
+    } else {
+      queue.add(start);
+    }
+  }
+
+  /** A connection to the server. */
+  final class Connection implements ServerLink {
+    private final ServerConnector.Listener listener;
+    private final Deque<AnswerHandler> open = new ArrayDeque<>();
+    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, PreparedShape> prepared = new HashMap<>();
+    private final List<String> written = new ArrayList<>();
+    private TransactionState state = TransactionState.IDLE;
+    private boolean readOnly;
+    private boolean ended;
+    private boolean reachable = true;
+
+    Connection(ServerConnector.Listener listener) {
+      this.listener = listener;
+      connections.add(this);
+    }
+
+    @Override
+    public void send(ServerCommand command, AnswerHandler handler) {
+      if (ended) {
+        scheduler.schedule(Duration.ZERO, handler::onLost);
+        return;
+      }
+      open.add(handler);
+      scheduler.schedule(group.oneWay(), () -> receive(command, handler));
+    }
+
+    private void receive(ServerCommand command, AnswerHandler handler) {
+      if (ended || !running || silent) {
+        return;
+      }
+      if (command instanceof ServerCommand.Forward c) {
+        boolean writes = c.text().startsWith("WRITE");
+        statement(c.requestId(), writes, c.floor(), handler);
+      } else if (command instanceof ServerCommand.Execute c) {
+        PreparedShape shape = prepared.get(c.preparedName());
+        if (shape == null) {
+          reply(handler, failure(FailureCode.NOT_PREPARED));
+        } else {
+          statement(c.requestId(), shape.mode() == AccessMode.WRITE, c.floor(), handler);
+        }
+      } else if (command instanceof ServerCommand.Commit c) {
+        occupy(Duration.ofMillis(2), () -> commit(c.requestId(), handler));
+      } else if (command instanceof ServerCommand.Begin c) {
+        begin(c, handler);
+      } else {
+        reply(handler, control(command));
+      }
+    }
+
+    private void begin(ServerCommand.Begin c, AnswerHandler handler) {
+      if (!c.readOnly() && !primary) {
+        reply(handler, failure(FailureCode.NOT_PRIMARY));
+      } else if (c.floor() != null && applied().compareTo(c.floor()) < 0) {
+        reply(handler, failure(FailureCode.REPLICA_BEHIND));
+      } else {
+        state = TransactionState.OPEN;
+        readOnly = c.readOnly();
+        reply(handler, done(Answer.UNSIGNED));
+      }
+    }
+
+    private Answer control(ServerCommand command) {
+      if (command instanceof ServerCommand.SetValue c) {
+        values.put(c.name(), c.value());
+      } else if (command instanceof ServerCommand.Prepare c) {
+        prepared.put(c.name(), c.shape());
+      } else if (command instanceof ServerCommand.Reset) {
+        values.clear();
+        prepared.clear();
+      } else if (command instanceof ServerCommand.Rollback) {
+        state = TransactionState.IDLE;
+        written.clear();
+      } else if (command instanceof ServerCommand.StopReceiving c) {
+        sealedTerm = primary ? sealedTerm : Math.max(sealedTerm, c.term());
+      } else if (command instanceof ServerCommand.ResumeReceiving) {
+        sealedTerm = 0;
+      } else if (command instanceof ServerCommand.StepDown c && primary && c.term() > term) {
+        becomeReplica(c.term());
+      }
+      ServerStatus status =
+          new ServerStatus(primary, term, received(), sealedTerm, lag.toMillis());
+      return new Answer(List.of(), Answer.UNSIGNED, null, "", state, applied(), status);
+    }
+
+    private void statement(
+        String requestId, boolean writes, @Nullable LogPosition floor, AnswerHandler handler) {
+      if (refuseNext) {
+        refuseNext = false;
+        reply(handler, failure(FailureCode.OVERLOADED));
+        return;
+      }
+      if (writes && (!primary || (state == TransactionState.OPEN && readOnly))) {
+        reply(handler, failure(FailureCode.NOT_PRIMARY));
+        return;
+      }
+      if (floor != null && applied().compareTo(floor) < 0) {
+        reply(handler, failure(FailureCode.REPLICA_BEHIND));
+        return;
+      }
+      occupy(
+          work,
+          () -> {
+            statements++;
+            group.onRun(ModelServer.this, this, requestId, Map.copyOf(values), state);
+            if (!writes) {
+              reply(handler, done("signed-" + requestId));
+            } else if (state == TransactionState.OPEN) {
+              written.add(requestId);
+              reply(handler, done("signed-" + requestId));
+            } else {
+              append(requestId, handler);
+            }
+          });
+    }
+
+    private void commit(String requestId, AnswerHandler handler) {
+      state = TransactionState.IDLE;
+      if (written.isEmpty()) {
+        reply(handler, done("signed-" + requestId));
+        return;
+      }
+      written.clear();
+      append(requestId, handler);
+    }
+
+    private void append(String requestId, AnswerHandler handler) {
+      if (!primary) {
+        reply(handler, failure(FailureCode.NOT_PRIMARY));
+        return;
+      }
+      LogEntry entry =
+          new LogEntry(new LogPosition(term, received().offset() + 1), requestId);
+      log.add(entry);
+      group.replicate(
+          ModelServer.this,
+          entry,
+          () -> reply(handler, done("signed-" + requestId)));
+    }
+
+    private Answer done(String signature) {
+      return new Answer(List.of(), signature, null, "", state, applied(), null);
+    }
+
+    private Answer failure(FailureCode code) {
+      if (state == TransactionState.OPEN) {
+        state = TransactionState.FAILED;
+      }
+      return new Answer(List.of(), null, code, id, state, applied(), null);
+    }
+
+    private void reply(AnswerHandler handler, Answer answer) {
+      if (loseNextAnswer && answer.signature() != null && answer.signature().startsWith("signed")) {
+        loseNextAnswer = false;
+        reachable = false;
+      }
+      if (!reachable) {
+        return;
+      }
+      scheduler.schedule(
+          group.oneWay(),
+          () -> {
+            if (!ended && !silent && open.remove(handler)) {
+              handler.onAnswer(answer);
+            }
+          });
+    }
+
+    void breakDown() {
+      scheduler.schedule(group.oneWay(), this::end);
+    }
+
+    @Override
+    public void close() {
+      end();
+    }
+
+    private void end() {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      connections.remove(this);
+      List<AnswerHandler> lost = new ArrayList<>(open);
+      open.clear();
+      lost.forEach(AnswerHandler::onLost);
+      listener.onClosed();
+    }
+  }
+
+  private LogPosition applied() {
+    return primary ? received() : applied;
+  }
+
+  void apply(LogPosition position) {
+    if (position.compareTo(applied) > 0) {
+      applied = position;
+    }
+  }
+}
