Reach the store through peers, spread homes, keep reads on a halted primary

Ruled out: the servers (idle meanwhile), the links between instances (whole). Change: store calls go on through other instances when they surely were not executed; a home whose confirmation is older than half its validity hands over; candidates that hold fewer groups come first; a halted primary still serves reads until the order to promote is sent; expected waits count only servers that may serve.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -66,6 +66,12 @@
   /** Least time after which a write's answer counts as lost. */
   private static final long LATE_WRITE_NANOS = Duration.ofMillis(600).toNanos();
 
+  /** A primary that served nothing for so long is not waited for; a change takes less. */
+  private static final long HOPELESS_NANOS = Duration.ofMillis(1_300).toNanos();
+
+  /** When a client may come back while a primary is being replaced. */
+  private static final long RETURN_MILLIS = 400;
+
   private static final int MAXIMUM_ATTEMPTS = 4;
 
   /** Part of the budget within which a statement must be expected to begin. */
@@ -95,8 +101,9 @@
   private long term;
   private LogPosition acknowledged = LogPosition.ZERO;
   private long nextSequence;
+  private long primaryServedNanos;
   private boolean pumping;
-  private boolean paused;
+  private PrimaryHalt halt = PrimaryHalt.NOTHING;
   private boolean retiring;
   private boolean stopped;
 
@@ -118,6 +125,7 @@
     this.log = log;
     this.mayWork = mayWork;
     this.listener = listener;
+    this.primaryServedNanos = scheduler.nanoTime();
     this.ticker = scheduler.repeat(TICK, this::tick);
   }
 
@@ -171,9 +179,9 @@
     pump();
   }
 
-  /** Holds back new work for the primary while another takes over; what runs goes on. */
-  public void pausePrimary(boolean pause) {
-    paused = pause;
+  /** Says which new work for the primary is held back; what runs goes on. */
+  public void halt(PrimaryHalt newHalt) {
+    halt = newHalt;
     pump();
   }
 
@@ -244,6 +252,11 @@
     }
     Waiting w = new Waiting(work, handler, now, nextSequence++, transaction);
     long wait = expectedWaitMillis(w);
+    if (wait < 0 && now - primaryServedNanos > HOPELESS_NANOS) {
+      long down = (now - primaryServedNanos) / 1_000_000;
+      refuse(w, "no server can take it, the primary since " + down + " ms", RETURN_MILLIS);
+      return;
+    }
     if (!w.isPinned() && wait > work.budgetMillis() * WAIT_SHARE) {
       refuse(w, "queue of " + waiting.size() + " takes about " + wait + " ms", wait / 2);
       return;
@@ -356,22 +369,26 @@
     }
   }
 
+  /** Returns the expected time until a server takes the work, -1 if none can. */
   private long expectedWaitMillis(Waiting w) {
     if (w.isPinned()) {
       return 0;
     }
+    long now = scheduler.nanoTime();
+    LogPosition floor = w.work.replicaMayServe() ? floors.floorFor(w.work, w.arrivedNanos) : null;
     double capacity = 0;
     for (PoolServer s : servers.values()) {
-      if (s.acceptsNewWork() && (s.primary || w.work.replicaMayServe())) {
+      boolean serves = s.primary ? halt.allows(w.work) : floor != null && isFresh(s, floor, now);
+      if (serves && s.acceptsNewWork()) {
         capacity += Math.max(1, s.entry.slots()) / s.serviceNanos;
       }
     }
     if (capacity == 0) {
-      return 0;
+      return -1;
     }
     int ahead = 0;
     for (Waiting other : waiting) {
-      if (other.work.priority() <= w.work.priority()
+      if (Waiting.ORDER.compare(other, w) < 0
           && other.work.replicaMayServe() == w.work.replicaMayServe()) {
         ahead++;
       }
@@ -465,7 +482,10 @@
         return null;
       }
     }
-    if (primary == null || paused || !primary.usable() || primary.busy >= limit(primary)) {
+    if (primary == null
+        || !halt.allows(w.work)
+        || !primary.usable()
+        || primary.busy >= limit(primary)) {
       return null;
     }
     return primary;
@@ -636,6 +656,7 @@
     }
     server.onPosition(position);
     if (server.primary) {
+      primaryServedNanos = halt.equals(PrimaryHalt.NOTHING) ? now : primaryServedNanos;
       floors.sample(sentNanos, position);
     } else {
       long age = floors.ageMillis(position, now);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -17,6 +17,7 @@
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
+import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -39,6 +40,7 @@
   private final Collection<GroupTenure> allTenures;
   private final Function<String, PeerLink> links;
   private final ConfigurationKeeper configuration;
+  private final KeyValueStore store;
 
   MeshService(
       Scheduler scheduler,
@@ -46,7 +48,9 @@
       Function<String, @Nullable GroupTenure> tenures,
       Collection<GroupTenure> allTenures,
       Function<String, PeerLink> links,
-      ConfigurationKeeper configuration) {
+      ConfigurationKeeper configuration,
+      KeyValueStore store) {
+    this.store = store;
     this.scheduler = scheduler;
     this.connector = connector;
     this.tenures = tenures;
@@ -119,11 +123,20 @@
               reply);
       case HEARS_HOME -> reply.accept(tenure != null && hearsHome(tenure));
       case TAKE_HOME -> {
-        if (tenure != null) {
-          tenure.takeOver();
+        if (tenure == null) {
+          reply.accept(false);
+        } else {
+          tenure.takeOver(reply);
         }
-        reply.accept(tenure != null);
       }
+      case STORE_RANGE ->
+          store
+              .range(question.getArguments(0))
+              .thenAccept(r -> reply(channel, question, StoreMessages.reply(r)));
+      case STORE_TRANSACT ->
+          store
+              .transact(StoreMessages.transaction(question))
+              .thenAccept(r -> reply(channel, question, StoreMessages.reply(r)));
       case STOP_HOME -> {
         LogPosition acknowledged =
             tenure == null ? LogPosition.ZERO : tenure.stopFor(question.getIncarnation());
@@ -140,11 +153,15 @@
 
   private static void reply(
       MeshChannel channel, MeshQuestion question, boolean yes, @Nullable LogPosition position) {
-    MeshReply.Builder reply = MeshReply.newBuilder().setCall(question.getCall()).setYes(yes);
+    MeshReply.Builder reply = MeshReply.newBuilder().setYes(yes);
     if (position != null) {
       reply.setPosition(MeshMessages.position(position));
     }
-    channel.send(MeshFrame.newBuilder().setReply(reply).build());
+    reply(channel, question, reply);
+  }
+
+  private static void reply(MeshChannel channel, MeshQuestion question, MeshReply.Builder reply) {
+    channel.send(MeshFrame.newBuilder().setReply(reply.setCall(question.getCall())).build());
   }
 
   private void probe(ServerConnector.Target target, Consumer<Boolean> reply) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -11,7 +11,11 @@
   /** Become the home of a group. */
   TAKE_HOME,
   /** Stop working as the home of a group. */
-  STOP_HOME;
+  STOP_HOME,
+  /** Read a range of the key-value store. */
+  STORE_RANGE,
+  /** Run a transaction of the key-value store. */
+  STORE_TRANSACT;
 
   /** The numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -34,6 +34,7 @@
   private final Scheduler scheduler;
   private final Listener listener;
   private KeyValueStore.@Nullable Watch watch;
+  private boolean reading;
 
   PrefixFollower(KeyValueStore store, String prefix, Scheduler scheduler, Listener listener) {
     this.store = store;
@@ -42,11 +43,17 @@
     this.listener = listener;
   }
 
+  /** Reads everything, now and until it succeeds, and watches from there. */
   void start() {
+    if (reading) {
+      return;
+    }
+    reading = true;
     store
         .range(prefix)
         .thenAccept(
             result -> {
+              reading = false;
               if (result instanceof ReadResult.Read read) {
                 listener.onAll(read.entries());
                 follow(read.revision());
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.chicorylane.internal.entry.HomeRouter;
 import org.chicorylane.internal.entry.SessionEdge;
 import org.chicorylane.internal.mesh.MeshTransport;
@@ -46,6 +48,7 @@
   /** Everything outside of the instance that it talks to. */
   public record Ports(
       KeyValueStore store,
+      BooleanSupplier storeAway,
       ServerConnector connector,
       Promoter promoter,
       TopologyDecoder decoder,
@@ -56,6 +59,9 @@
   /** How often homes and candidates look at what has to be done. */
   private static final Duration TICK = Duration.ofMillis(50);
 
+  /** How often what the store holds is read through other instances while it is away. */
+  private static final Duration ASSISTED_READ = Duration.ofSeconds(1);
+
   /** Time after a stop was asked for in which the balancer still sends new connections. */
   private static final Duration BALANCER_DELAY = Duration.ofMillis(2_200);
 
@@ -71,6 +77,7 @@
   private final HomeRouter router;
   private final SessionEdge sessions;
   private final MeshService service;
+  private final AssistedStore store;
   private final GroupTenure.Context context;
   private boolean laneKnown;
   private boolean serversKnown;
@@ -85,6 +92,9 @@
     this.configuration = new ConfigurationKeeper(ports.decoder(), ports.log(), this::declare);
     this.servers = new ServerDirectory(scheduler, this::declare);
     this.registry = new InstanceRegistry(ports.store(), scheduler, self);
+    this.store =
+        new AssistedStore(
+            ports.store(), ports.storeAway(), registry::instances, this::link, self.name());
     this.router = new HomeRouter(scheduler, ports.log(), tenures::get, this::link, self.name());
     this.sessions = new SessionEdge(configuration::current, router);
     this.service =
@@ -94,27 +104,39 @@
             tenures::get,
             tenures.values(),
             this::link,
-            configuration);
+            configuration,
+            ports.store());
     SettledSwap swaps =
         new SettledSwap(
-            ports.store(),
+            store,
             delay -> {
-              java.util.concurrent.CompletableFuture<Void> done =
-                  new java.util.concurrent.CompletableFuture<>();
+              CompletableFuture<Void> done = new CompletableFuture<>();
               scheduler.schedule(delay, () -> done.complete(null));
               return done;
             });
     this.context =
         new GroupTenure.Context(
             new HomeRecord.Holder(self.name(), self.incarnation(), self.address()),
-            ports.store(),
+            store,
             swaps,
             ports.connector(),
             ports.promoter(),
             new MeshPeers(registry, this::link),
             scheduler,
             ports.log(),
-            timings);
+            timings,
+            this::homesOf);
+  }
+
+  private int homesOf(String instance, String exceptGroup) {
+    int homes = 0;
+    for (GroupTenure t : tenures.values()) {
+      HomeRecord r = t.record();
+      if (r != null && r.home().name().equals(instance) && !t.group().equals(exceptGroup)) {
+        homes++;
+      }
+    }
+    return homes;
   }
 
   /** Begins to follow the store and to take part. */
@@ -192,7 +214,17 @@
   }
 
   private void follow(String prefix, PrefixFollower.Listener listener) {
-    new PrefixFollower(ports.store(), prefix, ports.scheduler(), listener).start();
+    PrefixFollower follower = new PrefixFollower(store, prefix, ports.scheduler(), listener);
+    follower.start();
+    ports
+        .scheduler()
+        .repeat(
+            ASSISTED_READ,
+            () -> {
+              if (ports.storeAway().getAsBoolean()) {
+                follower.start();
+              }
+            });
   }
 
   private void confirm() {
@@ -201,8 +233,7 @@
     }
     confirming = true;
     long sent = ports.scheduler().nanoTime();
-    ports
-        .store()
+    store
         .range(HomeRecord.KEY_PREFIX)
         .thenAccept(
             result -> {
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
@@ -51,7 +52,14 @@
       Peers peers,
       Scheduler scheduler,
       DecisionLog log,
-      HomeTimings timings) {}
+      HomeTimings timings,
+      HomeCount homeCount) {}
+
+  /** Counts the homes of an instance. */
+  public interface HomeCount {
+    /** Returns of how many groups, without {@code exceptGroup}, the instance is the home. */
+    int homesOf(String instance, String exceptGroup);
+  }
 
   private static final int PRIOR_HOMES_KEPT = 6;
 
@@ -79,6 +87,7 @@
   private Duration transactionIdleLimit = Duration.ofSeconds(30);
   private long lostSinceNanos;
   private long absentSinceNanos;
+  private long lastGivenNanos;
 
   /**
    * Creates the group's tenure.
@@ -172,7 +181,6 @@
       if (record != null && revision > 0) {
         return;
       }
-      absentSinceNanos = absentSinceNanos == 0 ? now() : absentSinceNanos;
       return;
     }
     if (entry.modRevision() <= revision) {
@@ -242,11 +250,17 @@
     return acknowledged;
   }
 
-  /** Becomes the home because the present one asked for it. */
-  public void takeOver() {
-    if (!isHome() && !leaving) {
-      take("asked by the home");
+  /**
+   * Becomes the home because the present one asked for it.
+   *
+   * @param outcome told whether this instance is the home now
+   */
+  public void takeOver(Consumer<Boolean> outcome) {
+    if (isHome() || leaving || taking) {
+      outcome.accept(isHome());
+      return;
     }
+    take("asked by the home", outcome);
   }
 
   /** Hands the group over before this instance stops. */
@@ -266,9 +280,12 @@
     }
     HomeRecord r = record;
     if (r == null) {
+      if (servers.isEmpty()) {
+        return;
+      }
+      absentSinceNanos = absentSinceNanos == 0 ? now() : absentSinceNanos;
       long waited = now() - absentSinceNanos;
-      if (!servers.isEmpty()
-          && waited > context.timings().rankDelay().toNanos() * (2 + 2L * rank(""))) {
+      if (waited > context.timings().rankDelay().toNanos() * (2 + 2L * rank(""))) {
         take("no home yet");
       }
       return;
@@ -282,6 +299,19 @@
     if (k != null) {
       k.tick();
     }
+    if (isHome() && now() - confirmedNanos > context.timings().validity().toNanos() / 2) {
+      giveAway();
+    }
+  }
+
+  /** Looks for an instance that can write the record, before this one may no longer work. */
+  private void giveAway() {
+    if (now() - lastGivenNanos < context.timings().confirmInterval().toNanos()) {
+      return;
+    }
+    lastGivenNanos = now();
+    log("home-unconfirmed").with("age_ms", (now() - confirmedNanos) / 1_000_000).write();
+    handOver(candidates(context.self().name()).stream().limit(3).toList(), 0);
   }
 
   /** Writes the record while this instance is the home. */
@@ -313,6 +343,11 @@
     return nanos - confirmedNanos < context.timings().validity().toNanos();
   }
 
+  /** Returns whether the store confirmed the record lately, so that a change can be recorded. */
+  boolean isRecentlyConfirmed() {
+    return now() - confirmedNanos < 2 * context.timings().confirmInterval().toNanos();
+  }
+
   /** Returns a record like the present one, with a new writer. */
   HomeRecord changed(
       @Nullable String primaryId, long term, @Nullable String promoting, boolean exclusive) {
@@ -335,7 +370,9 @@
   /** Returns the instances that may take the group, without {@code except}; the best first. */
   List<PeerInstance> candidates(String except) {
     return Candidates.rank(
-        group, context.peers().instances().stream().filter(p -> !p.name().equals(except)).toList());
+        group,
+        context.peers().instances().stream().filter(p -> !p.name().equals(except)).toList(),
+        name -> context.homeCount().homesOf(name, group));
   }
 
   /** Begins a line about the group. */
@@ -389,9 +426,12 @@
   }
 
   private void take(String reason) {
-    if (taking || isHome()) {
-      return;
+    if (!taking && !isHome()) {
+      take(reason, taken -> {});
     }
+  }
+
+  private void take(String reason, Consumer<Boolean> outcome) {
     taking = true;
     HomeRecord r = record;
     HomeRecord next =
@@ -412,6 +452,7 @@
           if (next.equals(record)) {
             begin();
           }
+          outcome.accept(isHome());
         },
         () -> {
           taking = false;
@@ -419,6 +460,7 @@
           if (revision == before) {
             readRecord();
           }
+          outcome.accept(false);
         });
   }
 
@@ -499,7 +541,9 @@
             candidates.get(index),
             group,
             verdict -> {
-              if (verdict != Peers.Verdict.YES) {
+              if (verdict == Peers.Verdict.YES) {
+                retire("handed over to " + candidates.get(index).name());
+              } else {
                 handOver(candidates, index + 1);
               }
             });
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -13,6 +13,7 @@
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.pool.GroupPool;
+import org.chicorylane.internal.pool.PrimaryHalt;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.BackendServer;
 import org.chicorylane.internal.topology.PeerInstance;
@@ -214,7 +215,9 @@
         && now() - begunNanos > Duration.ofSeconds(1).toNanos()
         && !statuses.containsKey(primary)) {
       onServerLost(primary, "not reached since this home began");
-    } else if (pool.oldestCommitMillis() > UNCONFIRMED_MILLIS && cutFromReplicas(primary)) {
+    } else if (pool.oldestCommitMillis() > UNCONFIRMED_MILLIS
+        && cutFromReplicas(primary)
+        && tenure.isRecentlyConfirmed()) {
       startChange(false, "no replica confirms the commits of primary " + primary);
     }
   }
@@ -260,7 +263,7 @@
     tenure.log("primary").with("server", serverId).with("term", term).with("step", step).write();
     boolean changed = step != Step.STEADY;
     enter(Step.STEADY);
-    pool.pausePrimary(false);
+    pool.halt(PrimaryHalt.NOTHING);
     pool.setPrimary(serverId, term);
     knowsAcknowledged = knowsAcknowledged || changed;
     avoid = null;
@@ -277,7 +280,7 @@
     }
     tenure.log("primary-change").with("planned", isPlanned).with("reason", reason).write();
     planned = isPlanned;
-    pool.pausePrimary(true);
+    pool.halt(PrimaryHalt.WRITES);
     enter(Step.EXCLUDING);
     HomeRecord r = tenure.record();
     if (r != null && isExclusive(r)) {
@@ -448,6 +451,7 @@
     if (mine != attempt || step != Step.PROMOTING || !tenure.mayWork(now())) {
       return;
     }
+    pool.halt(PrimaryHalt.EVERYTHING);
     context
         .promoter()
         .promote(
@@ -504,7 +508,7 @@
               if (leads && entry != null && !entry.draining() && r.promoting() == null) {
                 tenure.log("primary-returned").with("server", primary).write();
                 enter(Step.STEADY);
-                pool.pausePrimary(false);
+                pool.halt(PrimaryHalt.NOTHING);
               } else {
                 enter(Step.EXCLUDING);
               }
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -12,8 +12,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A database server in model time: terms, a log of request ids, slots, session state, and the faults
- * that tests inject.
+ * A database server in model time: terms, a log of request ids, slots, session state, and the
+ * faults that tests inject.
  */
 public final class ModelServer {
 
@@ -192,8 +192,7 @@
       } else if (command instanceof ServerCommand.StepDown c && primary && c.term() > term) {
         becomeReplica(c.term());
       }
-      ServerStatus status =
-          new ServerStatus(primary, term, received(), sealedTerm, lag.toMillis());
+      ServerStatus status = new ServerStatus(primary, term, received(), sealedTerm, lag.toMillis());
       return new Answer(List.of(), Answer.UNSIGNED, null, "", state, applied(), status);
     }
 
@@ -243,13 +242,9 @@
         reply(handler, failure(FailureCode.NOT_PRIMARY));
         return;
       }
-      LogEntry entry =
-          new LogEntry(new LogPosition(term, received().offset() + 1), requestId);
+      LogEntry entry = new LogEntry(new LogPosition(term, received().offset() + 1), requestId);
       log.add(entry);
-      group.replicate(
-          ModelServer.this,
-          entry,
-          () -> reply(handler, done("signed-" + requestId)));
+      group.replicate(ModelServer.this, entry, () -> reply(handler, done("signed-" + requestId)));
     }
 
     private Answer done(String signature) {
