Archive the classes of a busy instance; add stand-ins of the users' protocols

Change: the build runs an instance against stand-ins of the store and of database servers and archives the classes that it loaded.

--- /dev/null
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
@@ -0,0 +1,221 @@
+package org.chicorylane.standin.wire;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A database server on a loopback port that speaks the line protocol. Its group shares one commit
+ * counter, so replicas are never behind.
+ */
+public final class StandInWireServer implements AutoCloseable {
+
+  private final String service;
+  private final String id;
+  private final AtomicLong commits;
+  private final ServerSocket listener;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final List<String> received = new CopyOnWriteArrayList<>();
+  private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+  private volatile boolean primary;
+  private volatile long term = 1;
+  private volatile boolean loseNextAnswer;
+
+  /**
+   * Starts a server.
+   *
+   * @param commits the group's commit counter
+   */
+  public StandInWireServer(String service, String id, boolean primary, AtomicLong commits)
+      throws IOException {
+    this.service = service;
+    this.id = id;
+    this.primary = primary;
+    this.commits = commits;
+    this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    threads.execute(this::accept);
+  }
+
+  /** Returns host and port. */
+  public String address() {
+    return "127.0.0.1:" + listener.getLocalPort();
+  }
+
+  /** Returns its id. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the lines received so far. */
+  public List<String> received() {
+    return List.copyOf(received);
+  }
+
+  /** Makes it the primary of a term. */
+  public void lead(long newTerm) {
+    term = newTerm;
+    primary = true;
+  }
+
+  /** Runs the next client statement and closes the connection without an answer. */
+  public void loseNextAnswer() {
+    loseNextAnswer = true;
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = listener.accept();
+        sockets.add(socket);
+        threads.execute(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The listener was closed: the server stopped.
+      return;
+    }
+  }
+
+  private void serve(Socket socket) {
+    Session session = new Session();
+    try (socket) {
+      BufferedReader in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+      OutputStream out = socket.getOutputStream();
+      for (String line = in.readLine(); line != null; line = in.readLine()) {
+        received.add(line);
+        String answer = session.answer(line);
+        if (answer == null) {
+          return;
+        }
+        out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+      }
+    } catch (IOException e) {
+      // The client is gone, which ends the session.
+      return;
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+    threads.shutdownNow();
+  }
+
+  /** One connection's state. */
+  private final class Session {
+    private final Map<String, String> prepared = new HashMap<>();
+    private char state = 'I';
+
+    @Nullable String answer(String line) {
+      String[] words = line.split(" ", -1);
+      if (words[0].equals("STARTUP")) {
+        boolean right = words[1].equals(service) && (words.length < 4 || words[3].equals(id));
+        return right ? ready() : "ERROR WRONGNODE " + id + "\r\n";
+      }
+      if (!words[0].equals("QUERY") || words.length < 3) {
+        return null;
+      }
+      String requestId = words[1];
+      int at = words[2].equals("SINCE") ? 4 : 2;
+      if (loseNextAnswer && !requestId.equals("-")) {
+        loseNextAnswer = false;
+        return null;
+      }
+      return statement(requestId, words, at);
+    }
+
+    private String statement(String requestId, String[] words, int at) {
+      return switch (words[at]) {
+        case "STATUS", "PAUSE", "RESUME", "STEPDOWN" -> status();
+        case "BEGIN" -> begin(words.length > at + 1);
+        case "COMMIT" -> commit(requestId);
+        case "ROLLBACK" -> end();
+        case "PREPARE" -> {
+          prepared.put(words[at + 1], words[at + 2]);
+          yield done("-");
+        }
+        case "WRITE" -> write(requestId);
+        case "EXECUTE" -> execute(requestId, words[at + 1]);
+        case "READ" -> "DATAROW row\r\n" + done("sig." + requestId);
+        default -> done("-");
+      };
+    }
+
+    private String begin(boolean readOnly) {
+      if (!primary && !readOnly) {
+        return "ERROR READONLY " + id + "\r\n" + ready();
+      }
+      state = 'T';
+      return done("-");
+    }
+
+    private String commit(String requestId) {
+      state = 'I';
+      commits.incrementAndGet();
+      return done("sig." + requestId);
+    }
+
+    private String end() {
+      state = 'I';
+      return done("-");
+    }
+
+    private String execute(String requestId, String name) {
+      String mode = prepared.get(name);
+      if (mode == null) {
+        return "ERROR UNPREPARED " + name + "\r\n" + ready();
+      }
+      return mode.equals("WRITE") ? write(requestId) : "DATAROW row\r\n" + done("sig." + requestId);
+    }
+
+    private String write(String requestId) {
+      if (!primary) {
+        return "ERROR READONLY " + id + "\r\n" + ready();
+      }
+      if (state == 'I') {
+        commits.incrementAndGet();
+      }
+      return done("sig." + requestId);
+    }
+
+    private String status() {
+      String role = primary ? "primary" : "replica";
+      return "DATAROW "
+          + role
+          + " "
+          + term
+          + " "
+          + term
+          + "."
+          + commits.get()
+          + " 0 0 0 1\r\n"
+          + done("-");
+    }
+
+    private String done(String signature) {
+      return "COMPLETE " + signature + "\r\n" + ready();
+    }
+
+    private String ready() {
+      return "READY " + state + " " + term + "." + commits.get() + "\r\n";
+    }
+  }
+}
--- /dev/null
+++ b/standins/src/main/java/org/chicorylane/standin/wire/TrainingRun.java
@@ -0,0 +1,75 @@
+package org.chicorylane.standin.wire;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * Exercises an instance that another command starts, so that the classes it loads can be archived:
+ * writes its settings file, waits for it, and runs statements of every kind.
+ */
+public final class TrainingRun {
+
+  private static final int ROUNDS = 150;
+  private static final int CONNECT_ATTEMPTS = 100;
+  private static final long PAUSE_MILLIS = 100;
+
+  private TrainingRun() {}
+
+  /**
+   * Runs to the end of the statements.
+   *
+   * @param arguments the path of the settings file to write
+   */
+  public static void main(String[] arguments) throws IOException, InterruptedException {
+    try (StandInSystem system = new StandInSystem()) {
+      String address = system.writeSettings(Path.of(arguments[0]), "training");
+      for (String database :
+          List.of(StandInSystem.LATEST, StandInSystem.BOUNDED, StandInSystem.OWN)) {
+        exercise(address, database);
+      }
+      system.putConfiguration(2);
+      system.putServer(system.server(0), "draining");
+      Thread.sleep(10 * PAUSE_MILLIS);
+      exercise(address, StandInSystem.OWN);
+    }
+    System.exit(0);
+  }
+
+  private static void exercise(String address, String database)
+      throws IOException, InterruptedException {
+    try (StandInWireClient client = connect(address, database)) {
+      client.ask("QUERY s1 SET zone a");
+      client.ask("QUERY s2 PREPARE p WRITE shape");
+      for (int i = 0; i < ROUNDS; i++) {
+        client.ask("QUERY r" + i + " READ item" + i);
+        client.ask("QUERY w" + i + " WRITE item" + i + " data");
+        client.ask("QUERY e" + i + " EXECUTE p item" + i + " data");
+        client.ask("QUERY b" + i + (i % 2 == 0 ? " BEGIN" : " BEGIN READ"));
+        client.ask("QUERY t" + i + " READ item");
+        client.ask("QUERY c" + i + (i % 3 == 0 ? " ROLLBACK" : " COMMIT"));
+      }
+      client.ask("QUERY x EXECUTE unknown item");
+      client.ask("QUERY y NONSENSE");
+      client.send("TERMINATE\r\n");
+    }
+  }
+
+  private static StandInWireClient connect(String address, String database)
+      throws IOException, InterruptedException {
+    for (int i = 0; i < CONNECT_ATTEMPTS; i++) {
+      try {
+        StandInWireClient client = new StandInWireClient(address);
+        List<String> answer = client.ask("STARTUP " + database + " trainer");
+        if (!answer.isEmpty() && answer.get(0).startsWith("READY")) {
+          return client;
+        }
+        client.close();
+      } catch (IOException e) {
+        // The instance is still starting.
+      }
+      Thread.sleep(PAUSE_MILLIS);
+    }
+    throw new IOException("the instance at " + address + " did not accept a session within 10 s");
+  }
+}
