Never promote a replica that lacks what an earlier primary acknowledged

A deaf replica then counted as complete when the old primary, still silent, and the new one were the others. Change: acknowledged positions outlive terms and start at what the promoted server had received; a primary counts as cut from its replicas only if enough other servers tell so and it led for 2 s.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -43,10 +43,10 @@
   private static final Duration TICK = Duration.ofMillis(100);
 
   /** Time without an answer after which a server is asked for its status. */
-  private static final long SILENCE_NANOS = Duration.ofMillis(300).toNanos();
+  private static final long SILENCE_NANOS = Duration.ofMillis(200).toNanos();
 
   /** Time within which a status must come before the server counts as lost. */
-  private static final long STATUS_TIMEOUT_NANOS = Duration.ofMillis(400).toNanos();
+  private static final long STATUS_TIMEOUT_NANOS = Duration.ofMillis(300).toNanos();
 
   /** How often a quiet server is asked for its status. */
   private static final long STATUS_INTERVAL_NANOS = Duration.ofMillis(450).toNanos();
@@ -173,8 +173,6 @@
     primaryId = serverId;
     term = newTerm;
     floors.startTerm(newTerm);
-    acknowledged =
-        acknowledged.term() < newTerm && serverId != null ? LogPosition.ZERO : acknowledged;
     servers.forEach((id, s) -> s.primary = id.equals(serverId));
     pump();
   }
@@ -196,6 +194,11 @@
     return acknowledged;
   }
 
+  /** Says that commits up to {@code position} may have been acknowledged by others. */
+  public void raiseAcknowledged(LogPosition position) {
+    acknowledged = acknowledged.max(position);
+  }
+
   /** Returns whether the server is reached at present. */
   public boolean reaches(String serverId) {
     PoolServer server = servers.get(serverId);
@@ -1027,7 +1030,7 @@
         openControl(s);
       } else if (s.statusOutstanding) {
         if (now - s.statusSentNanos > STATUS_TIMEOUT_NANOS) {
-          fail(s, "no answer to a status question for 400 ms");
+          fail(s, "no answer to a status question for 300 ms");
         }
       } else if (now - s.lastHeardNanos > (s.busy > 0 ? SILENCE_NANOS : STATUS_INTERVAL_NANOS)
           || now - s.statusSentNanos > STATUS_INTERVAL_NANOS * 2
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -362,6 +362,11 @@
         UUID.randomUUID().toString());
   }
 
+  /** Returns how many replicas a primary needs to confirm its commits. */
+  int confirmingReplicas() {
+    return declaration == null ? 0 : declaration.confirmingReplicas();
+  }
+
   /** Returns the group's servers. */
   List<BackendServer> servers() {
     return servers;
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -36,6 +36,9 @@
   /** A commit that no replica confirms for so long shows that the primary is cut off from them. */
   private static final long UNCONFIRMED_MILLIS = 500;
 
+  /** Time in which replicas may find a primary that was just promoted. */
+  private static final Duration SETTLING = Duration.ofSeconds(2);
+
   /** Instances asked whether they reach a primary. */
   private static final int WITNESSES = 3;
 
@@ -69,6 +72,8 @@
   private boolean planned;
   private boolean knowsAcknowledged;
   private LogPosition acknowledgedBefore = LogPosition.ZERO;
+  private LogPosition promotedFrom = LogPosition.ZERO;
+  private long adoptedNanos;
   private boolean writing;
   private @Nullable String avoid;
 
@@ -216,6 +221,7 @@
         && !statuses.containsKey(primary)) {
       onServerLost(primary, "not reached since this home began");
     } else if (pool.oldestCommitMillis() > UNCONFIRMED_MILLIS
+        && now() - adoptedNanos > SETTLING.toNanos()
         && cutFromReplicas(primary)
         && tenure.isRecentlyConfirmed()) {
       startChange(false, "no replica confirms the commits of primary " + primary);
@@ -227,18 +233,18 @@
     if (lead == null) {
       return false;
     }
-    boolean any = false;
+    int behind = 0;
     for (BackendServer s : tenure.servers()) {
       ServerStatus status = statuses.get(s.id());
       if (s.id().equals(primary) || status == null) {
         continue;
       }
-      any = true;
+      behind++;
       if (status.received().compareTo(lead.received()) >= 0) {
         return false;
       }
     }
-    return any;
+    return behind > tenure.confirmingReplicas();
   }
 
   private void findFirstPrimary() {
@@ -265,7 +271,11 @@
     enter(Step.STEADY);
     pool.halt(PrimaryHalt.NOTHING);
     pool.setPrimary(serverId, term);
-    knowsAcknowledged = knowsAcknowledged || changed;
+    if (changed) {
+      pool.raiseAcknowledged(promotedFrom);
+      knowsAcknowledged = true;
+    }
+    adoptedNanos = now();
     avoid = null;
     writing = true;
     tenure.write(
@@ -426,6 +436,7 @@
 
   private void promote(HomeRecord r, BackendServer target, LogPosition received) {
     enter(Step.PROMOTING);
+    promotedFrom = received;
     long mine = attempt;
     tenure
         .log("promoting")
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -39,7 +39,7 @@
   public Duration lag = Duration.ofMillis(20);
   public int statements;
   public int greatestBusy;
-  LogPosition applied = LogPosition.ZERO;
+  LogPosition applied = new LogPosition(1, 0);
   private int busy;
   private int life;
 
@@ -52,7 +52,7 @@
 
   /** Returns the end of its log. */
   public LogPosition received() {
-    return log.isEmpty() ? LogPosition.ZERO : log.get(log.size() - 1).position();
+    return log.isEmpty() ? new LogPosition(1, 0) : log.get(log.size() - 1).position();
   }
 
   /** Returns its log. */
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -0,0 +1,179 @@
+package org.chicorylane.internal.pool;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.FailureCode;
+import org.chicorylane.internal.passthrough.ModelGroup;
+import org.chicorylane.internal.passthrough.PreparedShape;
+import org.chicorylane.internal.passthrough.ServerStatus;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.DecisionLog;
+import org.chicorylane.internal.runtime.VirtualScheduler;
+import org.chicorylane.internal.topology.Freshness;
+import org.jspecify.annotations.Nullable;
+
+/** A pool before three model servers, in virtual time. */
+final class PoolFixture {
+
+  final VirtualScheduler scheduler = new VirtualScheduler();
+  final ModelGroup group = new ModelGroup(scheduler, "plans", 3);
+  final Map<String, Answer> answers = new HashMap<>();
+  final Map<String, Long> tookMillis = new HashMap<>();
+  final List<String> notHome = new ArrayList<>();
+  final List<String> lost = new ArrayList<>();
+  boolean mayWork = true;
+  final GroupPool pool;
+
+  PoolFixture() {
+    pool =
+        new GroupPool(
+            "plans",
+            group,
+            scheduler,
+            DecisionLog.none(),
+            now -> mayWork,
+            new PoolListener() {
+              @Override
+              public void onServerLost(String serverId, String reason) {
+                lost.add(serverId);
+              }
+
+              @Override
+              public void onServerStatus(String serverId, ServerStatus status) {}
+
+              @Override
+              public void onPrimaryDenied(String serverId) {}
+            });
+    pool.configure(23, Duration.ofSeconds(3));
+    pool.setPrimary("server-a", 1);
+    pool.setServers(group.entries());
+    advance(300);
+  }
+
+  void advance(long millis) {
+    scheduler.advance(Duration.ofMillis(millis));
+  }
+
+  void submit(Work work) {
+    submit(this, work);
+  }
+
+  void submit(Object owner, Work work) {
+    long begun = scheduler.nanoTime();
+    pool.submit(
+        owner,
+        work,
+        new WorkHandler() {
+          @Override
+          public void onAnswer(Answer answer) {
+            Answer before = answers.put(work.requestId(), answer);
+            if (before != null) {
+              throw new AssertionError("two answers to " + work.requestId());
+            }
+            tookMillis.put(work.requestId(), (scheduler.nanoTime() - begun) / 1_000_000);
+          }
+
+          @Override
+          public void onNotHome() {
+            notHome.add(work.requestId());
+          }
+        });
+  }
+
+  /** Returns the failure of an answered request, null if it succeeded. */
+  @Nullable FailureCode failureOf(String id) {
+    Answer answer = answers.get(id);
+    if (answer == null) {
+      throw new AssertionError("no answer to " + id);
+    }
+    return answer.failure();
+  }
+
+  static Work read(String id) {
+    return work(id, WorkKind.READ, Freshness.BOUNDED_AGE).build();
+  }
+
+  static Work write(String id) {
+    return work(id, WorkKind.WRITE, Freshness.OWN_WRITES).build();
+  }
+
+  static Builder work(String id, WorkKind kind, Freshness freshness) {
+    return new Builder(id, kind, freshness);
+  }
+
+  /** Builds work with the usual limits. */
+  static final class Builder {
+    private final String id;
+    private final WorkKind kind;
+    private final Freshness freshness;
+    private @Nullable PreparedShape shape;
+    private @Nullable LogPosition floor;
+    private Map<String, String> values = Map.of();
+    private long transaction;
+    private boolean begins;
+    private boolean readOnly;
+    private int priority = 1;
+    private int budget = 800;
+
+    Builder(String id, WorkKind kind, Freshness freshness) {
+      this.id = id;
+      this.kind = kind;
+      this.freshness = freshness;
+    }
+
+    Builder shape(PreparedShape newShape) {
+      shape = newShape;
+      return this;
+    }
+
+    Builder floor(LogPosition position) {
+      floor = position;
+      return this;
+    }
+
+    Builder values(Map<String, String> newValues) {
+      values = newValues;
+      return this;
+    }
+
+    Builder in(long number, boolean isFirst, boolean onlyReads) {
+      transaction = number;
+      begins = isFirst;
+      readOnly = onlyReads;
+      return this;
+    }
+
+    Builder priority(int newPriority) {
+      priority = newPriority;
+      return this;
+    }
+
+    Builder budget(int millis) {
+      budget = millis;
+      return this;
+    }
+
+    Work build() {
+      String text = kind == WorkKind.WRITE ? "WRITE item data" : "READ item";
+      return new Work(
+          kind,
+          id,
+          text,
+          shape,
+          freshness,
+          1_500,
+          floor,
+          values,
+          transaction,
+          begins,
+          readOnly,
+          priority,
+          250,
+          budget);
+    }
+  }
+}
