--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
@@ -107,7 +107,7 @@
   void replicate(ModelServer from, ModelServer.LogEntry entry, Runnable confirmed) {
     List<Boolean> first = new ArrayList<>();
     for (ModelServer s : servers.values()) {
-      if (s == from || s.primary) {
+      if (s == from || s.primary || from.cutFromServers || s.cutFromServers) {
         continue;
       }
       scheduler.schedule(
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -31,6 +31,7 @@
   public boolean running = true;
   public boolean silent;
   public boolean deaf;
+  public boolean cutFromServers;
   public boolean loseNextAnswer;
   public boolean refuseNext;
   public long term = 1;
@@ -55,6 +56,11 @@
     return log.isEmpty() ? new LogPosition(1, 0) : log.get(log.size() - 1).position();
   }
 
+  /** Returns its id. */
+  public String id() {
+    return id;
+  }
+
   /** Returns its log. */
   public List<LogEntry> log() {
     return List.copyOf(log);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
@@ -94,7 +94,7 @@
   /** Checks the promises against the log of the last primary. */
   void checkLog() {
     ModelServer primary =
-        List.of("server-a", "server-b", "server-c").stream()
+        ModelFleet.SERVERS.stream()
             .map(fleet.group::server)
             .filter(s -> s.primary && s.term == fleet.group.term())
             .findFirst()
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -24,6 +24,7 @@
 /** Instances, a store and one database group in virtual time. */
 final class ModelFleet implements TopologyDecoder {
 
+  static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
   static final String LATEST = "latest";
   static final String BOUNDED = "bounded";
   static final String OWN = "own";
@@ -45,7 +46,7 @@
   private long highestToken;
 
   ModelFleet(int instances) {
-    for (String id : List.of("server-a", "server-b", "server-c")) {
+    for (String id : SERVERS) {
       putServer(id, false);
     }
     putConfiguration(1);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.chicorylane.internal.passthrough.ModelServer;
@@ -16,8 +15,6 @@
  */
 final class ProxyFleetRandomisedTest {
 
-  private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
-
   static LongStream seeds() {
     long first = Long.getLong("fleet.firstSeed", 1);
     return LongStream.range(first, first + Long.getLong("fleet.seeds", 30));
@@ -57,9 +54,9 @@
   private static void inject(ModelFleet fleet, Random random) {
     ModelHost host = fleet.hosts().get(random.nextInt(fleet.hosts().size()));
     ModelHost home = random.nextBoolean() ? fleet.home().orElse(host) : host;
-    ModelServer server = fleet.group.server(SERVERS.get(random.nextInt(3)));
+    ModelServer server = fleet.group.server(ModelFleet.SERVERS.get(random.nextInt(3)));
     int lasts = 500 + random.nextInt(6_000);
-    switch (random.nextInt(11)) {
+    switch (random.nextInt(12)) {
       case 0 -> {
         home.kill();
         later(fleet, 700, () -> startIfDown(home));
@@ -89,7 +86,7 @@
         later(fleet, 2L * lasts, () -> home.storeAway = false);
       }
       case 7 -> {
-        home.unreachableServers.add(SERVERS.get(random.nextInt(3)));
+        home.unreachableServers.add(ModelFleet.SERVERS.get(random.nextInt(3)));
         later(fleet, lasts, home.unreachableServers::clear);
       }
       case 8 -> {
@@ -102,6 +99,10 @@
         home.lostAnswers = true;
         later(fleet, lasts, () -> home.lostAnswers = false);
       }
+      case 10 -> {
+        Split split = Split.begin(fleet, home, server);
+        later(fleet, 2L * lasts, split::end);
+      }
       default -> {
         server.lag = Duration.ofMillis(2_500);
         later(fleet, lasts, () -> server.lag = Duration.ofMillis(20));
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -106,6 +106,18 @@
     finish();
   }
 
+  @Test
+  void testHomeCutOffWithThePrimaryServesNothingStale() {
+    begin();
+    ModelHost home = fleet.home().orElseThrow();
+    Split split = Split.begin(fleet, home, fleet.group.server("server-a"));
+    fleet.advance(16_000);
+    assertThat(fleet.promotions).isNotEmpty();
+    split.end();
+    fleet.advance(4_000);
+    finish();
+  }
+
   @Test
   void testDeafReplicaIsNeverPromotedOverAcknowledgedCommits() {
     begin();
