Serve those who can still be in time first when a backlog drains

Ruled out: cold start (homes stood 0.5 s before), lost connections. Change: statements that can still meet their target go first; the time spent at the entry counts; one that is late and cannot be expected to be served is refused when that is known.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -131,8 +131,8 @@
     if (t != null) {
       t.place = place;
     }
-    int left = r.remainingMillis(scheduler.nanoTime());
-    Work work = r.sends == 1 ? r.work : r.work.withBudget(Math.max(1, left));
+    int waited = (int) ((scheduler.nanoTime() - r.arrivedNanos) / 1_000_000);
+    Work work = waited == 0 ? r.work : r.work.afterWaiting(waited);
     sent.add(r);
     if (place == this && tenure != null) {
       tenure.submit(this, work, r);
@@ -241,10 +241,6 @@
       this.lastTryNanos = arrivedNanos;
     }
 
-    int remainingMillis(long now) {
-      return (int) (work.budgetMillis() - (now - arrivedNanos) / 1_000_000);
-    }
-
     TransactionState stateAfterFailure() {
       return transaction != null && work.kind() != WorkKind.COMMIT
           ? TransactionState.FAILED
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -72,6 +72,18 @@
   /** When a client may come back while a primary is being replaced. */
   private static final long RETURN_MILLIS = 400;
 
+  /** Shorter queues are gone before their order matters. */
+  private static final int QUEUE_WORTH_ORDERING = 4;
+
+  /** Weight of the newest dispatch in the share of those that were in time. */
+  private static final double SHARE_WEIGHT = 0.02;
+
+  /** Least part of the servers' time that is expected for statements that are late. */
+  private static final double LEAST_LATE_SHARE = 0.05;
+
+  /** Time that an ordinary statement takes at a server, with the way there and back. */
+  private static final double USUAL_SERVICE_NANOS = 30e6;
+
   private static final int MAXIMUM_ATTEMPTS = 4;
 
   /** Part of the budget within which a statement must be expected to begin. */
@@ -81,7 +93,7 @@
   private static final int RESERVED_CONNECTIONS = 5;
 
   /** Connections opened at a time to one server; each takes a slot for a while. */
-  private static final int OPENING_AT_A_TIME = 2;
+  private static final int OPENING_AT_A_TIME = 3;
 
   private final String group;
   private final ServerConnector connector;
@@ -100,6 +112,7 @@
   private @Nullable String primaryId;
   private long term;
   private LogPosition acknowledged = LogPosition.ZERO;
+  private double timelyShare;
   private long nextSequence;
   private long primaryServedNanos;
   private boolean pumping;
@@ -260,6 +273,10 @@
       refuse(w, "no server can take it, the primary since " + down + " ms", RETURN_MILLIS);
       return;
     }
+    if (!w.isPinned() && wait > work.targetMillis()) {
+      w.late = true;
+      wait = expectedWaitMillis(w);
+    }
     if (!w.isPinned() && wait > work.budgetMillis() * WAIT_SHARE) {
       refuse(w, "queue of " + waiting.size() + " takes about " + wait + " ms", wait / 2);
       return;
@@ -396,7 +413,8 @@
         ahead++;
       }
     }
-    return (long) (ahead / capacity / 1e6);
+    double left = w.late ? Math.max(LEAST_LATE_SHARE, 1 - timelyShare) : 1;
+    return (long) (ahead / (capacity * left) / 1e6);
   }
 
   private void pump() {
@@ -407,6 +425,7 @@
     try {
       long now = scheduler.nanoTime();
       boolean allowed = mayWork.test(now);
+      postponeLate(now);
       Iterator<Waiting> i = waiting.iterator();
       List<Waiting> refused = new ArrayList<>();
       while (i.hasNext()) {
@@ -426,6 +445,31 @@
     }
   }
 
+  /** Moves what can no longer be answered in time behind what still can. */
+  private void postponeLate(long now) {
+    if (waiting.size() < QUEUE_WORTH_ORDERING) {
+      return;
+    }
+    List<Waiting> late = new ArrayList<>();
+    for (Waiting w : waiting) {
+      if (!w.late && w.misses(now, USUAL_SERVICE_NANOS)) {
+        late.add(w);
+      }
+    }
+    for (Waiting w : late) {
+      waiting.remove(w);
+      w.late = true;
+      long wait = expectedWaitMillis(w);
+      if (!w.isPinned() && wait * 1_000_000 > w.deadlineNanos() - now) {
+        scheduler.schedule(
+            Duration.ZERO,
+            () -> refuse(w, "others that can still be in time take the servers", RETURN_MILLIS));
+      } else {
+        waiting.add(w);
+      }
+    }
+  }
+
   private boolean tryDispatch(Waiting w, long now) {
     PoolTransaction t = w.transaction;
     if (t != null && t.connection != null && t.begun) {
@@ -521,6 +565,7 @@
   private void run(Waiting w, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.busy++;
     w.attempts++;
+    timelyShare += SHARE_WEIGHT * ((w.late ? 0 : 1) - timelyShare);
     PoolTransaction t = w.transaction;
     List<ServerCommand> setup = new ArrayList<>(c.prepareFor(w.work.values(), w.work.shape()));
     if (t != null && !t.begun) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
@@ -6,9 +6,14 @@
 /** A piece of work that waits for a server, or runs there. */
 final class Waiting {
 
-  /** Statements of running transactions first: they hold a connection. */
+  /**
+   * Statements of running transactions first, since they hold a connection; then those that can
+   * still be answered in the time that their clients hope for, so that a backlog does not make
+   * everybody late; then by priority and arrival.
+   */
   static final Comparator<Waiting> ORDER =
       Comparator.<Waiting>comparingInt(w -> w.holdsConnection() ? 0 : 1)
+          .thenComparingInt(w -> w.late ? 1 : 0)
           .thenComparingInt(w -> w.work.priority())
           .thenComparingLong(w -> w.sequence);
 
@@ -18,6 +23,7 @@
   final long sequence;
   final @Nullable PoolTransaction transaction;
   private final boolean pinned;
+  boolean late;
   int attempts;
   long notBeforeNanos;
   @Nullable String avoid;
@@ -40,6 +46,11 @@
     return pinned;
   }
 
+  /** Returns whether its answer would come later than hoped for, if it began now. */
+  boolean misses(long nowNanos, double serviceNanos) {
+    return nowNanos + serviceNanos > arrivedNanos + work.targetMillis() * 1_000_000L;
+  }
+
   /** Returns when its client gives up. */
   long deadlineNanos() {
     return arrivedNanos + work.budgetMillis() * 1_000_000L;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
@@ -58,8 +58,8 @@
     return freshness.replicasServe() && (inTransaction() ? readOnly : !writes());
   }
 
-  /** Returns the same work with less time left. */
-  public Work withBudget(int millis) {
+  /** Returns the same work after it waited elsewhere; the time spent there is gone. */
+  public Work afterWaiting(int millis) {
     return new Work(
         kind,
         requestId,
@@ -73,7 +73,7 @@
         begins,
         readOnly,
         priority,
-        targetMillis,
-        millis);
+        Math.max(0, targetMillis - millis),
+        Math.max(1, budgetMillis - millis));
   }
 }
