--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -255,6 +255,15 @@
       }
     }
 
+    @Override
+    public void onAnswer(MeshAnswer answer) {
+      if (answer.getNotHome()) {
+        onNotHome();
+      } else {
+        onAnswer(MeshMessages.answer(answer));
+      }
+    }
+
     @Override
     public void onNotHome() {
       sent.remove(this);
@@ -265,15 +274,6 @@
       hold(this);
     }
 
-    @Override
-    public void onAnswer(MeshAnswer answer) {
-      if (answer.getNotHome()) {
-        onNotHome();
-      } else {
-        onAnswer(MeshMessages.answer(answer));
-      }
-    }
-
     @Override
     public void onLost(boolean wasSent) {
       if (!sent.remove(this)) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
@@ -28,7 +28,7 @@
 
   private MeshCodec() {}
 
-  static MeshWork encode(long call, String group, Work work) {
+  static MeshWork encodeWork(long call, String group, Work work) {
     MeshWork.Builder b =
         MeshWork.newBuilder()
             .setCall(call)
@@ -48,7 +48,7 @@
       b.setShapeMode(1 + MODES.number(work.shape().mode())).setShape(work.shape().shape());
     }
     if (work.sessionFloor() != null) {
-      b.setSessionFloor(encode(work.sessionFloor()));
+      b.setSessionFloor(encodePosition(work.sessionFloor()));
     }
     work.values()
         .forEach(
@@ -59,7 +59,7 @@
     return b.build();
   }
 
-  static Work decode(MeshWork m) {
+  static Work decodeWork(MeshWork m) {
     Map<String, String> values = new LinkedHashMap<>();
     for (int i = 0; i < Math.min(m.getValueNamesCount(), m.getValuesCount()); i++) {
       values.put(m.getValueNames(i), m.getValues(i));
@@ -75,7 +75,7 @@
         shape,
         FRESHNESS.constant(m.getFreshness()),
         m.getMaximumAgeMillis(),
-        m.hasSessionFloor() ? decode(m.getSessionFloor()) : null,
+        m.hasSessionFloor() ? decodePosition(m.getSessionFloor()) : null,
         values,
         m.getTransaction(),
         m.getBegins(),
@@ -85,7 +85,7 @@
         m.getBudgetMillis());
   }
 
-  static MeshAnswer encode(long call, Answer answer) {
+  static MeshAnswer encodeAnswer(long call, Answer answer) {
     MeshAnswer.Builder b =
         MeshAnswer.newBuilder()
             .setCall(call)
@@ -100,12 +100,12 @@
       b.setFailure(1 + FAILURES.number(failure));
     }
     if (answer.position() != null) {
-      b.setPosition(encode(answer.position()));
+      b.setPosition(encodePosition(answer.position()));
     }
     return b.build();
   }
 
-  static Answer decode(MeshAnswer m) {
+  static Answer decodeAnswer(MeshAnswer m) {
     FailureCode failure = m.getFailure() == 0 ? null : FAILURES.constant(m.getFailure() - 1);
     return new Answer(
         m.getRowsList(),
@@ -113,15 +113,15 @@
         failure,
         m.getText(),
         STATES.constant(m.getState()),
-        m.hasPosition() ? decode(m.getPosition()) : null,
+        m.hasPosition() ? decodePosition(m.getPosition()) : null,
         null);
   }
 
-  static MeshPosition encode(LogPosition position) {
+  static MeshPosition encodePosition(LogPosition position) {
     return MeshPosition.newBuilder().setTerm(position.term()).setNumber(position.offset()).build();
   }
 
-  static @Nullable LogPosition decode(MeshPosition position) {
+  static @Nullable LogPosition decodePosition(MeshPosition position) {
     return new LogPosition(position.getTerm(), position.getNumber());
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshMessages.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshMessages.java
@@ -17,17 +17,17 @@
 
   /** Returns the work that a message holds. */
   public static Work work(MeshWork message) {
-    return MeshCodec.decode(message);
+    return MeshCodec.decodeWork(message);
   }
 
   /** Returns the answer that a message holds. */
   public static Answer answer(MeshAnswer message) {
-    return MeshCodec.decode(message);
+    return MeshCodec.decodeAnswer(message);
   }
 
   /** Returns a frame with an answer. */
   public static MeshFrame answer(long call, Answer answer) {
-    return MeshFrame.newBuilder().setAnswer(MeshCodec.encode(call, answer)).build();
+    return MeshFrame.newBuilder().setAnswer(MeshCodec.encodeAnswer(call, answer)).build();
   }
 
   /** Returns a frame that says that the instance is not the group's home. */
@@ -56,6 +56,6 @@
 
   /** Returns a position as a message. */
   public static MeshPosition position(LogPosition position) {
-    return MeshCodec.encode(position);
+    return MeshCodec.encodePosition(position);
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -128,7 +128,7 @@
   public long sendWork(String group, Work work, WorkOutcome outcome) {
     long call = ++nextCall;
     calls.put(call, new Call(outcome, null));
-    send(MeshFrame.newBuilder().setWork(MeshCodec.encode(call, group, work)).build());
+    send(MeshFrame.newBuilder().setWork(MeshCodec.encodeWork(call, group, work)).build());
     return call;
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -1040,7 +1040,7 @@
     if (s.gone || stopped) {
       return;
     }
-    boolean news = !s.unreachable;
+    final boolean news = !s.unreachable;
     s.unreachable = true;
     s.retryAtNanos = scheduler.nanoTime() + RECONNECT_NANOS;
     closeAll(s);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -137,7 +137,7 @@
           store
               .transact(StoreMessages.transaction(question))
               .thenAccept(r -> reply(channel, question, StoreMessages.reply(r)));
-      case STOP_HOME -> {
+      default -> {
         LogPosition acknowledged =
             tenure == null ? LogPosition.ZERO : tenure.stopFor(question.getIncarnation());
         reply(channel, question, true, acknowledged);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -4,9 +4,9 @@
 
 /** Questions between instances. */
 enum PeerQuestion {
-  /** Does the instance reach a server? */
+  /** Asks whether the instance reaches a server. */
   PROBE_SERVER,
-  /** Does the instance hear the home of a group? */
+  /** Asks whether the instance hears the home of a group. */
   HEARS_HOME,
   /** Become the home of a group. */
   TAKE_HOME,
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
@@ -59,12 +59,12 @@
   public String encode() {
     JsonObject o = new JsonObject();
     o.addProperty("epoch", epoch);
-    o.add("home", encode(home));
+    o.add("home", encodeHolder(home));
     o.addProperty("primary", primaryId);
     o.addProperty("term", term);
     o.addProperty("promoting", promoting);
     JsonArray prior = new JsonArray();
-    priorHomes.forEach(h -> prior.add(encode(h)));
+    priorHomes.forEach(h -> prior.add(encodeHolder(h)));
     o.add("prior", prior);
     o.addProperty("writer", writer);
     return o.toString();
@@ -107,7 +107,7 @@
         o.get("address").getAsString());
   }
 
-  private static JsonObject encode(Holder holder) {
+  private static JsonObject encodeHolder(Holder holder) {
     JsonObject o = new JsonObject();
     o.addProperty("name", holder.name());
     o.addProperty("incarnation", holder.incarnation());
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -249,12 +249,14 @@
           choose(r);
         }
       }
-      case PAUSING -> {}
       case PROMOTING -> {
         if (inStep > context.timings().promotionTimeout().toMillis()) {
           restart("the promoted server did not lead in time");
         }
       }
+      default -> {
+        // While pausing, a timer goes on.
+      }
     }
   }
 
@@ -339,7 +341,7 @@
       return;
     }
     tenure.log("primary").with("server", serverId).with("term", term).with("step", step).write();
-    boolean changed = step != Step.STEADY;
+    final boolean changed = step != Step.STEADY;
     enter(Step.STEADY);
     pool.halt(PrimaryHalt.NOTHING);
     pool.setPrimary(serverId, term);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -155,6 +155,16 @@
     }
   }
 
+  @Override
+  public void connect(Target target, ServerConnector.Listener listener) {
+    if (unreachableServers.contains(target.serverId())) {
+      later(
+          CONNECT_TIMEOUT, () -> listener.onFailure(ServerConnector.ConnectFailure.SILENT, "cut"));
+      return;
+    }
+    fleet.group.connect(target, new HostedListener(target.serverId(), listener));
+  }
+
   /** A connection between two instances. */
   private static final class Pipe {
     private final ModelHost from;
@@ -234,16 +244,6 @@
     }
   }
 
-  @Override
-  public void connect(Target target, ServerConnector.Listener listener) {
-    if (unreachableServers.contains(target.serverId())) {
-      later(
-          CONNECT_TIMEOUT, () -> listener.onFailure(ServerConnector.ConnectFailure.SILENT, "cut"));
-      return;
-    }
-    fleet.group.connect(target, new HostedListener(target.serverId(), listener));
-  }
-
   /** Passes on what a server's connection does, as long as this process lives. */
   private final class HostedListener implements ServerConnector.Listener {
     private final String serverId;
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -35,7 +35,7 @@
       fleet.advance(random.nextInt(4) == 0 ? 50 : 2_500);
     }
     fleet.advance(12_000);
-    int before = clients.succeeded;
+    final int before = clients.succeeded;
     fleet.advance(12_000);
     clients.stop();
     fleet.advance(4_000);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.time.Duration;
 import java.util.Random;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.junit.jupiter.api.Test;
@@ -50,7 +51,7 @@
   }
 
   @Test
-  void testCrashedPrimaryIsReplacedWithinASecondBesidesThePromotion() {
+  void testCrashedPrimaryIsReplacedWithinOneSecondBesidesThePromotion() {
     begin();
     long gap = gapAfter(() -> fleet.group.server("server-a").crash(), 5_000);
     assertWithMessage("ms without a write").that(gap).isLessThan(1_300);
@@ -172,8 +173,8 @@
   void testHomeThatLeavesHandsOver() {
     begin();
     ModelHost home = fleet.home().orElseThrow();
-    int uncertain = clients.uncertain;
-    home.instance.drain(java.time.Duration.ofSeconds(4), home::kill);
+    final int uncertain = clients.uncertain;
+    home.instance.drain(Duration.ofSeconds(4), home::kill);
     fleet.advance(6_000);
     assertThat(home.running).isFalse();
     assertThat(clients.uncertain).isEqualTo(uncertain);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/Split.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/Split.java
@@ -16,7 +16,7 @@
   }
 
   static Split begin(ModelFleet fleet, ModelHost host, ModelServer server) {
-    Split split = new Split(fleet, host, server);
+    final Split split = new Split(fleet, host, server);
     host.storeAway = true;
     server.cutFromServers = true;
     for (String id : ModelFleet.SERVERS) {
--- a/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
@@ -110,7 +110,7 @@
 
   private void range(HttpExchange exchange, Map<String, String> query) throws IOException {
     JsonObject answer = new JsonObject();
-    long revision = engine.revision();
+    final long revision = engine.revision();
     JsonArray items = new JsonArray();
     engine.range(query.getOrDefault("prefix", "")).forEach(i -> items.add(json(i)));
     answer.add("items", items);
