Start without a secure generator; look at replicas' logs anew before a primary counts as cut off

Rarer questions would have compared logs read at different times, so replicas are now asked after the primary. Tests: a primary cut from its replicas is replaced; ten lost answers of commits change no primary.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -51,6 +51,9 @@
   /** How often a quiet server is asked for its status. */
   private static final long STATUS_INTERVAL_NANOS = Duration.ofMillis(450).toNanos();
 
+  /** How often a server that answers statements is asked for its role and term. */
+  private static final long ROLE_CHECK_NANOS = Duration.ofSeconds(3).toNanos();
+
   /** Pause between attempts to reach a server that is lost. */
   private static final long RECONNECT_NANOS = Duration.ofMillis(250).toNanos();
 
@@ -1078,7 +1081,7 @@
           fail(s, "no answer to a status question for 300 ms");
         }
       } else if (now - s.lastHeardNanos > (s.busy > 0 ? SILENCE_NANOS : STATUS_INTERVAL_NANOS)
-          || now - s.statusSentNanos > STATUS_INTERVAL_NANOS * 2
+          || now - s.statusSentNanos > ROLE_CHECK_NANOS
           || (s.primary && floors.isOlderThan(Duration.ofMillis(400), now))) {
         if (s.busy > 0 && now - s.lastHeardNanos > SILENCE_NANOS) {
           listener.onServerQuiet(s.entry.id());
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -21,6 +21,7 @@
 import org.chicorylane.internal.platform.SettledSwap;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.runtime.UniqueIds;
 import org.chicorylane.internal.tenure.GroupTenure;
 import org.chicorylane.internal.tenure.HomeRecord;
 import org.chicorylane.internal.tenure.HomeTimings;
@@ -125,7 +126,8 @@
             scheduler,
             ports.log(),
             timings,
-            this::homesOf);
+            this::homesOf,
+            new UniqueIds(self.incarnation()));
   }
 
   private int homesOf(String instance, String exceptGroup) {
@@ -271,6 +273,7 @@
               });
       List<BackendServer> present = servers.ofGroup(group.name());
       tenure.declare(group, c.transactionIdleLimit(), present);
+      tenure.tick();
     }
   }
 
@@ -383,6 +386,7 @@
       laneKnown = true;
       entries.forEach(e -> onChange(e, false));
       tenures.forEach((group, t) -> t.onRecord(records.get(HomeRecord.keyOf(group))));
+      tenures.values().forEach(GroupTenure::tick);
     }
 
     @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.UUID;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.chicorylane.internal.passthrough.Answer;
@@ -25,6 +24,7 @@
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.runtime.UniqueIds;
 import org.chicorylane.internal.topology.BackendServer;
 import org.chicorylane.internal.topology.GroupDeclaration;
 import org.chicorylane.internal.topology.PeerInstance;
@@ -53,7 +53,8 @@
       Scheduler scheduler,
       DecisionLog log,
       HomeTimings timings,
-      HomeCount homeCount) {}
+      HomeCount homeCount,
+      UniqueIds ids) {}
 
   /** Counts the homes of an instance. */
   public interface HomeCount {
@@ -359,7 +360,7 @@
         term,
         promoting,
         exclusive ? List.of() : r.priorHomes(),
-        UUID.randomUUID().toString());
+        context.ids().next());
   }
 
   /** Returns how many replicas a primary needs to confirm its commits. */
@@ -447,7 +448,7 @@
             r == null ? 0 : r.term(),
             r == null ? null : r.promoting(),
             r == null ? List.of() : priorOf(r),
-            UUID.randomUUID().toString());
+            context.ids().next());
     log("home-taking").with("reason", reason).with("revision", revision).write();
     long before = revision;
     write(
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -39,6 +39,9 @@
   /** Time in which replicas may find a primary that was just promoted. */
   private static final Duration SETTLING = Duration.ofSeconds(2);
 
+  /** Time in which a replica that is connected receives what the primary has. */
+  private static final Duration REPLICATION_CHECK = Duration.ofMillis(150);
+
   /** Instances asked whether they reach a primary. */
   private static final int WITNESSES = 3;
 
@@ -74,6 +77,7 @@
   private LogPosition acknowledgedBefore = LogPosition.ZERO;
   private LogPosition promotedFrom = LogPosition.ZERO;
   private long adoptedNanos;
+  private boolean checkingReplication;
   private boolean writing;
   private @Nullable String avoid;
   private @Nullable Evidence evidence;
@@ -296,10 +300,47 @@
       onServerLost(primary, "not reached since this home began");
     } else if (pool.oldestCommitMillis() > UNCONFIRMED_MILLIS
         && now() - adoptedNanos > SETTLING.toNanos()
-        && cutFromReplicas(primary)
         && tenure.isRecentlyConfirmed()) {
-      startChange(false, "no replica confirms the commits of primary " + primary);
+      checkReplication(primary);
+    }
+  }
+
+  /** Compares the primary's log with what replicas hold a while later. */
+  private void checkReplication(String primary) {
+    if (checkingReplication) {
+      return;
+    }
+    checkingReplication = true;
+    context.scheduler().schedule(REPLICATION_CHECK.multipliedBy(3), this::endReplicationCheck);
+    statuses.remove(primary);
+    pool.command(
+        primary,
+        new ServerCommand.Status(),
+        statusOf(
+            primary,
+            () -> context.scheduler().schedule(REPLICATION_CHECK, () -> askReplicas(primary))));
+  }
+
+  private void askReplicas(String primary) {
+    for (BackendServer s : tenure.servers()) {
+      if (!s.id().equals(primary)) {
+        statuses.remove(s.id());
+        pool.command(s.id(), new ServerCommand.Status(), statusOf(s.id(), () -> {}));
+      }
     }
+    context
+        .scheduler()
+        .schedule(
+            REPLICATION_CHECK,
+            () -> {
+              if (step == Step.STEADY && cutFromReplicas(primary)) {
+                startChange(false, "no replica confirms the commits of primary " + primary);
+              }
+            });
+  }
+
+  private void endReplicationCheck() {
+    checkingReplication = false;
   }
 
   private boolean cutFromReplicas(String primary) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -119,6 +119,29 @@
     finish();
   }
 
+  @Test
+  void testPrimaryCutFromItsReplicasIsReplaced() {
+    begin();
+    fleet.group.server("server-a").cutFromServers = true;
+    fleet.advance(5_000);
+    assertThat(fleet.promotions).hasSize(1);
+    assertThat(clients.lastWriteMillis).isGreaterThan(fleet.scheduler.millis() - 500);
+    fleet.group.server("server-a").cutFromServers = false;
+    fleet.advance(2_000);
+    finish();
+  }
+
+  @Test
+  void testLostAnswerOfCommitChangesNoPrimary() {
+    begin();
+    for (int i = 0; i < 10; i++) {
+      fleet.group.server("server-a").loseNextAnswer = true;
+      fleet.advance(900);
+    }
+    assertThat(fleet.promotions).isEmpty();
+    finish();
+  }
+
   @Test
   void testDeafReplicaIsNeverPromotedOverAcknowledgedCommits() {
     begin();
