--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -104,6 +104,7 @@
   private final DecisionLog log;
   private final LongPredicate mayWork;
   private final PoolListener listener;
+  private final PoolMetrics metrics;
   private final Map<String, PoolServer> servers = new HashMap<>();
   private final Map<PoolTransaction.Key, PoolTransaction> transactions = new HashMap<>();
   private final TreeSet<Waiting> waiting = new TreeSet<>(Waiting.ORDER);
@@ -134,7 +135,9 @@
       Scheduler scheduler,
       DecisionLog log,
       LongPredicate mayWork,
+      PoolMetrics metrics,
       PoolListener listener) {
+    this.metrics = metrics;
     this.group = group;
     this.connector = connector;
     this.scheduler = scheduler;
@@ -874,6 +877,8 @@
     DecisionLog.Weight weight =
         failure == null ? DecisionLog.Weight.SUCCESS : DecisionLog.Weight.FAILURE;
     long now = scheduler.nanoTime();
+    boolean fromReplica = server != null && !server.primary;
+    metrics.answered(w.work.kind(), failure, fromReplica, (now - w.arrivedNanos) / 1_000_000);
     DecisionLog.Line line =
         log.event(weight, "statement")
             .with("request", w.work.requestId())
@@ -1048,6 +1053,7 @@
     s.retryAtNanos = scheduler.nanoTime() + RECONNECT_NANOS;
     closeAll(s);
     if (news) {
+      metrics.serverLost();
       log.event(DecisionLog.Weight.BELIEF, "server-lost")
           .with("group", group)
           .with("server", s.entry.id())
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -0,0 +1,58 @@
+package org.chicorylane.internal.pool;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.UniformReservoir;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.chicorylane.internal.passthrough.FailureCode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Counts answered statements and keeps their latencies, over all groups of an instance.
+ *
+ * <p>Confined to the instance's thread; the registry may be read from any.
+ */
+public final class PoolMetrics {
+
+  /** Latencies kept of each kind; enough for a 99th percentile. */
+  private static final int RESERVOIR = 512;
+
+  private final MetricRegistry registry;
+  private final Map<String, Counter> counters = new HashMap<>();
+  private final Map<WorkKind, Histogram> latencies = new EnumMap<>(WorkKind.class);
+
+  /** Creates metrics in {@code registry}. */
+  public PoolMetrics(MetricRegistry registry) {
+    this.registry = registry;
+  }
+
+  /** Counts an answer; {@code millis} is the time since the statement reached the home. */
+  void answered(WorkKind kind, @Nullable FailureCode failure, boolean fromReplica, long millis) {
+    String outcome = failure == null ? "done" : failure.name().toLowerCase(Locale.ROOT);
+    count("statements." + kind.name().toLowerCase(Locale.ROOT) + "." + outcome);
+    if (kind == WorkKind.READ && failure == null) {
+      count(fromReplica ? "reads.replica" : "reads.primary");
+    }
+    latencies
+        .computeIfAbsent(
+            kind,
+            k ->
+                registry.histogram(
+                    "statements." + k.name().toLowerCase(Locale.ROOT) + ".latency_ms",
+                    () -> new Histogram(new UniformReservoir(RESERVOIR))))
+        .update(millis);
+  }
+
+  /** Counts a server that was lost. */
+  void serverLost() {
+    count("servers.lost");
+  }
+
+  private void count(String name) {
+    counters.computeIfAbsent(name, registry::counter).inc();
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.proxy;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,6 +20,8 @@
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.ReadResult;
 import org.chicorylane.internal.platform.SettledSwap;
+import org.chicorylane.internal.pool.GroupPool;
+import org.chicorylane.internal.pool.PoolMetrics;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.UniqueIds;
@@ -80,6 +83,7 @@
   private final MeshService service;
   private final AssistedStore store;
   private final GroupTenure.Context context;
+  private final MetricRegistry metrics = new MetricRegistry();
   private boolean laneKnown;
   private boolean serversKnown;
   private boolean draining;
@@ -127,7 +131,9 @@
             ports.log(),
             timings,
             this::homesOf,
-            new UniqueIds(self.incarnation()));
+            new UniqueIds(self.incarnation()),
+            new PoolMetrics(metrics));
+    publishGauges();
   }
 
   private int homesOf(String instance, String exceptGroup) {
@@ -141,6 +147,29 @@
     return homes;
   }
 
+  private void publishGauges() {
+    metrics.gauge("sessions.open", () -> sessions::count);
+    metrics.gauge(
+        "homes", () -> () -> tenures.values().stream().filter(GroupTenure::isHome).count());
+    metrics.gauge("configuration.version", () -> configuration::version);
+    metrics.gauge("store.away", () -> () -> ports.storeAway().getAsBoolean() ? 1 : 0);
+    metrics.gauge("statements.queued", () -> this::queued);
+  }
+
+  private int queued() {
+    int queued = 0;
+    for (GroupTenure t : List.copyOf(tenures.values())) {
+      GroupPool pool = t.pool();
+      queued += pool == null ? 0 : pool.queued();
+    }
+    return queued;
+  }
+
+  /** Returns the instance's metrics. */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
   /** Begins to follow the store and to take part. */
   public void start() {
     registry.register();
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -19,6 +19,7 @@
 import org.chicorylane.internal.platform.SettledSwap;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolListener;
+import org.chicorylane.internal.pool.PoolMetrics;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
@@ -54,7 +55,8 @@
       DecisionLog log,
       HomeTimings timings,
       HomeCount homeCount,
-      UniqueIds ids) {}
+      UniqueIds ids,
+      PoolMetrics metrics) {}
 
   /** Counts the homes of an instance. */
   public interface HomeCount {
@@ -501,6 +503,7 @@
             context.scheduler(),
             context.log(),
             this::mayWork,
+            context.metrics(),
             listener);
     pool = p;
     PrimaryKeeper k = new PrimaryKeeper(this, context, p, now());
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.pool;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -36,6 +37,7 @@
             scheduler,
             DecisionLog.none(),
             now -> mayWork,
+            new PoolMetrics(new MetricRegistry()),
             new PoolListener() {
               @Override
               public void onServerLost(String serverId, String reason) {
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
@@ -132,7 +132,7 @@
     }
     JsonArray instancePorts = new JsonArray();
     instancePorts.add(ports[2]);
-    instancePorts.add(ports[2]);
+    instancePorts.add(ports[3]);
     JsonObject o = new JsonObject();
     o.addProperty("instance", instance);
     o.addProperty("availabilityZone", "zone-a");
