Let a recorded successor stand in for a home that is lost while the store is away

Ruled out: slow detection (the loss was known after 0.7 s), the servers (idle). Change: the record names a successor. While its own confirmation is valid it may serve on the same primary; it promotes nothing, and a home promotes only after the successor said that it does not stand in, up to the record's revision, or the validity passed since it was struck from the record.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -120,8 +120,9 @@
       }
     } else if (tenure != null && tenure.isHome()) {
       place = this;
-    } else if (record != null && !record.home().name().equals(selfName)) {
-      place = links.apply(record.home().address());
+    } else if (record != null) {
+      HomeRecord.Holder target = target(tenure, record);
+      place = target.name().equals(selfName) ? null : links.apply(target.address());
     }
     if (place == null || r.sends >= MAXIMUM_SENDS) {
       hold(r);
@@ -142,6 +143,13 @@
     }
   }
 
+  /** Returns the home, or the instance that stands in for it while it is lost. */
+  private static HomeRecord.Holder target(@Nullable GroupTenure tenure, HomeRecord record) {
+    HomeRecord.Holder successor = record.successor();
+    boolean lost = tenure != null && tenure.isHomeLost();
+    return lost && successor != null ? successor : record.home();
+  }
+
   private void hold(Routed r) {
     long now = scheduler.nanoTime();
     long since = homelessSince.computeIfAbsent(r.group, g -> now);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeers.java
@@ -54,11 +54,13 @@
   }
 
   @Override
-  public void stopHome(String group, HomeRecord.Holder earlier, Consumer<Stop> outcome) {
+  public void stopHome(
+      String group, HomeRecord.Holder earlier, long revision, Consumer<Stop> outcome) {
     MeshQuestion.Builder question =
         question(PeerQuestion.STOP_HOME, group)
             .setInstance(earlier.name())
-            .setIncarnation(earlier.incarnation());
+            .setIncarnation(earlier.incarnation())
+            .addArguments(Long.toString(revision));
     links
         .apply(earlier.address())
         .ask(
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -139,7 +139,10 @@
               .thenAccept(r -> reply(channel, question, StoreMessages.reply(r)));
       default -> {
         LogPosition acknowledged =
-            tenure == null ? LogPosition.ZERO : tenure.stopFor(question.getIncarnation());
+            tenure == null
+                ? LogPosition.ZERO
+                : tenure.stopFor(
+                    question.getIncarnation(), Long.parseLong(question.getArguments(0)));
         reply(channel, question, true, acknowledged);
       }
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -66,6 +66,9 @@
   /** How often what the store holds is read through other instances while it is away. */
   private static final Duration ASSISTED_READ = Duration.ofSeconds(1);
 
+  /** A successor confirms the record at every so many of the home's confirmations. */
+  private static final int SUCCESSOR_ROUNDS = 2;
+
   /** Time after a stop was asked for in which the balancer still sends new connections. */
   private static final Duration BALANCER_DELAY = Duration.ofMillis(2_200);
 
@@ -88,6 +91,7 @@
   private boolean serversKnown;
   private boolean draining;
   private boolean confirming;
+  private int confirmRound;
 
   /** Creates an instance that does nothing yet. */
   public ProxyInstance(PeerInstance self, Ports ports) {
@@ -265,7 +269,10 @@
   }
 
   private void confirm() {
-    if (confirming || tenures.values().stream().noneMatch(GroupTenure::isHome)) {
+    confirmRound++;
+    boolean home = tenures.values().stream().anyMatch(GroupTenure::isHome);
+    boolean successor = tenures.values().stream().anyMatch(GroupTenure::isSuccessor);
+    if (confirming || !(home || (successor && confirmRound % SUCCESSOR_ROUNDS == 0))) {
       return;
     }
     confirming = true;
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -69,6 +69,9 @@
   /** How long transactions may go on at an instance that is no longer the home. */
   private static final Duration RETIREMENT = Duration.ofSeconds(3);
 
+  /** Pause before a lost home is replaced again. */
+  private static final Duration RETRY = Duration.ofMillis(300);
+
   /** The transaction's connection ended with its home. */
   private static final Answer TRANSACTION_GONE =
       Answer.failure(FailureCode.ABORTED, "the home of the group changed", TransactionState.FAILED);
@@ -91,6 +94,7 @@
   private long lostSinceNanos;
   private long absentSinceNanos;
   private long lastGivenNanos;
+  private long barredRevision = -1;
 
   /**
    * Creates the group's tenure.
@@ -216,7 +220,7 @@
     if (entry != null
         && entry.modRevision() == revision
         && record != null
-        && record.home().equals(context.self())) {
+        && (record.home().equals(context.self()) || isSuccessor())) {
       confirmedNanos = Math.max(confirmedNanos, sentNanos);
     }
   }
@@ -224,7 +228,7 @@
   /** Says that the home cannot be reached; {@code refused} if its process is not running. */
   public void onHomeLost(boolean refused) {
     HomeRecord r = record;
-    if (r == null || isHome() || taking || leaving || lostSinceNanos != 0) {
+    if (r == null || isHome() || leaving || lostSinceNanos != 0) {
       return;
     }
     lostSinceNanos = now();
@@ -237,13 +241,49 @@
   /** Says that the home answers. */
   public void onHomeHeard() {
     lostSinceNanos = 0;
+    if (isStandingIn()) {
+      retire("the home answers again");
+    }
+  }
+
+  /** Returns whether the home does not answer, as far as this instance can tell. */
+  public boolean isHomeLost() {
+    return lostSinceNanos != 0;
+  }
+
+  /** Returns whether this instance may serve in the home's place while that is lost. */
+  public boolean isSuccessor() {
+    HomeRecord r = record;
+    return r != null && context.self().equals(r.successor());
+  }
+
+  private boolean isStandingIn() {
+    HomeRecord r = record;
+    return isHome() && r != null && !r.home().equals(context.self());
+  }
+
+  /** Serves on the recorded primary while the home is lost; promotes nothing. */
+  private void standIn() {
+    HomeRecord r = record;
+    if (isHome() || leaving || r == null || !isSuccessor() || revision <= barredRevision) {
+      return;
+    }
+    if (r.promoting() == null && r.primaryId() != null && mayWork(now())) {
+      log("standing-in").with("home", r.home().name()).with("revision", revision).write();
+      openPool();
+      onHomeChanged.run();
+    }
   }
 
-  /** Stops this instance's work on the group for a later home. Returns what it acknowledged. */
-  public LogPosition stopFor(String incarnation) {
+  /**
+   * Stops this instance's work on the group for a later home, and does not begin it again under a
+   * record up to {@code atRevision}. Returns what it acknowledged.
+   */
+  public LogPosition stopFor(String incarnation, long atRevision) {
     LogPosition acknowledged = pool == null ? LogPosition.ZERO : pool.acknowledged();
     if (incarnation.equals(context.self().incarnation())) {
-      retire("a later home asked to stop");
+      barredRevision = Math.max(barredRevision, Math.max(revision, atRevision));
+      retire("the home asked to stop");
       for (GroupPool old : List.copyOf(retiring)) {
         acknowledged = acknowledged.max(old.acknowledged());
         old.stop();
@@ -259,7 +299,7 @@
    * @param outcome told whether this instance is the home now
    */
   public void takeOver(Consumer<Boolean> outcome) {
-    if (isHome() || leaving || taking) {
+    if ((isHome() && !isStandingIn()) || leaving || taking) {
       outcome.accept(isHome());
       return;
     }
@@ -269,6 +309,9 @@
   /** Hands the group over before this instance stops. */
   public void leave() {
     leaving = true;
+    if (isStandingIn()) {
+      retire("this instance leaves");
+    }
     if (!isHome()) {
       return;
     }
@@ -302,7 +345,7 @@
     if (k != null) {
       k.tick();
     }
-    if (isHome() && now() - confirmedNanos > context.timings().validity().toNanos() / 2) {
+    if (keeper != null && now() - confirmedNanos > context.timings().validity().toNanos() / 2) {
       giveAway();
     }
   }
@@ -361,6 +404,7 @@
         primaryId,
         term,
         promoting,
+        r.successor(),
         exclusive ? List.of() : r.priorHomes(),
         context.ids().next());
   }
@@ -370,6 +414,30 @@
     return declaration == null ? 0 : declaration.confirmingReplicas();
   }
 
+  /** Returns the present record without a successor, which counts as a prior home from now on. */
+  HomeRecord withoutSuccessor() {
+    HomeRecord r = Objects.requireNonNull(record);
+    List<HomeRecord.Holder> prior = new ArrayList<>(r.priorHomes());
+    HomeRecord.Holder successor = r.successor();
+    if (successor != null) {
+      prior.add(successor);
+    }
+    return new HomeRecord(
+        r.epoch(),
+        r.home(),
+        r.primaryId(),
+        r.term(),
+        r.promoting(),
+        null,
+        prior,
+        context.ids().next());
+  }
+
+  /** Returns the record's revision. */
+  long revision() {
+    return revision;
+  }
+
   /** Returns the group's servers. */
   List<BackendServer> servers() {
     return servers;
@@ -409,7 +477,7 @@
       return;
     }
     if (refused) {
-      take("the home's process is not running");
+      replaceLost("the home's process is not running");
       return;
     }
     List<PeerInstance> others =
@@ -418,7 +486,7 @@
             .limit(3)
             .toList();
     if (others.isEmpty()) {
-      take("the home does not answer and there is no other instance");
+      replaceLost("the home does not answer and there is no other instance");
       return;
     }
     Poll.ask(
@@ -426,15 +494,46 @@
         (peer, verdict) -> context.peers().hearsHome(peer, group, verdict),
         (yes, no) -> {
           if (yes == null && no > 0) {
-            take("the home answers neither this instance nor " + no + " others");
+            replaceLost("the home answers neither this instance nor " + no + " others");
           } else {
             lostSinceNanos = 0;
           }
         });
   }
 
+  private void replaceLost(String reason) {
+    standIn();
+    take(reason);
+  }
+
+  /** Tries again to replace a home that is lost, after the store did not record it. */
+  private void replaceLater() {
+    HomeRecord r = record;
+    if (r != null && lostSinceNanos != 0) {
+      HomeRecord.Holder lost = r.home();
+      context
+          .scheduler()
+          .schedule(
+              RETRY,
+              () -> {
+                if (record != null && record.home().equals(lost) && lostSinceNanos != 0) {
+                  replaceLost("the home is still lost");
+                }
+              });
+    }
+  }
+
+  private HomeRecord.@Nullable Holder chooseSuccessor(@Nullable HomeRecord r) {
+    String lost = r == null ? "" : r.home().name();
+    return candidates(context.self().name()).stream()
+        .filter(p -> !p.name().equals(lost))
+        .findFirst()
+        .map(p -> new HomeRecord.Holder(p.name(), p.incarnation(), p.address()))
+        .orElse(null);
+  }
+
   private void take(String reason) {
-    if (!taking && !isHome()) {
+    if (!taking && (!isHome() || isStandingIn())) {
       take(reason, taken -> {});
     }
   }
@@ -449,6 +548,7 @@
             r == null ? null : r.primaryId(),
             r == null ? 0 : r.term(),
             r == null ? null : r.promoting(),
+            chooseSuccessor(r),
             r == null ? List.of() : priorOf(r),
             context.ids().next());
     log("home-taking").with("reason", reason).with("revision", revision).write();
@@ -464,7 +564,7 @@
         },
         () -> {
           taking = false;
-          lostSinceNanos = 0;
+          replaceLater();
           if (revision == before) {
             readRecord();
           }
@@ -475,6 +575,10 @@
   private List<HomeRecord.Holder> priorOf(HomeRecord r) {
     List<HomeRecord.Holder> prior = new ArrayList<>(r.priorHomes());
     prior.add(r.home());
+    HomeRecord.Holder successor = r.successor();
+    if (successor != null) {
+      prior.add(successor);
+    }
     prior.removeIf(h -> h.name().equals(context.self().name()));
     int drop = Math.max(0, prior.size() - PRIOR_HOMES_KEPT);
     return List.copyOf(prior.subList(drop, prior.size()));
@@ -495,6 +599,14 @@
 
   private void begin() {
     lostSinceNanos = 0;
+    GroupPool p = pool == null ? openPool() : pool;
+    keeper = new PrimaryKeeper(this, context, p, now());
+    HomeRecord r = record;
+    log("home-begun").with("epoch", r == null ? 0 : r.epoch()).with("revision", revision).write();
+    onHomeChanged.run();
+  }
+
+  private GroupPool openPool() {
     Listener listener = new Listener();
     GroupPool p =
         new GroupPool(
@@ -506,8 +618,6 @@
             context.metrics(),
             listener);
     pool = p;
-    PrimaryKeeper k = new PrimaryKeeper(this, context, p, now());
-    keeper = k;
     GroupDeclaration d = declaration;
     if (d != null) {
       p.configure(d.maximumConnections(), transactionIdleLimit);
@@ -517,8 +627,7 @@
       p.setPrimary(r.primaryId(), r.term());
     }
     p.setServers(servers);
-    log("home-begun").with("epoch", r == null ? 0 : r.epoch()).with("revision", revision).write();
-    onHomeChanged.run();
+    return p;
   }
 
   private void retire(String reason) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
@@ -21,6 +21,8 @@
  * @param primaryId the primary, null before the first one is known
  * @param term the primary's term
  * @param promoting a server that is being promoted, null if none is
+ * @param successor the instance that may serve in the home's place, on the same primary, while the
+ *     home is lost and the store cannot record a new one; null if none may
  * @param priorHomes earlier homes that may not know that they are replaced
  * @param writer an id of the write, which no other write has
  */
@@ -30,6 +32,7 @@
     @Nullable String primaryId,
     long term,
     @Nullable String promoting,
+    @Nullable Holder successor,
     List<Holder> priorHomes,
     String writer) {
 
@@ -63,6 +66,9 @@
     o.addProperty("primary", primaryId);
     o.addProperty("term", term);
     o.addProperty("promoting", promoting);
+    if (successor != null) {
+      o.add("successor", encodeHolder(successor));
+    }
     JsonArray prior = new JsonArray();
     priorHomes.forEach(h -> prior.add(encodeHolder(h)));
     o.add("prior", prior);
@@ -83,6 +89,7 @@
               text(o, "primary"),
               o.get("term").getAsLong(),
               text(o, "promoting"),
+              o.has("successor") ? holder(o.get("successor")) : null,
               prior,
               o.get("writer").getAsString()));
     } catch (JsonParseException
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/Peers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/Peers.java
@@ -21,8 +21,12 @@
   /** Asks an instance to become the home of a group. */
   void takeHome(PeerInstance peer, String group, Consumer<Verdict> verdict);
 
-  /** Asks an earlier home to stop its work on a group's primary. */
-  void stopHome(String group, HomeRecord.Holder earlier, Consumer<Stop> outcome);
+  /**
+   * Asks an earlier home, or a successor, to stop its work on a group's primary.
+   *
+   * @param revision the record's revision up to which it may not begin again
+   */
+  void stopHome(String group, HomeRecord.Holder earlier, long revision, Consumer<Stop> outcome);
 
   /** An answer to a question. */
   enum Verdict {
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -69,6 +69,7 @@
   private final Map<String, ServerStatus> statuses = new HashMap<>();
   private final Set<HomeRecord.Holder> stopped = new HashSet<>();
   private final Set<HomeRecord.Holder> asked = new HashSet<>();
+  private final Map<HomeRecord.Holder, Long> replacedNanos = new HashMap<>();
   private Step step = Step.STEADY;
   private long stepNanos;
   private long attempt;
@@ -243,6 +244,7 @@
         }
       }
       case EXCLUDING -> {
+        stopSuccessor(r, inStep);
         if (isExclusive(r)) {
           proceed();
         }
@@ -393,8 +395,11 @@
     adoptedNanos = now();
     avoid = null;
     writing = true;
+    if (r.successor() != null) {
+      stopped.remove(r.successor());
+    }
     tenure.write(
-        tenure.changed(serverId, term, null, isExclusive(r)),
+        tenure.changed(serverId, term, null, priorHomesStopped(r)),
         revision -> writing = false,
         () -> writing = false);
   }
@@ -408,14 +413,45 @@
     pool.halt(PrimaryHalt.WRITES);
     enter(Step.EXCLUDING);
     HomeRecord r = tenure.record();
-    if (r != null && isExclusive(r)) {
-      proceed();
+    if (r != null) {
+      stopSuccessor(r, 0);
+      if (step == Step.EXCLUDING && isExclusive(r)) {
+        proceed();
+      }
     }
   }
 
+  /** Returns whether no other instance can use the present primary any more. */
   private boolean isExclusive(HomeRecord r) {
-    return stopped.containsAll(r.priorHomes())
-        || now() - begunNanos > context.timings().validity().toNanos();
+    return priorHomesStopped(r) && (r.successor() == null || stopped.contains(r.successor()));
+  }
+
+  private boolean priorHomesStopped(HomeRecord r) {
+    long validity = context.timings().validity().toNanos();
+    return r.priorHomes().stream()
+        .allMatch(
+            h ->
+                stopped.contains(h)
+                    || now() - replacedNanos.getOrDefault(h, begunNanos) > validity);
+  }
+
+  /** Asks the successor not to stand in, or takes the right from it if it does not answer. */
+  private void stopSuccessor(HomeRecord r, long inStepMillis) {
+    HomeRecord.Holder successor = r.successor();
+    if (successor == null || stopped.contains(successor)) {
+      return;
+    }
+    askToStop(successor);
+    if (inStepMillis > context.timings().evidenceTimeout().toMillis() && !writing) {
+      writing = true;
+      tenure.write(
+          tenure.withoutSuccessor(),
+          revision -> {
+            writing = false;
+            replacedNanos.put(successor, now());
+          },
+          () -> writing = false);
+    }
   }
 
   private void askToStop(HomeRecord.Holder earlier) {
@@ -427,12 +463,17 @@
         .stopHome(
             tenure.group(),
             earlier,
+            tenure.revision(),
             stop -> {
               asked.remove(earlier);
               if (stop.stopped()) {
                 stopped.add(earlier);
                 acknowledgedBefore = acknowledgedBefore.max(stop.acknowledged());
                 tenure.log("home-stopped").with("home", earlier.name()).write();
+                HomeRecord r = tenure.record();
+                if (step == Step.EXCLUDING && r != null && isExclusive(r)) {
+                  proceed();
+                }
               }
             });
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -182,6 +182,40 @@
     finish();
   }
 
+  @Test
+  void testHomeLostDuringStoreOutageIsStoodInFor() {
+    begin();
+    fleet.storeDown = true;
+    fleet.advance(500);
+    ModelHost home = fleet.home().orElseThrow();
+    long gap = gapAfter(home::freeze, 6_000);
+    assertWithMessage("ms without a write").that(gap).isLessThan(2_000);
+    fleet.advance(3_000);
+    home.thaw();
+    fleet.storeDown = false;
+    fleet.advance(3_000);
+    finish();
+  }
+
+  @Test
+  void testPromotionWaitsForTheSuccessorToStop() {
+    begin();
+    fleet.storeDown = true;
+    ModelHost home = fleet.home().orElseThrow();
+    home.kill();
+    fleet.advance(3_000);
+    assertThat(fleet.home()).isPresent();
+    fleet.storeDown = false;
+    fleet.advance(500);
+    fleet.group.server("server-a").crash();
+    fleet.advance(4_000);
+    assertThat(fleet.promotions).hasSize(1);
+    fleet.group.server("server-a").restart();
+    home.start();
+    fleet.advance(2_000);
+    finish();
+  }
+
   @Test
   void testDrainingPrimaryIsReplacedBeforeItGoes() {
     begin();
