--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -36,26 +36,11 @@
  */
 public final class GroupPool {
 
-  /** Statements sent to a server beyond its slots, so that a slot never waits for the network. */
-  private static final int SENT_AHEAD = 1;
-
   /** How often servers are looked at. */
   private static final Duration TICK = Duration.ofMillis(100);
 
-  /** Time without an answer after which a server is asked for its status. */
-  private static final long SILENCE_NANOS = Duration.ofMillis(200).toNanos();
-
-  /** Time within which a status must come before the server counts as lost. */
-  private static final long STATUS_TIMEOUT_NANOS = Duration.ofMillis(300).toNanos();
-
-  /** How often a quiet server is asked for its status. */
-  private static final long STATUS_INTERVAL_NANOS = Duration.ofMillis(450).toNanos();
-
-  /** How often a server that answers statements is asked for its role and term. */
-  private static final long ROLE_CHECK_NANOS = Duration.ofSeconds(3).toNanos();
-
-  /** Pause between attempts to reach a server that is lost. */
-  private static final long RECONNECT_NANOS = Duration.ofMillis(250).toNanos();
+  /** Age of the last known position of the primary at which it is asked for a new one. */
+  private static final Duration PRIMARY_POSITION_AGE = Duration.ofMillis(400);
 
   /** Pause before a statement that a server had no room for is sent again. */
   private static final long BUSY_PAUSE_NANOS = Duration.ofMillis(15).toNanos();
@@ -110,6 +95,7 @@
   private final TreeSet<Waiting> waiting = new TreeSet<>(Waiting.ORDER);
   private final Set<Main> running = new LinkedHashSet<>();
   private final FloorTracker floors = new FloorTracker();
+  private final ServerMonitor monitor;
   private final Scheduler.Timer ticker;
   private int maximumConnections = 16;
   private long transactionIdleNanos = Duration.ofSeconds(30).toNanos();
@@ -144,6 +130,8 @@
     this.log = log;
     this.mayWork = mayWork;
     this.listener = listener;
+    this.monitor =
+        new ServerMonitor(group, connector, scheduler, log, metrics, listener, new Monitored());
     this.primaryServedNanos = scheduler.nanoTime();
     this.ticker = scheduler.repeat(TICK, this::tick);
   }
@@ -183,7 +171,7 @@
             return server;
           });
     }
-    servers.values().forEach(this::openControl);
+    servers.values().forEach(monitor::openControl);
     pump();
   }
 
@@ -404,7 +392,10 @@
     LogPosition floor = w.work.replicaMayServe() ? floors.floorFor(w.work, w.arrivedNanos) : null;
     double capacity = 0;
     for (PoolServer s : servers.values()) {
-      boolean serves = s.primary ? halt.allows(w.work) : floor != null && isFresh(s, floor, now);
+      boolean serves =
+          s.primary
+              ? halt.allows(w.work)
+              : floor != null && ServerChoice.isFresh(s, floor, floors, now);
       if (serves && s.acceptsNewWork()) {
         capacity += Math.max(1, s.entry.slots()) / s.serviceNanos;
       }
@@ -484,14 +475,15 @@
         scheduler.schedule(Duration.ZERO, () -> abort(w, "the connection to the server was lost"));
         return true;
       }
-      if (c.server.busy >= limit(c.server)) {
+      if (c.server.busy >= ServerChoice.limit(c.server)) {
         return false;
       }
       run(w, c, null, now);
       return true;
     }
     LogPosition floor = w.work.replicaMayServe() ? floors.floorFor(w.work, w.arrivedNanos) : null;
-    PoolServer best = choose(w, floor, now);
+    PoolServer best =
+        ServerChoice.choose(servers.values(), w, floor, halt, floors, now, this::hasConnection);
     if (best == null) {
       return false;
     }
@@ -508,42 +500,6 @@
     return true;
   }
 
-  private @Nullable PoolServer choose(Waiting w, @Nullable LogPosition floor, long now) {
-    PoolServer best = null;
-    PoolServer primary = primaryId == null ? null : servers.get(primaryId);
-    if (floor != null) {
-      boolean anyEligible = false;
-      for (PoolServer s : servers.values()) {
-        if (s.primary || !s.acceptsNewWork() || s.entry.id().equals(w.avoid)) {
-          continue;
-        }
-        if (!isFresh(s, floor, now)) {
-          continue;
-        }
-        anyEligible = true;
-        if (s.busy >= limit(s) || !hasConnection(s)) {
-          continue;
-        }
-        if (best == null || s.expectedNanos() < best.expectedNanos()) {
-          best = s;
-        }
-      }
-      if (best != null) {
-        return best;
-      }
-      if (anyEligible && (primary == null || primary.busy >= primary.entry.slots() - 1)) {
-        return null;
-      }
-    }
-    if (primary == null
-        || !halt.allows(w.work)
-        || !primary.usable()
-        || primary.busy >= limit(primary)) {
-      return null;
-    }
-    return primary;
-  }
-
   /** Returns whether there is, or may soon be, a connection; opens one ahead if not. */
   private boolean hasConnection(PoolServer s) {
     if (!s.idle.isEmpty()) {
@@ -553,21 +509,6 @@
     return false;
   }
 
-  private boolean isFresh(PoolServer s, LogPosition floor, long now) {
-    if (s.position.compareTo(floor) >= 0) {
-      return true;
-    }
-    if (s.position.term() != floor.term()) {
-      return false;
-    }
-    long age = floors.ageMillis(floor, now);
-    return age > s.lagMillis * 2 + 10;
-  }
-
-  private int limit(PoolServer s) {
-    return Math.max(1, s.entry.slots()) + SENT_AHEAD;
-  }
-
   private void run(Waiting w, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.busy++;
     w.attempts++;
@@ -935,7 +876,7 @@
           public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
             s.opening--;
             if (failure == ServerConnector.ConnectFailure.REFUSED) {
-              fail(s, "connection refused");
+              monitor.fail(s, "connection refused");
             }
           }
 
@@ -957,113 +898,6 @@
     }
   }
 
-  private void openControl(PoolServer s) {
-    long now = scheduler.nanoTime();
-    if (s.control != null || s.controlOpening || s.gone || now < s.retryAtNanos) {
-      return;
-    }
-    s.controlOpening = true;
-    s.retryAtNanos = now + RECONNECT_NANOS;
-    connector.connect(s.target(), new Control(s));
-  }
-
-  /** Follows the connection on which a server is watched and steered. */
-  private final class Control implements ServerConnector.Listener {
-    private final PoolServer server;
-    private @Nullable ServerLink link;
-
-    Control(PoolServer server) {
-      this.server = server;
-    }
-
-    @Override
-    public void onOpen(ServerLink opened, @Nullable LogPosition position) {
-      server.controlOpening = false;
-      if (stopped || server.gone) {
-        opened.close();
-        return;
-      }
-      link = opened;
-      server.control = opened;
-      server.unreachable = false;
-      server.lastFailure = null;
-      server.lastHeardNanos = scheduler.nanoTime();
-      server.onPosition(position);
-      log.event(DecisionLog.Weight.BELIEF, "server-reached")
-          .with("group", group)
-          .with("server", server.entry.id())
-          .with("position", position)
-          .write();
-      askStatus(server);
-      pump();
-    }
-
-    @Override
-    public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
-      server.controlOpening = false;
-      server.lastFailure = failure;
-      fail(server, detail);
-    }
-
-    @Override
-    public void onClosed() {
-      if (server.control == link) {
-        server.control = null;
-        server.statusOutstanding = false;
-        server.retryAtNanos = 0;
-        openControl(server);
-      }
-    }
-  }
-
-  private void askStatus(PoolServer s) {
-    ServerLink control = s.control;
-    if (control == null || s.statusOutstanding) {
-      return;
-    }
-    s.statusOutstanding = true;
-    long sent = scheduler.nanoTime();
-    s.statusSentNanos = sent;
-    control.send(
-        new ServerCommand.Status(),
-        new ServerLink.AnswerHandler() {
-          @Override
-          public void onAnswer(Answer answer) {
-            s.statusOutstanding = false;
-            heard(s, sent, answer);
-            if (answer.status() != null) {
-              listener.onServerStatus(s.entry.id(), answer.status());
-            }
-            pump();
-          }
-
-          @Override
-          public void onLost() {
-            s.statusOutstanding = false;
-          }
-        });
-  }
-
-  private void fail(PoolServer s, String reason) {
-    if (s.gone || stopped) {
-      return;
-    }
-    final boolean news = !s.unreachable;
-    s.unreachable = true;
-    s.retryAtNanos = scheduler.nanoTime() + RECONNECT_NANOS;
-    closeAll(s);
-    if (news) {
-      metrics.serverLost();
-      log.event(DecisionLog.Weight.BELIEF, "server-lost")
-          .with("group", group)
-          .with("server", s.entry.id())
-          .with("reason", reason)
-          .with("silent_ms", (scheduler.nanoTime() - s.lastHeardNanos) / 1_000_000)
-          .write();
-    }
-    listener.onServerLost(s.entry.id(), reason);
-  }
-
   private void closeAll(PoolServer s) {
     ServerLink control = s.control;
     s.control = null;
@@ -1079,22 +913,7 @@
 
   private void tick() {
     long now = scheduler.nanoTime();
-    for (PoolServer s : new ArrayList<>(servers.values())) {
-      if (s.control == null) {
-        openControl(s);
-      } else if (s.statusOutstanding) {
-        if (now - s.statusSentNanos > STATUS_TIMEOUT_NANOS) {
-          fail(s, "no answer to a status question for 300 ms");
-        }
-      } else if (now - s.lastHeardNanos > (s.busy > 0 ? SILENCE_NANOS : STATUS_INTERVAL_NANOS)
-          || now - s.statusSentNanos > ROLE_CHECK_NANOS
-          || (s.primary && floors.isOlderThan(Duration.ofMillis(400), now))) {
-        if (s.busy > 0 && now - s.lastHeardNanos > SILENCE_NANOS) {
-          listener.onServerQuiet(s.entry.id());
-        }
-        askStatus(s);
-      }
-    }
+    monitor.tick(List.copyOf(servers.values()), floors.isOlderThan(PRIMARY_POSITION_AGE, now));
     for (Main late : running.stream().filter(m -> m.isOverdue(now)).toList()) {
       drop(late.connection);
     }
@@ -1115,4 +934,27 @@
       }
     }
   }
+
+  /** What the monitor may do with the pool. */
+  private final class Monitored implements ServerMonitor.Pool {
+    @Override
+    public boolean isStopped() {
+      return stopped;
+    }
+
+    @Override
+    public void closeConnections(PoolServer server) {
+      closeAll(server);
+    }
+
+    @Override
+    public void onAnswer(PoolServer server, long sentNanos, Answer answer) {
+      heard(server, sentNanos, answer);
+    }
+
+    @Override
+    public void onChange() {
+      pump();
+    }
+  }
 }
