--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/tenure/CandidatesTest.java
@@ -0,0 +1,42 @@
+package org.chicorylane.internal.tenure;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chicorylane.internal.topology.PeerInstance;
+import org.junit.jupiter.api.Test;
+
+final class CandidatesTest {
+
+  private static List<PeerInstance> instances(int count, int weightOfFirst) {
+    List<PeerInstance> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(new PeerInstance("i" + i, "x", "a", "z", i == 0 ? weightOfFirst : 100));
+    }
+    return all;
+  }
+
+  @Test
+  void testHomesSpreadOverInstances() {
+    List<PeerInstance> all = instances(8, 100);
+    Map<String, Integer> homes = new HashMap<>();
+    for (int g = 0; g < 8; g++) {
+      String first = Candidates.rank("g" + g, all, n -> homes.getOrDefault(n, 0)).get(0).name();
+      homes.merge(first, 1, Integer::sum);
+    }
+    assertThat(homes).hasSize(8);
+  }
+
+  @Test
+  void testSmallInstanceIsSeldomFirst() {
+    List<PeerInstance> all = instances(4, 5);
+    int first = 0;
+    for (int g = 0; g < 400; g++) {
+      first += Candidates.rank("g" + g, all, n -> 0).get(0).name().equals("i0") ? 1 : 0;
+    }
+    assertThat(first).isLessThan(40);
+  }
+}
