--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -498,6 +498,11 @@
         others,
         (peer, verdict) -> context.peers().hearsHome(peer, group, verdict),
         (yes, no) -> {
+          HomeRecord present = record;
+          boolean replaced = present != null && !present.home().equals(lost);
+          if (replaced) {
+            return;
+          }
           if (yes == null && no > 0) {
             replaceLost("the home answers neither this instance nor " + no + " others");
           } else {
