Never run the first statement of a transaction on a second connection

It may have run before, so the transaction then had statements on two connections. Ruled out: the pool's bookkeeping (the second connection was the transaction's own from then on). Change: such a transaction is aborted, which is a true promise since its commit was not sent; only what surely was not run is sent again.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -287,12 +287,9 @@
       if (!sent.remove(this)) {
         return;
       }
-      boolean restartable = transaction == null || work.begins();
-      if (!wasSent && restartable) {
-        onNotHome();
-      } else if (wasSent && doubtfulIfLost) {
-        fail(this, "the connection to the home of group " + group + " was lost");
-      } else if (restartable) {
+      boolean beginsAnew = transaction == null || work.begins();
+      boolean mayBeSentAgain = wasSent ? transaction == null && !doubtfulIfLost : beginsAnew;
+      if (mayBeSentAgain) {
         onNotHome();
       } else {
         fail(this, "the connection to the home of group " + group + " was lost");
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -754,6 +754,10 @@
     waiting.add(w);
   }
 
+  /**
+   * Ends or repeats a statement whose answer was lost. One within a transaction is not repeated: it
+   * may have run, and a transaction stays on one connection.
+   */
   private void lost(Waiting w, PooledConnection c) {
     PoolTransaction t = w.transaction;
     String server = c.server.entry.id();
@@ -768,7 +772,7 @@
           c.server,
           Answer.failure(FailureCode.IN_DOUBT, "server " + server + " did not answer", ended(w)),
           0);
-    } else if (t == null || (w.work.begins() && w.work.kind() != WorkKind.COMMIT)) {
+    } else if (t == null) {
       if (w.attempts < MAXIMUM_ATTEMPTS && scheduler.nanoTime() < w.deadlineNanos()) {
         w.avoid = c.server.primary ? null : server;
         again(w);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -110,6 +110,18 @@
     assertThat(all).hasSize(3);
   }
 
+  @Test
+  void testFirstStatementOfTransactionThatMayHaveRunIsNotRunElsewhere() {
+    fixture.submit(PoolFixture.read("warm"));
+    fixture.advance(60);
+    fixture.group.server("server-b").loseNextAnswer = true;
+    fixture.group.server("server-c").loseNextAnswer = true;
+    fixture.submit(
+        PoolFixture.work("r", WorkKind.READ, Freshness.BOUNDED_AGE).in(1, true, true).build());
+    fixture.advance(1_500);
+    assertThat(fixture.failureOf("r")).isEqualTo(FailureCode.ABORTED);
+  }
+
   @Test
   void testAbandonedTransactionIsRolledBack() {
     fixture.submit(
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
@@ -29,6 +29,7 @@
   private final Random random;
   private final List<Acknowledged> acknowledged = new ArrayList<>();
   private final Set<String> notRun = new HashSet<>();
+  private final Set<String> transactionStatements = new HashSet<>();
   private final Map<String, Reading> readings = new HashMap<>();
   final List<String> violations = new ArrayList<>();
   int succeeded;
@@ -57,6 +58,9 @@
   }
 
   private void onRun(ModelServer server, String requestId) {
+    if (requestId.startsWith("t") && !transactionStatements.add(requestId)) {
+      violations.add("ran again within a transaction: " + requestId);
+    }
     Reading reading = readings.get(requestId);
     if (reading == null) {
       return;
