Forget transactions that have not begun when a pool retires

The first statement then ran in the next pool of the same instance, and the later ones were taken by the old pool, which began another transaction for them on a connection of its own. Change: it forgets them. Test: testRetiringPoolForgetsTransactionsThatHaveNotBegun.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -308,6 +308,7 @@
     retiring = true;
     List<Waiting> rest = waiting.stream().filter(w -> !w.isPinned()).toList();
     waiting.removeAll(rest);
+    rest.forEach(this::forget);
     rest.forEach(w -> w.handler.onNotHome());
     for (PoolServer s : servers.values()) {
       new ArrayList<>(s.idle).forEach(this::drop);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -122,6 +122,16 @@
     assertThat(fixture.failureOf("r")).isEqualTo(FailureCode.ABORTED);
   }
 
+  @Test
+  void testRetiringPoolForgetsTransactionsThatHaveNotBegun() {
+    fixture.pool.halt(PrimaryHalt.EVERYTHING);
+    fixture.submit(
+        PoolFixture.work("w", WorkKind.WRITE, Freshness.OWN_WRITES).in(1, true, false).build());
+    fixture.pool.retire();
+    assertThat(fixture.notHome).containsExactly("w");
+    assertThat(fixture.pool.hasTransaction(fixture, 1)).isFalse();
+  }
+
   @Test
   void testAbandonedTransactionIsRolledBack() {
     fixture.submit(
