A home that was replaced orders no promotion any more

Cause, found on reading the change: when a home retired, its keeper was only forgotten. An order whose outcome was unknown was sent again every 200 ms by a timer, with the old fencing token, also after the next home had ordered with a newer one. Change: the keeper ends with the home; what is still under way decides and sends nothing.

--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -644,7 +644,10 @@
     GroupPool p = pool;
     if (p != null) {
       pool = null;
-      keeper = null;
+      if (keeper != null) {
+        keeper.end();
+        keeper = null;
+      }
       log("home-ended").with("reason", reason).with("revision", revision).write();
       retiring.add(p);
       p.retire();
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -59,7 +59,9 @@
     /** The order is under way, or accepted and not yet seen. */
     PROMOTING,
     /** Pausing before the next attempt. */
-    PAUSING
+    PAUSING,
+    /** This instance is no longer the home; nothing more is done or sent. */
+    ENDED
   }
 
   private final GroupTenure tenure;
@@ -92,10 +94,15 @@
     this.knowsAcknowledged = r != null && r.priorHomes().isEmpty() && r.epoch() == 1;
   }
 
+  /** Ends the care: another instance is the home. What is still under way decides nothing. */
+  void end() {
+    enter(Step.ENDED);
+  }
+
   void onServerStatus(String serverId, ServerStatus status) {
     statuses.put(serverId, status);
     HomeRecord r = tenure.record();
-    if (r == null) {
+    if (r == null || step == Step.ENDED) {
       return;
     }
     boolean recorded = serverId.equals(r.primaryId());
@@ -261,7 +268,7 @@
         }
       }
       default -> {
-        // While pausing, a timer goes on.
+        // While pausing a timer goes on, and after the end nothing does.
       }
     }
   }
@@ -380,7 +387,10 @@
 
   private void adopt(String serverId, long term) {
     HomeRecord r = tenure.record();
-    if (writing || r == null || (r.term() == term && serverId.equals(r.primaryId()))) {
+    if (step == Step.ENDED
+        || writing
+        || r == null
+        || (r.term() == term && serverId.equals(r.primaryId()))) {
       return;
     }
     tenure.log("primary").with("server", serverId).with("term", term).with("step", step).write();
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -40,6 +40,7 @@
   final List<String> violations = new ArrayList<>();
   final List<String> lines = new ArrayList<>();
   boolean storeDown;
+  boolean promotionsLost;
   boolean logging;
   private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
   private final Map<String, Boolean> draining = new HashMap<>();
@@ -97,6 +98,10 @@
       violations.add("fencing token " + token + " after " + highestToken);
     }
     highestToken = Math.max(highestToken, token);
+    if (promotionsLost) {
+      scheduler.schedule(Duration.ofMillis(10), () -> outcome.accept(Promoter.Outcome.UNKNOWN));
+      return;
+    }
     boolean runs = group.server(id).running && !group.server(id).silent;
     promotions.add(id);
     scheduler.schedule(
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -238,6 +238,22 @@
     finish();
   }
 
+  @Test
+  void testReplacedHomeOrdersNoPromotionAnyMore() {
+    begin();
+    fleet.promotionsLost = true;
+    fleet.group.server("server-a").crash();
+    fleet.advance(1_500);
+    ModelHost home = fleet.home().orElseThrow();
+    home.instance.drain(Duration.ofSeconds(4), home::kill);
+    fleet.advance(2_000);
+    fleet.promotionsLost = false;
+    fleet.advance(3_000);
+    fleet.group.server("server-a").restart();
+    fleet.advance(3_000);
+    finish();
+  }
+
   @Test
   void testEverythingKilledAtOnceRecovers() {
     begin();
