Read addresses and untrusted JSON in one place; name why a server is lost; records change themselves

Read-through: four parsers of host and port, of which one would have looked names up; four copies of one list of caught exceptions; a decision on the start of a message text; three places that built records field by field.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/NettyMeshTransport.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/NettyMeshTransport.java
@@ -16,8 +16,8 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
+import org.chicorylane.internal.runtime.Addresses;
 import org.chicorylane.internal.runtime.KeepAlive;
 import org.jspecify.annotations.Nullable;
 
@@ -49,7 +49,7 @@
                 channel.pipeline().addLast(new FrameHandler(listener));
               }
             })
-        .connect(socketAddress(address))
+        .connect(Addresses.parse(address))
         .addListener(
             future -> {
               if (!future.isSuccess()) {
@@ -76,17 +76,11 @@
                 channel.pipeline().addLast(new AcceptedHandler(listener));
               }
             })
-        .bind(socketAddress(address))
+        .bind(Addresses.parse(address))
         .sync()
         .channel();
   }
 
-  private static InetSocketAddress socketAddress(String address) {
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-  }
-
   private static void addCodec(SocketChannel channel) {
     KeepAlive.enable(channel);
     channel
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -152,7 +152,7 @@
         server.gone = true;
         servers.remove(server.entry.id());
         closeAll(server);
-        listener.onServerLost(server.entry.id(), "its entry is gone");
+        listener.onServerLost(server.entry.id(), ServerLoss.ENTRY_GONE);
       } else if (entry.startedMillis() != server.entry.startedMillis()
           || !entry.address().equals(server.entry.address())) {
         server.entry = entry;
@@ -881,7 +881,7 @@
           public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
             s.opening--;
             if (failure == ServerConnector.ConnectFailure.REFUSED) {
-              monitor.fail(s, "connection refused");
+              monitor.fail(s, ServerLoss.REFUSED, detail);
             }
           }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolListener.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolListener.java
@@ -6,7 +6,7 @@
 public interface PoolListener {
 
   /** A server does not answer, or its process is not running. */
-  void onServerLost(String serverId, String reason);
+  void onServerLost(String serverId, ServerLoss loss);
 
   /** A server that has work to answer says nothing; it may be lost. */
   void onServerQuiet(String serverId);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -47,7 +47,6 @@
   boolean unreachable;
 
   long retryAtNanos;
-  ServerConnector.@Nullable ConnectFailure lastFailure;
 
   PoolServer(BackendServer entry) {
     this.entry = entry;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -86,7 +86,7 @@
         openControl(s);
       } else if (s.statusOutstanding) {
         if (now - s.statusSentNanos > STATUS_TIMEOUT_NANOS) {
-          fail(s, "no answer to a status question for 300 ms");
+          fail(s, ServerLoss.SILENT, "no answer to a status question for 300 ms");
         }
       } else if (now - s.lastHeardNanos > (s.busy > 0 ? SILENCE_NANOS : STATUS_INTERVAL_NANOS)
           || now - s.statusSentNanos > ROLE_CHECK_NANOS
@@ -129,7 +129,6 @@
       link = opened;
       server.control = opened;
       server.unreachable = false;
-      server.lastFailure = null;
       server.lastHeardNanos = scheduler.nanoTime();
       server.onPosition(position);
       log.event(DecisionLog.Weight.BELIEF, "server-reached")
@@ -144,8 +143,13 @@
     @Override
     public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
       server.controlOpening = false;
-      server.lastFailure = failure;
-      fail(server, detail);
+      ServerLoss loss =
+          switch (failure) {
+            case REFUSED -> ServerLoss.REFUSED;
+            case SILENT -> ServerLoss.SILENT;
+            case REJECTED -> ServerLoss.REJECTED;
+          };
+      fail(server, loss, detail);
     }
 
     @Override
@@ -188,7 +192,7 @@
   }
 
   /** Takes a server for lost, and its connections with it. */
-  void fail(PoolServer s, String reason) {
+  void fail(PoolServer s, ServerLoss loss, String detail) {
     if (s.gone || pool.isStopped()) {
       return;
     }
@@ -201,10 +205,10 @@
       log.event(DecisionLog.Weight.BELIEF, "server-lost")
           .with("group", group)
           .with("server", s.entry.id())
-          .with("reason", reason)
+          .with("reason", detail)
           .with("silent_ms", (scheduler.nanoTime() - s.lastHeardNanos) / 1_000_000)
           .write();
     }
-    listener.onServerLost(s.entry.id(), reason);
+    listener.onServerLost(s.entry.id(), loss);
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -1,17 +1,16 @@
 package org.chicorylane.internal.proxy;
 
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.TreeMap;
+import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.StoreTransaction;
 import org.chicorylane.internal.platform.WriteResult;
+import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.PeerInstance;
 
@@ -29,11 +28,13 @@
 
   private final KeyValueStore store;
   private final Scheduler scheduler;
+  private final DecisionLog log;
   private final PeerInstance self;
   private final TreeMap<String, PeerInstance> peers = new TreeMap<>();
   private boolean leaving;
 
-  InstanceRegistry(KeyValueStore store, Scheduler scheduler, PeerInstance self) {
+  InstanceRegistry(KeyValueStore store, Scheduler scheduler, DecisionLog log, PeerInstance self) {
+    this.log = log;
     this.store = store;
     this.scheduler = scheduler;
     this.self = self;
@@ -72,10 +73,18 @@
     if (deleted) {
       peers.remove(name);
     } else {
-      decode(entry.value()).ifPresent(p -> peers.put(name, p));
+      UntrustedJson.read(entry.value(), InstanceRegistry::read, p -> unreadable(entry, p))
+          .ifPresent(p -> peers.put(name, p));
     }
   }
 
+  private void unreadable(KeyValueEntry entry, String problem) {
+    log.event(DecisionLog.Weight.BELIEF, "entry-unreadable")
+        .with("key", entry.key())
+        .with("problem", problem)
+        .write();
+  }
+
   void clear() {
     peers.clear();
   }
@@ -90,22 +99,12 @@
     return o.toString();
   }
 
-  private static Optional<PeerInstance> decode(String text) {
-    try {
-      JsonObject o = JsonParser.parseString(text).getAsJsonObject();
-      return Optional.of(
-          new PeerInstance(
-              o.get("name").getAsString(),
-              o.get("incarnation").getAsString(),
-              o.get("address").getAsString(),
-              o.get("zone").getAsString(),
-              o.get("weight").getAsInt()));
-    } catch (JsonParseException
-        | IllegalStateException
-        | NullPointerException
-        | UnsupportedOperationException
-        | NumberFormatException e) {
-      return Optional.empty();
-    }
+  private static PeerInstance read(JsonObject o) {
+    return new PeerInstance(
+        o.get("name").getAsString(),
+        o.get("incarnation").getAsString(),
+        o.get("address").getAsString(),
+        o.get("zone").getAsString(),
+        o.get("weight").getAsInt());
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -100,7 +100,7 @@
     Scheduler scheduler = ports.scheduler();
     this.configuration = new ConfigurationKeeper(ports.decoder(), ports.log(), this::declare);
     this.servers = new ServerDirectory(scheduler, this::declare);
-    this.registry = new InstanceRegistry(ports.store(), scheduler, self);
+    this.registry = new InstanceRegistry(ports.store(), scheduler, ports.log(), self);
     this.store =
         new AssistedStore(
             ports.store(), ports.storeAway(), registry::instances, this::link, self.name());
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -20,6 +19,7 @@
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolListener;
 import org.chicorylane.internal.pool.PoolMetrics;
+import org.chicorylane.internal.pool.ServerLoss;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
@@ -64,8 +64,6 @@
     int homesOf(String instance, String exceptGroup);
   }
 
-  private static final int PRIOR_HOMES_KEPT = 6;
-
   /** How long transactions may go on at an instance that is no longer the home. */
   private static final Duration RETIREMENT = Duration.ofSeconds(3);
 
@@ -193,9 +191,15 @@
     if (entry.modRevision() <= revision) {
       return;
     }
-    Optional<HomeRecord> decoded = HomeRecord.decode(entry);
+    Optional<HomeRecord> decoded =
+        HomeRecord.decode(
+            entry,
+            problem ->
+                log("record-unreadable")
+                    .with("revision", entry.modRevision())
+                    .with("problem", problem)
+                    .write());
     if (decoded.isEmpty()) {
-      log("record-unreadable").with("revision", entry.modRevision()).write();
       return;
     }
     HomeRecord before = record;
@@ -399,45 +403,11 @@
     return now() - confirmedNanos < 2 * context.timings().confirmInterval().toNanos();
   }
 
-  /** Returns a record like the present one, with a new writer. */
-  HomeRecord changed(
-      @Nullable String primaryId, long term, @Nullable String promoting, boolean exclusive) {
-    HomeRecord r = Objects.requireNonNull(record);
-    return new HomeRecord(
-        r.epoch(),
-        r.home(),
-        primaryId,
-        term,
-        promoting,
-        r.successor(),
-        exclusive ? List.of() : r.priorHomes(),
-        context.ids().next());
-  }
-
   /** Returns how many replicas a primary needs to confirm its commits. */
   int confirmingReplicas() {
     return declaration == null ? 0 : declaration.confirmingReplicas();
   }
 
-  /** Returns the present record without a successor, which counts as a prior home from now on. */
-  HomeRecord withoutSuccessor() {
-    HomeRecord r = Objects.requireNonNull(record);
-    List<HomeRecord.Holder> prior = new ArrayList<>(r.priorHomes());
-    HomeRecord.Holder successor = r.successor();
-    if (successor != null) {
-      prior.add(successor);
-    }
-    return new HomeRecord(
-        r.epoch(),
-        r.home(),
-        r.primaryId(),
-        r.term(),
-        r.promoting(),
-        null,
-        prior,
-        context.ids().next());
-  }
-
   /** Returns the record's revision. */
   long revision() {
     return revision;
@@ -551,16 +521,12 @@
   private void take(String reason, Consumer<Boolean> outcome) {
     taking = true;
     HomeRecord r = record;
+    HomeRecord.Holder successor = chooseSuccessor(r);
+    String writer = context.ids().next();
     HomeRecord next =
-        new HomeRecord(
-            r == null ? 1 : r.epoch() + 1,
-            context.self(),
-            r == null ? null : r.primaryId(),
-            r == null ? 0 : r.term(),
-            r == null ? null : r.promoting(),
-            chooseSuccessor(r),
-            r == null ? List.of() : priorOf(r),
-            context.ids().next());
+        r == null
+            ? HomeRecord.first(context.self(), successor, writer)
+            : r.takenBy(context.self(), successor, writer);
     log("home-taking").with("reason", reason).with("revision", revision).write();
     long before = revision;
     write(
@@ -582,18 +548,6 @@
         });
   }
 
-  private List<HomeRecord.Holder> priorOf(HomeRecord r) {
-    List<HomeRecord.Holder> prior = new ArrayList<>(r.priorHomes());
-    prior.add(r.home());
-    HomeRecord.Holder successor = r.successor();
-    if (successor != null) {
-      prior.add(successor);
-    }
-    prior.removeIf(h -> h.name().equals(context.self().name()));
-    int drop = Math.max(0, prior.size() - PRIOR_HOMES_KEPT);
-    return List.copyOf(prior.subList(drop, prior.size()));
-  }
-
   private void readRecord() {
     long sent = now();
     context
@@ -687,9 +641,9 @@
   /** Passes on what the pool learns. */
   private final class Listener implements PoolListener {
     @Override
-    public void onServerLost(String serverId, String reason) {
+    public void onServerLost(String serverId, ServerLoss loss) {
       if (keeper != null) {
-        keeper.onServerLost(serverId, reason);
+        keeper.onServerLost(serverId, loss);
       }
     }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
@@ -3,11 +3,11 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.jspecify.annotations.Nullable;
 
@@ -39,6 +39,9 @@
   /** Prefix of the keys that hold records. */
   public static final String KEY_PREFIX = "lane/groups/";
 
+  /** Earlier homes kept; more than so many changes of home within the validity are not expected. */
+  private static final int PRIOR_HOMES_KEPT = 6;
+
   /**
    * An instance that is or was a home.
    *
@@ -53,6 +56,66 @@
     priorHomes = List.copyOf(priorHomes);
   }
 
+  /**
+   * Returns the first record of a group.
+   *
+   * @param writer an id that no other write has
+   */
+  static HomeRecord first(Holder home, @Nullable Holder successor, String writer) {
+    return new HomeRecord(1, home, null, 0, null, successor, List.of(), writer);
+  }
+
+  /** Returns this record with another home; the present one may not know that it is replaced. */
+  HomeRecord takenBy(Holder newHome, @Nullable Holder newSuccessor, String newWriter) {
+    List<Holder> prior = new ArrayList<>(priorHomes);
+    prior.add(home);
+    if (successor != null) {
+      prior.add(successor);
+    }
+    prior.removeIf(h -> h.name().equals(newHome.name()));
+    int drop = Math.max(0, prior.size() - PRIOR_HOMES_KEPT);
+    return new HomeRecord(
+        epoch + 1,
+        newHome,
+        primaryId,
+        term,
+        promoting,
+        newSuccessor,
+        prior.subList(drop, prior.size()),
+        newWriter);
+  }
+
+  /**
+   * Returns this record with a primary that leads.
+   *
+   * @param alone whether all earlier homes have stopped, and need not be remembered
+   */
+  HomeRecord ledBy(String newPrimaryId, long newTerm, boolean alone, String newWriter) {
+    return new HomeRecord(
+        epoch,
+        home,
+        newPrimaryId,
+        newTerm,
+        null,
+        successor,
+        alone ? List.of() : priorHomes,
+        newWriter);
+  }
+
+  /** Returns this record with the intent to promote a server; all earlier homes have stopped. */
+  HomeRecord promoting(String serverId, String newWriter) {
+    return new HomeRecord(epoch, home, primaryId, term, serverId, successor, List.of(), newWriter);
+  }
+
+  /** Returns this record without a successor, which counts as an earlier home from now on. */
+  HomeRecord withoutSuccessor(String newWriter) {
+    List<Holder> prior = new ArrayList<>(priorHomes);
+    if (successor != null) {
+      prior.add(successor);
+    }
+    return new HomeRecord(epoch, home, primaryId, term, promoting, null, prior, newWriter);
+  }
+
   /** Returns the key of a group's record. */
   public static String keyOf(String group) {
     return KEY_PREFIX + group;
@@ -76,29 +139,23 @@
     return o.toString();
   }
 
-  /** Reads a record; empty if the text is none. */
-  public static Optional<HomeRecord> decode(KeyValueEntry entry) {
-    try {
-      JsonObject o = JsonParser.parseString(entry.value()).getAsJsonObject();
-      List<Holder> prior = new ArrayList<>();
-      o.getAsJsonArray("prior").forEach(e -> prior.add(holder(e)));
-      return Optional.of(
-          new HomeRecord(
-              o.get("epoch").getAsLong(),
-              holder(o.get("home")),
-              text(o, "primary"),
-              o.get("term").getAsLong(),
-              text(o, "promoting"),
-              o.has("successor") ? holder(o.get("successor")) : null,
-              prior,
-              o.get("writer").getAsString()));
-    } catch (JsonParseException
-        | IllegalStateException
-        | NullPointerException
-        | UnsupportedOperationException
-        | NumberFormatException e) {
-      return Optional.empty();
-    }
+  /** Reads a record; empty if the text is none, which {@code onProblem} is told. */
+  public static Optional<HomeRecord> decode(KeyValueEntry entry, Consumer<String> onProblem) {
+    return UntrustedJson.read(entry.value(), HomeRecord::read, onProblem);
+  }
+
+  private static HomeRecord read(JsonObject o) {
+    List<Holder> prior = new ArrayList<>();
+    o.getAsJsonArray("prior").forEach(e -> prior.add(holder(e)));
+    return new HomeRecord(
+        o.get("epoch").getAsLong(),
+        holder(o.get("home")),
+        text(o, "primary"),
+        o.get("term").getAsLong(),
+        text(o, "promoting"),
+        o.has("successor") ? holder(o.get("successor")) : null,
+        prior,
+        o.get("writer").getAsString());
   }
 
   private static @Nullable String text(JsonObject o, String name) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -14,6 +14,7 @@
 import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PrimaryHalt;
+import org.chicorylane.internal.pool.ServerLoss;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.BackendServer;
 import org.chicorylane.internal.topology.PeerInstance;
@@ -125,23 +126,23 @@
     }
   }
 
-  void onServerLost(String serverId, String reason) {
+  void onServerLost(String serverId, ServerLoss loss) {
     statuses.remove(serverId);
     HomeRecord r = tenure.record();
     if (r == null || step != Step.STEADY || !serverId.equals(r.primaryId())) {
       return;
     }
     BackendServer entry = entryOf(serverId);
-    if (entry == null || reason.startsWith("connection refused")) {
-      startChange(false, "primary " + serverId + ": " + reason);
+    if (entry == null || loss.isCertain()) {
+      startChange(false, "primary " + serverId + ": " + loss);
       return;
     }
     enter(Step.ASKING);
     Evidence known = evidence;
     if (known != null && known.isFresh(serverId)) {
-      known.judgeWhenDone(reason);
+      known.judgeWhenDone(loss);
     } else {
-      collectEvidence(entry).judgeWhenDone(reason);
+      collectEvidence(entry).judgeWhenDone(loss);
     }
   }
 
@@ -174,7 +175,7 @@
     private int notReached;
     private boolean alone;
     private boolean done;
-    private @Nullable String lossReason;
+    private @Nullable ServerLoss loss;
 
     Evidence(String serverId) {
       this.serverId = serverId;
@@ -200,22 +201,22 @@
           });
     }
 
-    void judgeWhenDone(String reason) {
-      lossReason = reason;
+    void judgeWhenDone(ServerLoss serverLoss) {
+      loss = serverLoss;
       judgeIfLost();
     }
 
     private void judgeIfLost() {
-      String reason = lossReason;
-      if (done && reason != null && step == Step.ASKING && evidence == this) {
+      ServerLoss known = loss;
+      if (done && known != null && step == Step.ASKING && evidence == this) {
         evidence = null;
-        judge(serverId, reason, reachedBy, notReached, alone);
+        judge(serverId, known, reachedBy, notReached, alone);
       }
     }
   }
 
   private void judge(
-      String serverId, String reason, @Nullable PeerInstance yes, int no, boolean alone) {
+      String serverId, ServerLoss loss, @Nullable PeerInstance yes, int no, boolean alone) {
     tenure
         .log("primary-evidence")
         .with("server", serverId)
@@ -228,7 +229,7 @@
       enter(Step.STEADY);
       context.peers().takeHome(yes, tenure.group(), verdict -> {});
     } else if (no > 0 || alone) {
-      startChange(false, "primary " + serverId + ": " + reason);
+      startChange(false, "primary " + serverId + ": " + loss);
     } else {
       enter(Step.STEADY);
     }
@@ -306,7 +307,7 @@
     } else if (!pool.reaches(primary)
         && now() - begunNanos > Duration.ofSeconds(1).toNanos()
         && !statuses.containsKey(primary)) {
-      onServerLost(primary, "not reached since this home began");
+      onServerLost(primary, ServerLoss.SILENT);
     } else if (pool.oldestCommitMillis() > UNCONFIRMED_MILLIS
         && now() - adoptedNanos > SETTLING.toNanos()
         && tenure.isRecentlyConfirmed()) {
@@ -409,7 +410,7 @@
       stopped.remove(r.successor());
     }
     tenure.write(
-        tenure.changed(serverId, term, null, priorHomesStopped(r)),
+        r.ledBy(serverId, term, priorHomesStopped(r), context.ids().next()),
         revision -> writing = false,
         () -> writing = false);
   }
@@ -455,7 +456,7 @@
     if (inStepMillis > context.timings().evidenceTimeout().toMillis() && !writing) {
       writing = true;
       tenure.write(
-          tenure.withoutSuccessor(),
+          r.withoutSuccessor(context.ids().next()),
           revision -> {
             writing = false;
             replacedNanos.put(successor, now());
@@ -611,7 +612,7 @@
         .with("term", r.term())
         .write();
     tenure.write(
-        tenure.changed(r.primaryId(), r.term(), target.id(), true),
+        r.promoting(target.id(), context.ids().next()),
         revision -> {
           if (mine == attempt && step == Step.PROMOTING) {
             order(target.id(), revision, mine);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -40,7 +40,7 @@
             new PoolMetrics(new MetricRegistry()),
             new PoolListener() {
               @Override
-              public void onServerLost(String serverId, String reason) {
+              public void onServerLost(String serverId, ServerLoss loss) {
                 lost.add(serverId);
               }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/HomeChurnTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/HomeChurnTest.java
@@ -18,7 +18,7 @@
     return Optional.of(read)
         .map(ReadResult.Read.class::cast)
         .flatMap(ReadResult.Read::first)
-        .flatMap(HomeRecord::decode)
+        .flatMap(e -> HomeRecord.decode(e, p -> {}))
         .map(HomeRecord::epoch)
         .orElseThrow();
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeRecordTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeRecordTest.java
@@ -28,18 +28,18 @@
             new HomeRecord.Holder("i2", "i2-a", "10.0.0.2:1"),
             List.of(new HomeRecord.Holder("i3", "i3-a", "10.0.0.3:1")),
             "w1");
-    assertThat(HomeRecord.decode(entry(record.encode()))).hasValue(record);
+    assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
   @Test
   void testAbsentFieldsStayAbsent() {
     HomeRecord record = new HomeRecord(1, HOME, null, 0, null, null, List.of(), "w1");
-    assertThat(HomeRecord.decode(entry(record.encode()))).hasValue(record);
+    assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
   @ParameterizedTest
   @ValueSource(strings = {"", "7", "[]", "{}", "{\"epoch\":\"x\"}", "{\"epoch\":1,\"home\":7}"})
   void testOtherTextIsNoRecord(String text) {
-    assertThat(HomeRecord.decode(entry(text))).isEmpty();
+    assertThat(HomeRecord.decode(entry(text), p -> {})).isEmpty();
   }
 }
