--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -40,12 +38,6 @@
   /** Time in which replicas may find a primary that was just promoted. */
   private static final Duration SETTLING = Duration.ofSeconds(2);
 
-  /** Time in which a replica that is connected receives what the primary has. */
-  private static final Duration REPLICATION_CHECK = Duration.ofMillis(150);
-
-  /** Instances asked whether they reach a primary. */
-  private static final int WITNESSES = 3;
-
   private enum Step {
     /** A primary leads, as far as is known. */
     STEADY,
@@ -70,27 +62,26 @@
   private final GroupPool pool;
   private final long begunNanos;
   private final Map<String, ServerStatus> statuses = new HashMap<>();
-  private final Set<HomeRecord.Holder> stopped = new HashSet<>();
-  private final Set<HomeRecord.Holder> asked = new HashSet<>();
-  private final Map<HomeRecord.Holder, Long> replacedNanos = new HashMap<>();
+  private final HomeExclusion exclusion;
+  private final ReplicationCheck replication;
   private Step step = Step.STEADY;
   private long stepNanos;
   private long attempt;
   private boolean planned;
   private boolean knowsAcknowledged;
-  private LogPosition acknowledgedBefore = LogPosition.ZERO;
   private LogPosition promotedFrom = LogPosition.ZERO;
   private long adoptedNanos;
-  private boolean checkingReplication;
   private boolean writing;
   private @Nullable String avoid;
-  private @Nullable Evidence evidence;
+  private @Nullable ServerEvidence evidence;
 
   PrimaryKeeper(GroupTenure tenure, GroupTenure.Context context, GroupPool pool, long nowNanos) {
     this.tenure = tenure;
     this.context = context;
     this.pool = pool;
     this.begunNanos = nowNanos;
+    this.replication = new ReplicationCheck(context.scheduler(), statuses, this::askStatus);
+    this.exclusion = new HomeExclusion(tenure, context, this::proceedIfExclusive);
     HomeRecord r = tenure.record();
     this.knowsAcknowledged = r != null && r.priorHomes().isEmpty() && r.epoch() == 1;
   }
@@ -122,7 +113,7 @@
   void onPrimaryDenied(String serverId) {
     HomeRecord r = tenure.record();
     if (step == Step.STEADY && r != null && serverId.equals(r.primaryId())) {
-      pool.command(serverId, new ServerCommand.Status(), statusOf(serverId, () -> {}));
+      askStatus(serverId, () -> {});
     }
   }
 
@@ -138,100 +129,59 @@
       return;
     }
     enter(Step.ASKING);
-    Evidence known = evidence;
-    if (known != null && known.isFresh(serverId)) {
-      known.judgeWhenDone(loss);
-    } else {
-      collectEvidence(entry).judgeWhenDone(loss);
-    }
+    long mine = attempt;
+    evidenceOn(entry)
+        .whenDone(
+            findings -> {
+              if (mine == attempt && step == Step.ASKING) {
+                judge(serverId, loss, findings);
+              }
+            });
   }
 
   /** Asks other instances about a primary that is quiet, in case that it is lost. */
   void onServerQuiet(String serverId) {
     HomeRecord r = tenure.record();
     BackendServer entry = entryOf(serverId);
-    boolean asksAlready = evidence != null && evidence.isFresh(serverId);
-    if (r != null
-        && step == Step.STEADY
-        && serverId.equals(r.primaryId())
-        && entry != null
-        && !asksAlready) {
-      collectEvidence(entry);
+    if (r != null && step == Step.STEADY && serverId.equals(r.primaryId()) && entry != null) {
+      evidenceOn(entry);
     }
   }
 
-  private Evidence collectEvidence(BackendServer server) {
-    Evidence fresh = new Evidence(server.id());
+  /** Returns what witnesses say about a server; asks them unless they were asked just now. */
+  private ServerEvidence evidenceOn(BackendServer server) {
+    long maximumAge = 2 * context.timings().evidenceTimeout().toNanos();
+    ServerEvidence known = evidence;
+    if (known != null && known.isFresh(server.id(), now(), maximumAge)) {
+      return known;
+    }
+    ServerEvidence fresh =
+        ServerEvidence.ask(
+            context,
+            tenure.candidates(context.self().name()),
+            new ServerConnector.Target(server.group(), server.id(), server.address()));
     evidence = fresh;
-    fresh.ask(new ServerConnector.Target(server.group(), server.id(), server.address()));
     return fresh;
   }
 
-  /** What other instances say about a server. */
-  private final class Evidence {
-    private final String serverId;
-    private final long askedNanos = now();
-    private @Nullable PeerInstance reachedBy;
-    private int notReached;
-    private boolean alone;
-    private boolean done;
-    private @Nullable ServerLoss loss;
-
-    Evidence(String serverId) {
-      this.serverId = serverId;
-    }
-
-    boolean isFresh(String id) {
-      return id.equals(serverId)
-          && now() - askedNanos < 2 * context.timings().evidenceTimeout().toNanos();
-    }
-
-    void ask(ServerConnector.Target target) {
-      List<PeerInstance> witnesses =
-          tenure.candidates(context.self().name()).stream().limit(WITNESSES).toList();
-      alone = witnesses.isEmpty();
-      Poll.ask(
-          witnesses,
-          (peer, verdict) -> context.peers().probe(peer, target, verdict),
-          (yes, no) -> {
-            reachedBy = yes;
-            notReached = no;
-            done = true;
-            judgeIfLost();
-          });
-    }
-
-    void judgeWhenDone(ServerLoss serverLoss) {
-      loss = serverLoss;
-      judgeIfLost();
-    }
-
-    private void judgeIfLost() {
-      ServerLoss known = loss;
-      if (done && known != null && step == Step.ASKING && evidence == this) {
-        evidence = null;
-        judge(serverId, known, reachedBy, notReached, alone);
-      }
-    }
-  }
-
-  private void judge(
-      String serverId, ServerLoss loss, @Nullable PeerInstance yes, int no, boolean alone) {
+  private void judge(String serverId, ServerLoss loss, ServerEvidence.Findings findings) {
+    evidence = null;
+    PeerInstance reachedBy = findings.reachedBy();
     tenure
         .log("primary-evidence")
         .with("server", serverId)
-        .with("reached_by", yes == null ? null : yes.name())
-        .with("not_reached_by", no)
+        .with("reached_by", reachedBy == null ? null : reachedBy.name())
+        .with("not_reached_by", findings.notReached())
         .write();
-    if (pool.reaches(serverId)) {
-      enter(Step.STEADY);
-    } else if (yes != null) {
-      enter(Step.STEADY);
-      context.peers().takeHome(yes, tenure.group(), verdict -> {});
-    } else if (no > 0 || alone) {
+    if (!pool.reaches(serverId)
+        && reachedBy == null
+        && (findings.notReached() > 0 || findings.alone())) {
       startChange(false, "primary " + serverId + ": " + loss);
-    } else {
-      enter(Step.STEADY);
+      return;
+    }
+    enter(Step.STEADY);
+    if (!pool.reaches(serverId) && reachedBy != null) {
+      context.peers().takeHome(reachedBy, tenure.group(), verdict -> {});
     }
   }
 
@@ -240,9 +190,7 @@
     if (r == null) {
       return;
     }
-    if (!r.priorHomes().isEmpty()) {
-      r.priorHomes().forEach(this::askToStop);
-    }
+    exclusion.askPriorHomes(r);
     long inStep = (now() - stepNanos) / 1_000_000;
     switch (step) {
       case STEADY -> steady(r);
@@ -252,10 +200,8 @@
         }
       }
       case EXCLUDING -> {
-        stopSuccessor(r, inStep);
-        if (isExclusive(r)) {
-          proceed();
-        }
+        exclusion.stopSuccessor(r, inStep);
+        proceedIfExclusive();
       }
       case QUIESCING -> quiesce(r, inStep);
       case SEALING -> {
@@ -311,65 +257,16 @@
     } else if (pool.oldestCommitMillis() > UNCONFIRMED_MILLIS
         && now() - adoptedNanos > SETTLING.toNanos()
         && tenure.isRecentlyConfirmed()) {
-      checkReplication(primary);
-    }
-  }
-
-  /** Compares the primary's log with what replicas hold a while later. */
-  private void checkReplication(String primary) {
-    if (checkingReplication) {
-      return;
-    }
-    checkingReplication = true;
-    context.scheduler().schedule(REPLICATION_CHECK.multipliedBy(3), this::endReplicationCheck);
-    statuses.remove(primary);
-    pool.command(
-        primary,
-        new ServerCommand.Status(),
-        statusOf(
-            primary,
-            () -> context.scheduler().schedule(REPLICATION_CHECK, () -> askReplicas(primary))));
-  }
-
-  private void askReplicas(String primary) {
-    for (BackendServer s : tenure.servers()) {
-      if (!s.id().equals(primary)) {
-        statuses.remove(s.id());
-        pool.command(s.id(), new ServerCommand.Status(), statusOf(s.id(), () -> {}));
-      }
-    }
-    context
-        .scheduler()
-        .schedule(
-            REPLICATION_CHECK,
-            () -> {
-              if (step == Step.STEADY && cutFromReplicas(primary)) {
-                startChange(false, "no replica confirms the commits of primary " + primary);
-              }
-            });
-  }
-
-  private void endReplicationCheck() {
-    checkingReplication = false;
-  }
-
-  private boolean cutFromReplicas(String primary) {
-    ServerStatus lead = statuses.get(primary);
-    if (lead == null) {
-      return false;
-    }
-    int behind = 0;
-    for (BackendServer s : tenure.servers()) {
-      ServerStatus status = statuses.get(s.id());
-      if (s.id().equals(primary) || status == null) {
-        continue;
-      }
-      behind++;
-      if (status.received().compareTo(lead.received()) >= 0) {
-        return false;
-      }
+      replication.begin(
+          primary,
+          tenure.servers(),
+          tenure.confirmingReplicas(),
+          () -> {
+            if (step == Step.STEADY) {
+              startChange(false, "no replica confirms the commits of primary " + primary);
+            }
+          });
     }
-    return behind > tenure.confirmingReplicas();
   }
 
   private void findFirstPrimary() {
@@ -406,11 +303,9 @@
     adoptedNanos = now();
     avoid = null;
     writing = true;
-    if (r.successor() != null) {
-      stopped.remove(r.successor());
-    }
+    exclusion.onNewRecord(r);
     tenure.write(
-        r.ledBy(serverId, term, priorHomesStopped(r), context.ids().next()),
+        r.ledBy(serverId, term, exclusion.priorHomesStopped(r), context.ids().next()),
         revision -> writing = false,
         () -> writing = false);
   }
@@ -425,68 +320,16 @@
     enter(Step.EXCLUDING);
     HomeRecord r = tenure.record();
     if (r != null) {
-      stopSuccessor(r, 0);
-      if (step == Step.EXCLUDING && isExclusive(r)) {
-        proceed();
-      }
-    }
-  }
-
-  /** Returns whether no other instance can use the present primary any more. */
-  private boolean isExclusive(HomeRecord r) {
-    return priorHomesStopped(r) && (r.successor() == null || stopped.contains(r.successor()));
-  }
-
-  private boolean priorHomesStopped(HomeRecord r) {
-    long validity = context.timings().validity().toNanos();
-    return r.priorHomes().stream()
-        .allMatch(
-            h ->
-                stopped.contains(h)
-                    || now() - replacedNanos.getOrDefault(h, begunNanos) > validity);
-  }
-
-  /** Asks the successor not to stand in, or takes the right from it if it does not answer. */
-  private void stopSuccessor(HomeRecord r, long inStepMillis) {
-    HomeRecord.Holder successor = r.successor();
-    if (successor == null || stopped.contains(successor)) {
-      return;
-    }
-    askToStop(successor);
-    if (inStepMillis > context.timings().evidenceTimeout().toMillis() && !writing) {
-      writing = true;
-      tenure.write(
-          r.withoutSuccessor(context.ids().next()),
-          revision -> {
-            writing = false;
-            replacedNanos.put(successor, now());
-          },
-          () -> writing = false);
+      exclusion.stopSuccessor(r, 0);
+      proceedIfExclusive();
     }
   }
 
-  private void askToStop(HomeRecord.Holder earlier) {
-    if (stopped.contains(earlier) || !asked.add(earlier)) {
-      return;
+  private void proceedIfExclusive() {
+    HomeRecord r = tenure.record();
+    if (step == Step.EXCLUDING && r != null && exclusion.isExclusive(r)) {
+      proceed();
     }
-    context
-        .peers()
-        .stopHome(
-            tenure.group(),
-            earlier,
-            tenure.revision(),
-            stop -> {
-              asked.remove(earlier);
-              if (stop.stopped()) {
-                stopped.add(earlier);
-                acknowledgedBefore = acknowledgedBefore.max(stop.acknowledged());
-                tenure.log("home-stopped").with("home", earlier.name()).write();
-                HomeRecord r = tenure.record();
-                if (step == Step.EXCLUDING && r != null && isExclusive(r)) {
-                  proceed();
-                }
-              }
-            });
   }
 
   private void proceed() {
@@ -560,45 +403,26 @@
     if (r == null || r.epoch() != before.epoch()) {
       return;
     }
-    BackendServer best = null;
-    LogPosition furthest = LogPosition.ZERO;
-    boolean allTold = true;
-    for (BackendServer s : tenure.servers()) {
-      if (s.id().equals(r.primaryId())) {
-        continue;
-      }
-      ServerStatus status = statuses.get(s.id());
-      if (status == null) {
-        allTold = false;
-        continue;
-      }
-      if (status.primary() && status.term() > r.term()) {
-        adopt(s.id(), status.term());
-        return;
-      }
-      boolean further = status.received().compareTo(furthest) > 0;
-      boolean preferred =
-          status.received().equals(furthest) && best != null && best.draining() && !s.draining();
-      if (best == null || further || preferred) {
-        best = s;
-        furthest = status.received();
-      }
-    }
-    LogPosition needed = pool.acknowledged().max(acknowledgedBefore);
-    boolean complete = allTold || (knowsAcknowledged && furthest.compareTo(needed) >= 0);
+    LogPosition needed = pool.acknowledged().max(exclusion.acknowledged());
     ServerStatus old = r.primaryId() == null ? null : statuses.get(r.primaryId());
-    if (best != null && !complete && old != null && !planned) {
-      complete = furthest.compareTo(old.received()) >= 0;
-    }
-    if (best == null || !complete || best.id().equals(avoid)) {
+    PromotionChoice choice =
+        PromotionChoice.choose(
+            tenure.servers(),
+            statuses,
+            r.primaryId(),
+            r.term(),
+            knowsAcknowledged ? needed : null,
+            planned || old == null ? null : old.received());
+    if (choice instanceof PromotionChoice.Leads leads) {
+      adopt(leads.serverId(), leads.term());
+    } else if (choice instanceof PromotionChoice.Promote best
+        && !best.server().id().equals(avoid)) {
+      promote(r, best.server(), best.received());
+    } else {
       avoid = null;
       restart(
-          best == null
-              ? "no replica answers"
-              : "a replica that may hold acknowledged commits does not answer");
-      return;
+          choice instanceof PromotionChoice.Wait wait ? wait.reason() : "it was refused before");
     }
-    promote(r, best, furthest);
   }
 
   private void promote(HomeRecord r, BackendServer target, LogPosition received) {
@@ -661,7 +485,7 @@
     if (mine != attempt || step != Step.PROMOTING) {
       return;
     }
-    pool.command(target, new ServerCommand.Status(), statusOf(target, () -> {}));
+    askStatus(target, () -> {});
     context.scheduler().schedule(LEAD_POLL, () -> pollLead(target, mine));
   }
 
@@ -693,6 +517,10 @@
             });
   }
 
+  private void askStatus(String serverId, Runnable next) {
+    pool.command(serverId, new ServerCommand.Status(), statusOf(serverId, next));
+  }
+
   private ServerLink.AnswerHandler statusOf(String serverId, Runnable next) {
     return new ServerLink.AnswerHandler() {
       @Override
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PromotionChoice.java
@@ -0,0 +1,76 @@
+package org.chicorylane.internal.tenure;
+
+import java.util.List;
+import java.util.Map;
+import org.chicorylane.internal.passthrough.ServerStatus;
+import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.topology.BackendServer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Which server is to be promoted, after the replicas stopped receiving and told their logs' ends.
+ */
+sealed interface PromotionChoice {
+
+  /** The replica with the longest log; it holds every acknowledged commit. */
+  record Promote(BackendServer server, LogPosition received) implements PromotionChoice {}
+
+  /** A server leads a later term already. */
+  record Leads(String serverId, long term) implements PromotionChoice {}
+
+  /** No server is known to hold every acknowledged commit. */
+  record Wait(String reason) implements PromotionChoice {}
+
+  /**
+   * Chooses among the servers without the present primary. The furthest is taken if all have told,
+   * or if it covers what is known to be acknowledged, or all that the primary has.
+   *
+   * @param statuses what servers told
+   * @param term the present term
+   * @param acknowledged the highest acknowledged position, null if it is not known
+   * @param primaryReceived the end of the present primary's log, null if it did not tell
+   */
+  static PromotionChoice choose(
+      List<BackendServer> servers,
+      Map<String, ServerStatus> statuses,
+      @Nullable String primaryId,
+      long term,
+      @Nullable LogPosition acknowledged,
+      @Nullable LogPosition primaryReceived) {
+    BackendServer best = null;
+    LogPosition furthest = LogPosition.ZERO;
+    boolean allTold = true;
+    for (BackendServer s : servers) {
+      if (s.id().equals(primaryId)) {
+        continue;
+      }
+      ServerStatus status = statuses.get(s.id());
+      if (status == null) {
+        allTold = false;
+        continue;
+      }
+      if (status.primary() && status.term() > term) {
+        return new Leads(s.id(), status.term());
+      }
+      boolean further = status.received().compareTo(furthest) > 0;
+      boolean staysLonger =
+          status.received().equals(furthest) && best != null && best.draining() && !s.draining();
+      if (best == null || further || staysLonger) {
+        best = s;
+        furthest = status.received();
+      }
+    }
+    if (best == null) {
+      return new Wait("no replica answers");
+    }
+    boolean complete =
+        allTold || covers(furthest, acknowledged) || covers(furthest, primaryReceived);
+    return complete
+        ? new Promote(best, furthest)
+        : new Wait("a replica that may hold acknowledged commits does not answer");
+  }
+
+  private static boolean covers(LogPosition furthest, @Nullable LogPosition needed) {
+    return needed != null && furthest.compareTo(needed) >= 0;
+  }
+}
