Weigh only what a primary told after its writes were held back

Cause, found when the choice stood alone: a replica counted as complete if it covered the primary's last status, which could be 3 s old, although less than what this home knew to be acknowledged. Test, failing first: testOldWordOfThePrimaryDoesNotOutweighAcknowledgedCommits. Change: knowledge of what was acknowledged goes first; without it the primary is asked anew after its writes are held back.

--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -320,6 +320,7 @@
     enter(Step.EXCLUDING);
     HomeRecord r = tenure.record();
     if (r != null) {
+      askAnew(r.primaryId());
       exclusion.stopSuccessor(r, 0);
       proceedIfExclusive();
     }
@@ -412,7 +413,7 @@
             r.primaryId(),
             r.term(),
             knowsAcknowledged ? needed : null,
-            planned || old == null ? null : old.received());
+            planned || old == null ? null : old.received().max(needed));
     if (choice instanceof PromotionChoice.Leads leads) {
       adopt(leads.serverId(), leads.term());
     } else if (choice instanceof PromotionChoice.Promote best
@@ -517,6 +518,14 @@
             });
   }
 
+  /** Forgets what a primary told before its writes were held back, and asks it again. */
+  private void askAnew(@Nullable String primaryId) {
+    if (primaryId != null && !planned) {
+      statuses.remove(primaryId);
+      askStatus(primaryId, () -> {});
+    }
+  }
+
   private void askStatus(String serverId, Runnable next) {
     pool.command(serverId, new ServerCommand.Status(), statusOf(serverId, next));
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PromotionChoice.java
@@ -23,7 +23,8 @@
 
   /**
    * Chooses among the servers without the present primary. The furthest is taken if all have told,
-   * or if it covers what is known to be acknowledged, or all that the primary has.
+   * or if it covers all that is known to be acknowledged, or where that is not known, all that the
+   * primary had after its writes were held back.
    *
    * @param statuses what servers told
    * @param term the present term
@@ -63,14 +64,10 @@
     if (best == null) {
       return new Wait("no replica answers");
     }
-    boolean complete =
-        allTold || covers(furthest, acknowledged) || covers(furthest, primaryReceived);
+    LogPosition needed = acknowledged == null ? primaryReceived : acknowledged;
+    boolean complete = allTold || (needed != null && furthest.compareTo(needed) >= 0);
     return complete
         ? new Promote(best, furthest)
         : new Wait("a replica that may hold acknowledged commits does not answer");
   }
-
-  private static boolean covers(LogPosition furthest, @Nullable LogPosition needed) {
-    return needed != null && furthest.compareTo(needed) >= 0;
-  }
 }
