--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.LongPredicate;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
@@ -60,18 +59,6 @@
   /** When a client may come back while a primary is being replaced. */
   private static final long RETURN_MILLIS = 400;
 
-  /** Shorter queues are gone before their order matters. */
-  private static final int QUEUE_WORTH_ORDERING = 4;
-
-  /** Weight of the newest dispatch in the share of those that were in time. */
-  private static final double SHARE_WEIGHT = 0.02;
-
-  /** Least part of the servers' time that is expected for statements that are late. */
-  private static final double LEAST_LATE_SHARE = 0.05;
-
-  /** Time that an ordinary statement takes at a server, with the way there and back. */
-  private static final double USUAL_SERVICE_NANOS = 30e6;
-
   private static final int MAXIMUM_ATTEMPTS = 4;
 
   /** Part of the budget within which a statement must be expected to begin. */
@@ -92,7 +79,7 @@
   private final PoolMetrics metrics;
   private final Map<String, PoolServer> servers = new HashMap<>();
   private final Map<PoolTransaction.Key, PoolTransaction> transactions = new HashMap<>();
-  private final TreeSet<Waiting> waiting = new TreeSet<>(Waiting.ORDER);
+  private final WorkQueue queue = new WorkQueue();
   private final Set<Main> running = new LinkedHashSet<>();
   private final FloorTracker floors = new FloorTracker();
   private final ServerMonitor monitor;
@@ -102,7 +89,6 @@
   private @Nullable String primaryId;
   private long term;
   private LogPosition acknowledged = LogPosition.ZERO;
-  private double timelyShare;
   private long nextSequence;
   private long primaryServedNanos;
   private boolean pumping;
@@ -234,7 +220,7 @@
 
   /** Returns the statements that wait. */
   public int queued() {
-    return waiting.size();
+    return queue.size();
   }
 
   /** Takes a statement that came over {@code owner}. */
@@ -272,10 +258,10 @@
       wait = expectedWaitMillis(w);
     }
     if (!w.isPinned() && wait > work.budgetMillis() * WAIT_SHARE) {
-      refuse(w, "queue of " + waiting.size() + " takes about " + wait + " ms", wait / 2);
+      refuse(w, "queue of " + queue.size() + " takes about " + wait + " ms", wait / 2);
       return;
     }
-    waiting.add(w);
+    queue.add(w);
     pump();
   }
 
@@ -295,7 +281,7 @@
         end(transaction);
       }
     }
-    waiting.removeIf(w -> w.transaction != null && w.transaction.abandoned);
+    queue.take(w -> w.transaction != null && w.transaction.abandoned);
   }
 
   /** Returns whether the transaction runs here. */
@@ -306,8 +292,7 @@
   /** Takes no new work; what runs, and transactions that have begun, may end. */
   public void retire() {
     retiring = true;
-    List<Waiting> rest = waiting.stream().filter(w -> !w.isPinned()).toList();
-    waiting.removeAll(rest);
+    List<Waiting> rest = queue.take(w -> !w.isPinned());
     rest.forEach(this::forget);
     rest.forEach(w -> w.handler.onNotHome());
     for (PoolServer s : servers.values()) {
@@ -317,16 +302,14 @@
 
   /** Returns whether nothing runs and no transaction is open. */
   public boolean isIdle() {
-    return running.isEmpty() && transactions.isEmpty() && waiting.isEmpty();
+    return running.isEmpty() && transactions.isEmpty() && queue.isEmpty();
   }
 
   /** Ends everything at once: another instance takes over. */
   public void stop() {
     stopped = true;
     ticker.cancel();
-    List<Waiting> rest = new ArrayList<>(waiting);
-    waiting.clear();
-    for (Waiting w : rest) {
+    for (Waiting w : queue.take(w -> true)) {
       if (w.isPinned()) {
         w.handler.onAnswer(aborted("the home of the group changed"));
       } else {
@@ -386,33 +369,24 @@
 
   /** Returns the expected time until a server takes the work, -1 if none can. */
   private long expectedWaitMillis(Waiting w) {
-    if (w.isPinned()) {
-      return 0;
-    }
+    return w.isPinned() ? 0 : queue.expectedWaitMillis(w, statementsPerNano(w));
+  }
+
+  /** Returns how many statements a nanosecond the servers that may run the work can take. */
+  private double statementsPerNano(Waiting w) {
     long now = scheduler.nanoTime();
     LogPosition floor = w.work.replicaMayServe() ? floors.floorFor(w.work, w.arrivedNanos) : null;
-    double capacity = 0;
+    double rate = 0;
     for (PoolServer s : servers.values()) {
       boolean serves =
           s.primary
               ? halt.allows(w.work)
               : floor != null && ServerChoice.isFresh(s, floor, floors, now);
       if (serves && s.acceptsNewWork()) {
-        capacity += Math.max(1, s.entry.slots()) / s.serviceNanos;
+        rate += Math.max(1, s.entry.slots()) / s.serviceNanos;
       }
     }
-    if (capacity == 0) {
-      return -1;
-    }
-    int ahead = 0;
-    for (Waiting other : waiting) {
-      if (Waiting.ORDER.compare(other, w) < 0
-          && other.work.replicaMayServe() == w.work.replicaMayServe()) {
-        ahead++;
-      }
-    }
-    double left = w.late ? Math.max(LEAST_LATE_SHARE, 1 - timelyShare) : 1;
-    return (long) (ahead / (capacity * left) / 1e6);
+    return rate;
   }
 
   private void pump() {
@@ -424,7 +398,7 @@
       long now = scheduler.nanoTime();
       boolean allowed = mayWork.test(now);
       postponeLate(now);
-      Iterator<Waiting> i = waiting.iterator();
+      Iterator<Waiting> i = queue.iterator();
       List<Waiting> refused = new ArrayList<>();
       while (i.hasNext()) {
         Waiting w = i.next();
@@ -443,27 +417,16 @@
     }
   }
 
-  /** Moves what can no longer be answered in time behind what still can. */
+  /** Moves late statements back, and refuses those that will not be served behind the others. */
   private void postponeLate(long now) {
-    if (waiting.size() < QUEUE_WORTH_ORDERING) {
-      return;
-    }
-    List<Waiting> late = new ArrayList<>();
-    for (Waiting w : waiting) {
-      if (!w.late && w.misses(now, USUAL_SERVICE_NANOS)) {
-        late.add(w);
-      }
-    }
-    for (Waiting w : late) {
-      waiting.remove(w);
-      w.late = true;
+    for (Waiting w : queue.takeLate(now)) {
       long wait = expectedWaitMillis(w);
       if (!w.isPinned() && wait * 1_000_000 > w.deadlineNanos() - now) {
         scheduler.schedule(
             Duration.ZERO,
             () -> refuse(w, "others that can still be in time take the servers", RETURN_MILLIS));
       } else {
-        waiting.add(w);
+        queue.add(w);
       }
     }
   }
@@ -513,7 +476,7 @@
   private void run(Waiting w, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.busy++;
     w.attempts++;
-    timelyShare += SHARE_WEIGHT * ((w.late ? 0 : 1) - timelyShare);
+    queue.onDispatched(w);
     PoolTransaction t = w.transaction;
     List<ServerCommand> setup = new ArrayList<>(c.prepareFor(w.work.values(), w.work.shape()));
     if (t != null && !t.begun) {
@@ -685,7 +648,7 @@
       giveBack(c, answer);
       if (failure == FailureCode.FAILED && !w.work.writes() && w.attempts < 2) {
         w.avoid = c.server.entry.id();
-        waiting.add(w);
+        queue.add(w);
         return;
       }
     } else if (w.work.kind() == WorkKind.COMMIT || answer.state() == TransactionState.IDLE) {
@@ -752,7 +715,7 @@
         return;
       }
     }
-    waiting.add(w);
+    queue.add(w);
   }
 
   /**
@@ -842,7 +805,7 @@
           .with("server_position", server.position);
     }
     if (failure != null) {
-      line.with("reason", answer.text()).with("queued", waiting.size());
+      line.with("reason", answer.text()).with("queued", queue.size());
     }
     line.with("term", term).write();
     w.handler.onAnswer(answer);
@@ -927,9 +890,7 @@
   }
 
   private void expire(long now) {
-    List<Waiting> late = waiting.stream().filter(w -> now > w.deadlineNanos()).toList();
-    for (Waiting w : late) {
-      waiting.remove(w);
+    for (Waiting w : queue.take(w -> now > w.deadlineNanos())) {
       refuse(w, "no server had room in time", expectedWaitMillis(w));
     }
     for (PoolTransaction t : new ArrayList<>(transactions.values())) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/tenure/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/tenure/PromotionChoiceTest.java
@@ -82,7 +82,7 @@
   }
 
   @Test
-  void testServerThatLeadsALaterTermIsTaken() {
+  void testServerThatLeadsLaterTermIsTaken() {
     told("c", 1, 120);
     statuses.put("b", new ServerStatus(true, 2, new LogPosition(2, 1), 0, 0));
     assertThat(choose(null, null)).isEqualTo(new PromotionChoice.Leads("b", 2));
