Let transactions end at a home that handed over; spread homes again after a fault

Cause: the next home asked the earlier one to stop at its first look, 50 ms after it began, and stopping ended what ran there: an open transaction was aborted when its home left. Seen by reading; testTransactionGoesOnAfterItsHomeHandedOver failed first. Ruled out: the entry (it sends a statement of a transaction where the transaction began). Change: earlier homes are asked to end (END_HOME), each 500 ms, and are stopped at once only before another server is promoted; a refused stop is repeated after 100 ms instead of each look.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeers.java
@@ -55,9 +55,13 @@
 
   @Override
   public void stopHome(
-      String group, HomeRecord.Holder earlier, long revision, Consumer<Stop> outcome) {
+      String group,
+      HomeRecord.Holder earlier,
+      long revision,
+      boolean atOnce,
+      Consumer<Stop> outcome) {
     MeshQuestion.Builder question =
-        question(PeerQuestion.STOP_HOME, group)
+        question(atOnce ? PeerQuestion.STOP_HOME : PeerQuestion.END_HOME, group)
             .setInstance(earlier.name())
             .setIncarnation(earlier.incarnation())
             .addArguments(Long.toString(revision));
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -137,17 +137,21 @@
           store
               .transact(StoreMessages.transaction(question))
               .thenAccept(r -> reply(channel, question, StoreMessages.reply(r)));
-      default -> {
-        LogPosition acknowledged =
-            tenure == null
-                ? LogPosition.ZERO
-                : tenure.stopFor(
-                    question.getIncarnation(), Long.parseLong(question.getArguments(0)));
-        reply(channel, question, acknowledged != null, acknowledged);
-      }
+      case STOP_HOME -> stopHome(channel, question, tenure, true);
+      case END_HOME -> stopHome(channel, question, tenure, false);
     }
   }
 
+  private static void stopHome(
+      MeshChannel channel, MeshQuestion question, @Nullable GroupTenure tenure, boolean atOnce) {
+    LogPosition acknowledged =
+        tenure == null
+            ? LogPosition.ZERO
+            : tenure.stopFor(
+                question.getIncarnation(), Long.parseLong(question.getArguments(0)), atOnce);
+    reply(channel, question, acknowledged != null, acknowledged);
+  }
+
   private boolean hearsHome(GroupTenure tenure) {
     HomeRecord record = tenure.record();
     return tenure.isHome()
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -10,12 +10,14 @@
   HEARS_HOME,
   /** Become the home of a group. */
   TAKE_HOME,
-  /** Stop working as the home of a group. */
+  /** Stop working as the home of a group, at once. */
   STOP_HOME,
   /** Read a range of the key-value store. */
   STORE_RANGE,
   /** Run a transaction of the key-value store. */
-  STORE_TRANSACT;
+  STORE_TRANSACT,
+  /** Take no new work as the home of a group; asks whether what ran has ended. */
+  END_HOME;
 
   /** The numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -26,6 +26,7 @@
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.UniqueIds;
 import org.chicorylane.internal.tenure.GroupTenure;
+import org.chicorylane.internal.tenure.HomeBalance;
 import org.chicorylane.internal.tenure.HomeRecord;
 import org.chicorylane.internal.tenure.HomeTimings;
 import org.chicorylane.internal.tenure.Promoter;
@@ -135,6 +136,7 @@
             ports.log(),
             timings,
             this::homesOf,
+            new HomeBalance(self.name()),
             new UniqueIds(self.incarnation()),
             new PoolMetrics(metrics));
     publishGauges();
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -55,6 +55,7 @@
       DecisionLog log,
       HomeTimings timings,
       HomeCount homeCount,
+      HomeBalance balance,
       UniqueIds ids,
       PoolMetrics metrics) {}
 
@@ -67,6 +68,9 @@
   /** How long transactions may go on at an instance that is no longer the home. */
   private static final Duration RETIREMENT = Duration.ofSeconds(3);
 
+  /** How long a home stays at least before it is handed over for an even spread. */
+  private static final Duration SETTLED = Duration.ofSeconds(4);
+
   /** Pause before a lost home is replaced again. */
   private static final Duration RETRY = Duration.ofMillis(300);
 
@@ -92,6 +96,7 @@
   private long lostSinceNanos;
   private long absentSinceNanos;
   private long lastGivenNanos;
+  private long begunNanos;
   private long barredRevision = -1;
 
   /**
@@ -282,9 +287,11 @@
   /**
    * Stops this instance's work on the group for a later home, and does not begin it again under a
    * record up to {@code atRevision}. Returns what it acknowledged; null if it goes on, because it
-   * became the home after that revision.
+   * became the home after that revision, or because work still runs that is not to be ended.
+   *
+   * @param atOnce whether statements and transactions that still run are ended
    */
-  public @Nullable LogPosition stopFor(String incarnation, long atRevision) {
+  public @Nullable LogPosition stopFor(String incarnation, long atRevision, boolean atOnce) {
     boolean later = revision > atRevision && record != null && record.home().equals(context.self());
     if (later) {
       log("stop-refused").with("asked_at", atRevision).with("revision", revision).write();
@@ -294,6 +301,9 @@
     if (incarnation.equals(context.self().incarnation())) {
       barredRevision = Math.max(barredRevision, Math.max(revision, atRevision));
       retire("the home asked to stop");
+      if (!atOnce && !isIdle()) {
+        return null;
+      }
       for (GroupPool old : List.copyOf(retiring)) {
         acknowledged = acknowledged.max(old.acknowledged());
         old.stop();
@@ -356,6 +366,44 @@
     }
     if (keeper != null && now() - confirmedNanos > context.timings().validity().toNanos() / 2) {
       giveAway();
+    } else {
+      spread();
+    }
+  }
+
+  /** Hands the group to an instance with fewer groups, if it reaches the same servers. */
+  private void spread() {
+    PrimaryKeeper k = keeper;
+    GroupPool p = pool;
+    if (k == null
+        || p == null
+        || now() - begunNanos < SETTLED.toNanos()
+        || !isRecentlyConfirmed()
+        || !k.isSteady()
+        || !servers.stream().allMatch(s -> p.reaches(s.id()))) {
+      return;
+    }
+    context
+        .balance()
+        .receiver(candidates(""), name -> context.homeCount().homesOf(name, group), now())
+        .ifPresent(this::offer);
+  }
+
+  private void offer(PeerInstance receiver) {
+    context.balance().onAttempt(now());
+    List<String> open = new ArrayList<>(servers.stream().map(BackendServer::id).toList());
+    for (BackendServer s : servers) {
+      context
+          .peers()
+          .probe(
+              receiver,
+              new ServerConnector.Target(group, s.id(), s.address()),
+              verdict -> {
+                if (verdict == Peers.Verdict.YES && open.remove(s.id()) && open.isEmpty()) {
+                  log("home-spreading").with("to", receiver.name()).write();
+                  handOver(List.of(receiver), 0);
+                }
+              });
     }
   }
 
@@ -563,6 +611,7 @@
 
   private void begin() {
     lostSinceNanos = 0;
+    begunNanos = now();
     GroupPool p = pool == null ? openPool() : pool;
     keeper = new PrimaryKeeper(this, context, p, now());
     HomeRecord r = record;
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeExclusion.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.tenure;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -14,12 +15,19 @@
  */
 final class HomeExclusion {
 
+  /** Pause between questions whether an earlier home's work has ended; transactions are longer. */
+  private static final Duration END_PAUSE = Duration.ofMillis(500);
+
+  /** Pause after an instance refused to stop, or did not answer; two looks of the home. */
+  private static final Duration STOP_PAUSE = Duration.ofMillis(100);
+
   private final GroupTenure tenure;
   private final GroupTenure.Context context;
   private final Runnable onStopped;
   private final long begunNanos;
   private final Set<HomeRecord.Holder> stopped = new HashSet<>();
   private final Set<HomeRecord.Holder> asked = new HashSet<>();
+  private final Map<HomeRecord.Holder, Long> endAskedNanos = new HashMap<>();
   private final Map<HomeRecord.Holder, Long> struckNanos = new HashMap<>();
   private LogPosition acknowledged = LogPosition.ZERO;
   private boolean striking;
@@ -55,8 +63,20 @@
     return acknowledged;
   }
 
-  /** Asks the earlier homes that have not stopped. */
-  void askPriorHomes(HomeRecord r) {
+  /** Asks the earlier homes that have not stopped to end their work, from time to time. */
+  void endPriorHomes(HomeRecord r) {
+    long now = context.scheduler().nanoTime();
+    for (HomeRecord.Holder home : r.priorHomes()) {
+      Long last = endAskedNanos.get(home);
+      if (!stopped.contains(home) && (last == null || now - last > END_PAUSE.toNanos())) {
+        endAskedNanos.put(home, now);
+        ask(home, false);
+      }
+    }
+  }
+
+  /** Asks the earlier homes that have not stopped to stop at once. */
+  void stopPriorHomes(HomeRecord r) {
     r.priorHomes().forEach(this::askToStop);
   }
 
@@ -90,14 +110,21 @@
     if (stopped.contains(other) || !asked.add(other)) {
       return;
     }
+    ask(other, true);
+  }
+
+  private void ask(HomeRecord.Holder other, boolean atOnce) {
     context
         .peers()
         .stopHome(
             tenure.group(),
             other,
             tenure.revision(),
+            atOnce,
             stop -> {
-              asked.remove(other);
+              if (atOnce) {
+                context.scheduler().schedule(STOP_PAUSE, () -> asked.remove(other));
+              }
               if (stop.stopped()) {
                 stopped.add(other);
                 acknowledged = acknowledged.max(stop.acknowledged());
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/Peers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/Peers.java
@@ -25,8 +25,15 @@
    * Asks an earlier home, or a successor, to stop its work on a group's primary.
    *
    * @param revision the record's revision up to which it may not begin again
+   * @param atOnce whether statements and transactions that still run there are ended; otherwise it
+   *     has not stopped as long as there are any
    */
-  void stopHome(String group, HomeRecord.Holder earlier, long revision, Consumer<Stop> outcome);
+  void stopHome(
+      String group,
+      HomeRecord.Holder earlier,
+      long revision,
+      boolean atOnce,
+      Consumer<Stop> outcome);
 
   /** An answer to a question. */
   enum Verdict {
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -86,6 +86,16 @@
     this.knowsAcknowledged = r != null && r.priorHomes().isEmpty() && r.epoch() == 1;
   }
 
+  /** Returns whether a primary leads and no change of it is under way. */
+  boolean isSteady() {
+    HomeRecord r = tenure.record();
+    return step == Step.STEADY
+        && !writing
+        && r != null
+        && r.primaryId() != null
+        && r.promoting() == null;
+  }
+
   /** Ends the care: another instance is the home. What is still under way decides nothing. */
   void end() {
     enter(Step.ENDED);
@@ -190,7 +200,7 @@
     if (r == null) {
       return;
     }
-    exclusion.askPriorHomes(r);
+    exclusion.endPriorHomes(r);
     long inStep = (now() - stepNanos) / 1_000_000;
     switch (step) {
       case STEADY -> steady(r);
@@ -200,6 +210,7 @@
         }
       }
       case EXCLUDING -> {
+        exclusion.stopPriorHomes(r);
         exclusion.stopSuccessor(r, inStep);
         proceedIfExclusive();
       }
@@ -321,6 +332,7 @@
     HomeRecord r = tenure.record();
     if (r != null) {
       askAnew(r.primaryId());
+      exclusion.stopPriorHomes(r);
       exclusion.stopSuccessor(r, 0);
       proceedIfExclusive();
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -4,7 +4,12 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
+import org.chicorylane.internal.entry.ClientSession;
+import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.ClientStatement;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.junit.jupiter.api.Test;
 
@@ -238,6 +243,26 @@
     finish();
   }
 
+  @Test
+  void testTransactionGoesOnAfterItsHomeHandedOver() {
+    begin();
+    ModelHost home = fleet.home().orElseThrow();
+    ModelHost entry = fleet.hosts().stream().filter(h -> h != home).findFirst().orElseThrow();
+    ClientSession session = entry.instance.sessions().open(ModelFleet.OWN, () -> {});
+    List<Answer> answers = new ArrayList<>();
+    session.run("begin", new ClientStatement.Begin(false), answers::add);
+    fleet.advance(100);
+    session.run("write", new ClientStatement.Write("WRITE item data"), answers::add);
+    fleet.advance(100);
+    home.instance.drain(Duration.ofSeconds(4), home::kill);
+    fleet.advance(1_000);
+    assertThat(home.instance.isHomeOf("plans")).isFalse();
+    session.run("commit", new ClientStatement.Commit(), answers::add);
+    fleet.advance(500);
+    assertThat(answers.stream().map(Answer::succeeded)).containsExactly(true, true, true);
+    finish();
+  }
+
   @Test
   void testReplacedHomeOrdersNoPromotionAnyMore() {
     begin();
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeBalanceTest.java
@@ -0,0 +1,107 @@
+package org.chicorylane.internal.tenure;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chicorylane.internal.topology.PeerInstance;
+import org.junit.jupiter.api.Test;
+
+/** Homes that one instance holds after a fault spread again. */
+final class HomeBalanceTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final Map<String, PeerInstance> instances = new HashMap<>();
+  private final Map<String, String> homes = new HashMap<>();
+
+  private void instance(String name, int weight) {
+    instances.put(name, new PeerInstance(name, "x", name + ":1", "zone", weight));
+  }
+
+  private int homesOf(String instance, String exceptGroup) {
+    return (int)
+        homes.entrySet().stream()
+            .filter(e -> e.getValue().equals(instance) && !e.getKey().equals(exceptGroup))
+            .count();
+  }
+
+  private Optional<String> receiver(HomeBalance balance, String group, long now) {
+    List<PeerInstance> ranked =
+        Candidates.rank(group, List.copyOf(instances.values()), n -> homesOf(n, group));
+    return balance.receiver(ranked, n -> homesOf(n, group), now).map(PeerInstance::name);
+  }
+
+  /** Lets all homes look at their groups until none moves; returns the moves. */
+  private int settle() {
+    Map<String, HomeBalance> balances = new HashMap<>();
+    instances.keySet().forEach(n -> balances.put(n, new HomeBalance(n)));
+    int moves = 0;
+    for (long now = 0; now < 200 * SECOND; now += SECOND) {
+      for (String group : List.copyOf(homes.keySet())) {
+        HomeBalance balance = balances.get(homes.get(group));
+        Optional<String> to = receiver(balance, group, now);
+        if (to.isPresent()) {
+          balance.onAttempt(now);
+          homes.put(group, to.get());
+          moves++;
+        }
+      }
+    }
+    return moves;
+  }
+
+  @Test
+  void testAllHomesOnOneInstanceSpread() {
+    for (int i = 0; i < 8; i++) {
+      instance("i" + i, 100);
+      homes.put("g" + i, "i0");
+    }
+    assertThat(settle()).isEqualTo(7);
+    assertThat(homes.values()).containsNoDuplicates();
+  }
+
+  @Test
+  void testSpreadHomesStay() {
+    for (int i = 0; i < 3; i++) {
+      instance("i" + i, 100);
+      homes.put("g" + i, "i" + i);
+    }
+    homes.put("g3", "i0");
+    assertThat(settle()).isEqualTo(0);
+  }
+
+  @Test
+  void testSmallInstanceGetsNoGroupThatALargeOneCarriesBetter() {
+    instance("large", 1_000);
+    instance("small", 100);
+    for (int g = 0; g < 9; g++) {
+      homes.put("g" + g, "large");
+    }
+    assertThat(settle()).isEqualTo(0);
+  }
+
+  @Test
+  void testOnlyHomeOfAnInstanceStays() {
+    instance("i0", 100);
+    instance("i1", 1_000);
+    homes.put("g0", "i0");
+    assertThat(settle()).isEqualTo(0);
+  }
+
+  @Test
+  void testOneGroupMovesAtATime() {
+    instance("i0", 100);
+    instance("i1", 100);
+    List<String> groups = new ArrayList<>(List.of("a", "b", "c", "d"));
+    groups.forEach(g -> homes.put(g, "i0"));
+    HomeBalance balance = new HomeBalance("i0");
+    assertThat(receiver(balance, "a", 0)).hasValue("i1");
+    balance.onAttempt(0);
+    assertThat(receiver(balance, "b", SECOND)).isEmpty();
+    assertThat(receiver(balance, "b", 3 * SECOND)).hasValue("i1");
+  }
+}
