--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
@@ -33,13 +33,18 @@
 
   /** Creates a group whose first server is the primary of term 1. */
   public ModelGroup(Scheduler scheduler, String name, int slots) {
+    this(scheduler, name, slots, "server-");
+  }
+
+  /** Creates a group whose servers' ids begin with {@code idPrefix}. */
+  public ModelGroup(Scheduler scheduler, String name, int slots, String idPrefix) {
     this.scheduler = scheduler;
     this.name = name;
     for (String zone : List.of("a", "b", "c")) {
-      ModelServer server = new ModelServer(this, scheduler, "server-" + zone, slots);
+      ModelServer server = new ModelServer(this, scheduler, idPrefix + zone, slots);
       servers.put(server.id, server);
     }
-    server("server-a").primary = true;
+    server(idPrefix + "a").primary = true;
   }
 
   /** Returns a server. */
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/HomeChurnTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/HomeChurnTest.java
@@ -23,6 +23,20 @@
         .orElseThrow();
   }
 
+  @Test
+  void testHomesThatAnOutageDroveTogetherSpreadAgain() {
+    ModelFleet several = new ModelFleet(4, 3);
+    several.start();
+    several.hosts().stream().skip(1).forEach(ModelHost::kill);
+    several.advance(3_000);
+    assertThat(several.homesAt(several.hosts().get(0))).isEqualTo(4);
+    several.hosts().stream().skip(1).forEach(ModelHost::start);
+    several.advance(25_000);
+    for (ModelHost host : several.hosts()) {
+      assertThat(several.homesAt(host)).isEqualTo(1);
+    }
+  }
+
   @Test
   void testLostHomeIsReplacedOnceAlthoughAnotherInstanceIsSilent() {
     fleet.start();
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -42,11 +42,23 @@
   boolean storeDown;
   boolean promotionsLost;
   boolean logging;
+  private final Map<String, ModelGroup> others = new LinkedHashMap<>();
   private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
   private final Map<String, Boolean> draining = new HashMap<>();
   private long highestToken;
 
   ModelFleet(int instances) {
+    this(instances, 0);
+  }
+
+  /** Creates a fleet with further groups, {@code other-0} and so on, without clients. */
+  ModelFleet(int instances, int otherGroups) {
+    for (int i = 0; i < otherGroups; i++) {
+      String name = "other-" + i;
+      ModelGroup other = new ModelGroup(scheduler, name, 3, name + "-");
+      others.put(name, other);
+      other.entries().forEach(e -> putServer(e.id(), false));
+    }
     for (String id : SERVERS) {
       putServer(id, false);
     }
@@ -73,6 +85,16 @@
     return hosts.get(name);
   }
 
+  ModelGroup group(String name) {
+    return name.equals(GROUP) ? group : others.get(name);
+  }
+
+  /** Returns how many groups have this instance as their home. */
+  long homesAt(ModelHost host) {
+    return others.keySet().stream().filter(host.instance::isHomeOf).count()
+        + (host.instance.isHomeOf(GROUP) ? 1 : 0);
+  }
+
   /** Returns the instance that is the home, as it sees itself. */
   Optional<ModelHost> home() {
     return hosts.values().stream()
@@ -164,13 +186,11 @@
     routes.put(LATEST, route(LATEST, Freshness.LATEST));
     routes.put(BOUNDED, route(BOUNDED, Freshness.BOUNDED_AGE));
     routes.put(OWN, route(OWN, Freshness.OWN_WRITES));
+    Map<String, GroupDeclaration> groups = new HashMap<>();
+    groups.put(GROUP, new GroupDeclaration(GROUP, 23, 1));
+    others.keySet().forEach(name -> groups.put(name, new GroupDeclaration(name, 23, 1)));
     return Optional.of(
-        new Configuration(
-            Long.parseLong(text),
-            routes,
-            Map.of(GROUP, new GroupDeclaration(GROUP, 23, 1)),
-            Duration.ofSeconds(3),
-            1 << 20));
+        new Configuration(Long.parseLong(text), routes, groups, Duration.ofSeconds(3), 1 << 20));
   }
 
   private static DatabaseRoute route(String database, Freshness freshness) {
@@ -186,7 +206,12 @@
 
   @Override
   public Optional<BackendServer> server(String key, String text) {
-    return Optional.of(
-        group.entry(key.substring(serverPrefix().length()), text.equals("draining")));
+    String id = key.substring(serverPrefix().length());
+    String owner =
+        others.keySet().stream()
+            .filter(name -> id.startsWith(name + "-"))
+            .findFirst()
+            .orElse(GROUP);
+    return Optional.of(group(owner).entry(id, text.equals("draining")));
   }
 }
