--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +27,7 @@
   private final Scheduler scheduler;
   private final String name;
   private final Map<String, ModelServer> servers = new LinkedHashMap<>();
+  private final Map<String, ModelServer> replaced = new HashMap<>();
   private Duration oneWay = Duration.ofMillis(1);
   public Duration handshake = Duration.ofMillis(12);
   public int opened;
@@ -59,7 +61,7 @@
 
   /** Returns a server's entry. */
   public BackendServer entry(String id, boolean draining) {
-    ModelServer s = server(id);
+    ModelServer s = servers.getOrDefault(id, replaced.get(id));
     return new BackendServer(id, name, id + ":1", "zone-" + id, 3, draining, s.primary, 1);
   }
 
@@ -86,7 +88,7 @@
     ModelServer old = server(id);
     ModelServer next = old.successor(newId);
     old.crash();
-    servers.remove(id);
+    replaced.put(id, servers.remove(id));
     servers.put(newId, next);
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -119,6 +119,11 @@
     putServer(newId, false);
   }
 
+  /** Returns the ids of the group's present servers. */
+  List<String> serverIds() {
+    return group.entries().stream().map(BackendServer::id).toList();
+  }
+
   private void put(String key, String value) {
     store.transact(StoreTransaction.builder().put(key, value).build());
   }
@@ -142,7 +147,7 @@
       scheduler.schedule(
           PROMOTION,
           () -> {
-            if (group.server(id).running && !group.server(id).primary) {
+            if (server.running && !server.primary) {
               group.promote(id);
             }
           });
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -31,6 +31,16 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void testPromisesHold(long seed) {
+    play(seed, false);
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void testPromisesHoldWhileServersAreReplaced(long seed) {
+    play(seed, true);
+  }
+
+  private static void play(long seed, boolean replacing) {
     Random random = new Random(seed);
     ModelFleet fleet = new ModelFleet(3 + random.nextInt(3));
     fleet.logging = Boolean.getBoolean("fleet.log");
@@ -39,6 +49,13 @@
     clients.begin(9);
     fleet.advance(1_000);
     for (int i = 0; i < 8; i++) {
+      if (replacing && random.nextInt(3) == 0) {
+        List<String> ids = fleet.serverIds();
+        String old = ids.get(random.nextInt(ids.size()));
+        if (fleet.group.server(old).running) {
+          fleet.replaceServer(old, "server-" + i);
+        }
+      }
       inject(fleet, random);
       fleet.advance(random.nextInt(4) == 0 ? 50 : 2_500);
     }
@@ -62,7 +79,7 @@
   private static void inject(ModelFleet fleet, Random random) {
     ModelHost host = fleet.hosts().get(random.nextInt(fleet.hosts().size()));
     ModelHost home = random.nextBoolean() ? fleet.home().orElse(host) : host;
-    ModelServer server = fleet.group.server(ModelFleet.SERVERS.get(random.nextInt(3)));
+    ModelServer server = fleet.group.server(fleet.serverIds().get(random.nextInt(3)));
     int lasts = 500 + random.nextInt(6_000);
     switch (random.nextInt(12)) {
       case 0 -> {
@@ -94,7 +111,7 @@
         later(fleet, 2L * lasts, () -> home.storeAway = false);
       }
       case 7 -> {
-        home.unreachableServers.add(ModelFleet.SERVERS.get(random.nextInt(3)));
+        home.unreachableServers.add(fleet.serverIds().get(random.nextInt(3)));
         later(fleet, lasts, home.unreachableServers::clear);
       }
       case 8 -> {
