--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -400,7 +400,7 @@
       postponeLate(now);
       Iterator<Waiting> i = queue.iterator();
       List<Waiting> refused = new ArrayList<>();
-      while (i.hasNext()) {
+      while (i.hasNext() && (!allowed || anyRoom())) {
         Waiting w = i.next();
         if (w.transaction != null && w.transaction.abandoned) {
           i.remove();
@@ -417,6 +417,16 @@
     }
   }
 
+  /** Returns whether some server takes another statement; a long queue is not gone through else. */
+  private boolean anyRoom() {
+    for (PoolServer s : servers.values()) {
+      if (s.busy < ServerChoice.limit(s)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Moves late statements back, and refuses those that will not be served behind the others. */
   private void postponeLate(long now) {
     for (Waiting w : queue.takeLate(now)) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolTransaction.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolTransaction.java
@@ -11,7 +11,19 @@
    * @param owner the link of the entry that it came over
    * @param number its number there
    */
-  record Key(Object owner, long number) {}
+  record Key(Object owner, long number) {
+
+    // Written out so that a starting process links no method handles for it.
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof Key k && number == k.number && owner.equals(k.owner);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * owner.hashCode() + Long.hashCode(number);
+    }
+  }
 
   final Key key;
   final boolean readOnly;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
@@ -11,11 +11,7 @@
    * still be answered in the time that their clients hope for, so that a backlog does not make
    * everybody late; then by priority and arrival.
    */
-  static final Comparator<Waiting> ORDER =
-      Comparator.<Waiting>comparingInt(w -> w.holdsConnection() ? 0 : 1)
-          .thenComparingInt(w -> w.late ? 1 : 0)
-          .thenComparingInt(w -> w.work.priority())
-          .thenComparingLong(w -> w.sequence);
+  static final Comparator<Waiting> ORDER = Waiting::compare;
 
   final Work work;
   final WorkHandler handler;
@@ -42,8 +38,15 @@
     this.pinned = transaction != null && transaction.connection != null;
   }
 
-  private boolean holdsConnection() {
-    return pinned;
+  private static int compare(Waiting a, Waiting b) {
+    if (a.pinned != b.pinned) {
+      return a.pinned ? -1 : 1;
+    }
+    if (a.late != b.late) {
+      return a.late ? 1 : -1;
+    }
+    int byPriority = Integer.compare(a.work.priority(), b.work.priority());
+    return byPriority != 0 ? byPriority : Long.compare(a.sequence, b.sequence);
   }
 
   /** Returns whether its answer would come later than hoped for, if it began now. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/position/LogPosition.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/position/LogPosition.java
@@ -1,5 +1,7 @@
 package org.chicorylane.internal.position;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * A place in the log of a database group: the term in which it was written and the byte offset
  * within the log (PostgreSQL's LSN).
@@ -39,6 +41,17 @@
     return compareTo(other) >= 0 ? this : other;
   }
 
+  // Written out so that a starting process links no method handles for it.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof LogPosition p && term == p.term && offset == p.offset;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(31 * term + offset);
+  }
+
   @Override
   public String toString() {
     return term + "/" + offset;
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/Candidates.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/Candidates.java
@@ -1,6 +1,6 @@
 package org.chicorylane.internal.tenure;
 
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToIntFunction;
 import org.chicorylane.internal.membership.Rendezvous;
@@ -21,12 +21,19 @@
    */
   static List<PeerInstance> rank(
       String group, List<PeerInstance> instances, ToIntFunction<String> homes) {
-    return instances.stream()
-        .sorted(
-            Comparator.<PeerInstance>comparingDouble(p -> load(p, homes))
-                .thenComparingDouble(p -> -score(group, p))
-                .thenComparing(PeerInstance::name))
-        .toList();
+    List<PeerInstance> ranked = new ArrayList<>(instances);
+    ranked.sort((a, b) -> compare(group, a, b, homes));
+    return List.copyOf(ranked);
+  }
+
+  private static int compare(
+      String group, PeerInstance a, PeerInstance b, ToIntFunction<String> homes) {
+    int byLoad = Double.compare(load(a, homes), load(b, homes));
+    if (byLoad != 0) {
+      return byLoad;
+    }
+    int byScore = Double.compare(score(group, b), score(group, a));
+    return byScore != 0 ? byScore : a.name().compareTo(b.name());
   }
 
   private static double load(PeerInstance peer, ToIntFunction<String> homes) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -581,7 +581,7 @@
         next,
         applied -> {
           taking = false;
-          if (next.equals(record)) {
+          if (applied == revision) {
             begin();
           }
           outcome.accept(isHome());
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeRecord.java
@@ -49,7 +49,22 @@
    * @param incarnation which of its lives
    * @param address host and port for other instances
    */
-  public record Holder(String name, String incarnation, String address) {}
+  public record Holder(String name, String incarnation, String address) {
+
+    // Written out so that a starting process links no method handles for it.
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof Holder h
+          && name.equals(h.name)
+          && incarnation.equals(h.incarnation)
+          && address.equals(h.address);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * name.hashCode() + incarnation.hashCode();
+    }
+  }
 
   /** Copies the list. */
   public HomeRecord {
--- a/chicorylane/src/main/java/org/chicorylane/internal/topology/BackendServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/topology/BackendServer.java
@@ -1,5 +1,7 @@
 package org.chicorylane.internal.topology;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * A backend server as it describes itself.
  *
@@ -20,4 +22,25 @@
     int slots,
     boolean draining,
     boolean claimsPrimary,
-    long startedMillis) {}
+    long startedMillis) {
+
+  // Written out, as in all records that a starting process compares: what the compiler adds links
+  // method handles at its first use, which takes a cold process some 10 ms.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof BackendServer b
+        && id.equals(b.id)
+        && group.equals(b.group)
+        && address.equals(b.address)
+        && zone.equals(b.zone)
+        && slots == b.slots
+        && draining == b.draining
+        && claimsPrimary == b.claimsPrimary
+        && startedMillis == b.startedMillis;
+  }
+
+  @Override
+  public int hashCode() {
+    return id.hashCode();
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/runtime/NettyLogTest.java
@@ -0,0 +1,38 @@
+package org.chicorylane.internal.runtime;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.util.internal.logging.InternalLogger;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+final class NettyLogTest {
+
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+
+  @Test
+  void testWarningBecomesLineWithItsCause() {
+    JsonLineLog log = new JsonLineLog(new VirtualScheduler(), out, "i1", 10);
+    InternalLogger logger =
+        NettyLog.logger("io.netty.Sample", new NettyLog.Target(log, Runnable::run));
+    logger.warn("no room for {} frames", 3);
+    logger.error("lost", new IllegalStateException("closed"));
+    log.drain();
+    String text = out.toString(StandardCharsets.UTF_8);
+    assertThat(text)
+        .contains("\"event\":\"netty\",\"level\":\"WARN\",\"logger\":\"io.netty.Sample\"");
+    assertThat(text).contains("no room for {} frames [3]");
+    assertThat(text).contains("\"cause\":\"java.lang.IllegalStateException: closed\"");
+  }
+
+  @Test
+  void testLowerLevelsAreLeftOut() {
+    JsonLineLog log = new JsonLineLog(new VirtualScheduler(), out, "i1", 10);
+    InternalLogger logger =
+        NettyLog.logger("io.netty.Sample", new NettyLog.Target(log, Runnable::run));
+    logger.info("started");
+    log.drain();
+    assertThat(out.size()).isEqualTo(0);
+  }
+}
