--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -56,7 +56,8 @@
               reading = false;
               if (result instanceof ReadResult.Read read) {
                 listener.onAll(read.entries());
-                follow(read.revision());
+                // Other answers that are there already come before the call for changes.
+                scheduler.schedule(Duration.ZERO, () -> follow(read.revision()));
               } else {
                 scheduler.schedule(RETRY, this::start);
               }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -178,10 +178,10 @@
 
   /** Begins to follow the store and to take part. */
   public void start() {
-    registry.register();
     follow(ports.decoder().configurationKey(), new ConfigurationListener());
     follow(ports.decoder().serverPrefix(), new ServerListener());
     follow("lane/", new LaneListener());
+    registry.register();
     ports
         .scheduler()
         .repeat(TICK, () -> new ArrayList<>(tenures.values()).forEach(GroupTenure::tick));
--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/JsonLineLog.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/JsonLineLog.java
@@ -26,6 +26,9 @@
   /** Time in which lines are collected, so that they leave together. */
   private static final Duration COLLECTION_TIME = Duration.ofMillis(100);
 
+  /** Budgets that changes of belief may use; a fault of all groups at once stays within it. */
+  private static final int BELIEF_FACTOR = 4;
+
   /** How long the end of the program waits for a slow reader. */
   private static final long DRAIN_MILLIS = 500;
 
@@ -41,12 +44,15 @@
   private long secondStart;
   private int linesThisSecond;
   private long omitted;
+  private long textSecond = Long.MIN_VALUE;
+  private String secondText = "";
 
   /**
    * Creates a log and starts its thread.
    *
    * @param instance the instance's name, which is part of each line
-   * @param linesPerSecond the budget; a quarter is kept for failures, and beliefs are not limited
+   * @param linesPerSecond the budget; a quarter is kept for failures, and changes of belief may
+   *     exceed it {@value #BELIEF_FACTOR} times
    */
   public JsonLineLog(Scheduler scheduler, OutputStream out, String instance, int linesPerSecond) {
     this.scheduler = scheduler;
@@ -69,7 +75,7 @@
         switch (weight) {
           case SUCCESS -> linesPerSecond * 3 / 4;
           case FAILURE -> linesPerSecond;
-          case BELIEF -> Integer.MAX_VALUE;
+          case BELIEF -> linesPerSecond * BELIEF_FACTOR;
         };
     if (linesThisSecond >= limit || buffered.get() + collected.length() > BUFFERED_CHARACTERS) {
       omitted++;
@@ -131,7 +137,9 @@
     private final StringBuilder text = new StringBuilder(160);
 
     TextLine(String event, long now) {
-      text.append("{\"time\":\"").append(Instant.now()).append("\",\"mono_ms\":");
+      text.append("{\"time\":\"");
+      appendTime(System.currentTimeMillis());
+      text.append("\",\"mono_ms\":");
       text.append(now / 1_000_000).append(",\"instance\":\"").append(instance);
       text.append("\",\"event\":\"").append(event).append('"');
       if (omitted > 0) {
@@ -140,6 +148,20 @@
       }
     }
 
+    private void appendTime(long epochMillis) {
+      long second = Math.floorDiv(epochMillis, 1_000);
+      if (second != textSecond) {
+        textSecond = second;
+        String whole = Instant.ofEpochSecond(second).toString();
+        secondText = whole.substring(0, whole.length() - 1);
+      }
+      int millis = (int) Math.floorMod(epochMillis, 1_000L);
+      text.append(secondText).append('.');
+      text.append((char) ('0' + millis / 100));
+      text.append((char) ('0' + millis / 10 % 10));
+      text.append((char) ('0' + millis % 10)).append('Z');
+    }
+
     @Override
     public Line with(String name, @Nullable Object value) {
       if (value == null) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/runtime/JsonLineLogTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/runtime/JsonLineLogTest.java
@@ -8,6 +8,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,28 @@
     assertThat(lines).hasSize(8);
   }
 
+  @Test
+  void testBeliefsThatChangeWithoutEndAreBounded() {
+    for (int i = 0; i < 1_000; i++) {
+      log.event(DecisionLog.Weight.BELIEF, "home").write();
+    }
+    scheduler.advance(Duration.ofSeconds(1));
+    log.event(DecisionLog.Weight.BELIEF, "home").write();
+    List<JsonObject> lines = lines();
+    assertThat(lines).hasSize(33);
+    assertThat(lines.get(32).get("omitted").getAsInt()).isEqualTo(968);
+  }
+
+  @Test
+  void testTimeIsOfTheWallClock() {
+    long before = System.currentTimeMillis();
+    log.event(DecisionLog.Weight.BELIEF, "home").write();
+    long after = System.currentTimeMillis();
+    long written = Instant.parse(lines().get(0).get("time").getAsString()).toEpochMilli();
+    assertThat(written).isAtLeast(before);
+    assertThat(written).isAtMost(after);
+  }
+
   @Test
   void testBudgetIsNewEachSecond() {
     for (int second = 0; second < 3; second++) {
