--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeExclusion.java
@@ -67,8 +67,8 @@
   void endPriorHomes(HomeRecord r) {
     long now = context.scheduler().nanoTime();
     for (HomeRecord.Holder home : r.priorHomes()) {
-      Long last = endAskedNanos.get(home);
-      if (!stopped.contains(home) && (last == null || now - last > END_PAUSE.toNanos())) {
+      long last = endAskedNanos.getOrDefault(home, begunNanos);
+      if (!stopped.contains(home) && now - last > END_PAUSE.toNanos()) {
         endAskedNanos.put(home, now);
         ask(home, false);
       }
