Keep counts of the queue by rank; look for late statements every 5 ms

Change: the expected wait is a sum over a few ranks, the search for late ones runs every 5 ms, plain loops in the choice of a server.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -37,7 +37,7 @@
       long now,
       Predicate<PoolServer> hasConnection) {
     PoolServer best = null;
-    PoolServer primary = servers.stream().filter(s -> s.primary).findFirst().orElse(null);
+    PoolServer primary = primaryOf(servers);
     if (floor != null) {
       boolean anyEligible = false;
       for (PoolServer s : servers) {
@@ -71,6 +71,15 @@
     return primary;
   }
 
+  private static @Nullable PoolServer primaryOf(Collection<PoolServer> servers) {
+    for (PoolServer s : servers) {
+      if (s.primary) {
+        return s;
+      }
+    }
+    return null;
+  }
+
   /** Returns whether a replica holds {@code floor}, or should by now. */
   static boolean isFresh(PoolServer s, LogPosition floor, FloorTracker floors, long now) {
     if (s.position.compareTo(floor) >= 0) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Waiting.java
@@ -39,14 +39,14 @@
   }
 
   private static int compare(Waiting a, Waiting b) {
-    if (a.pinned != b.pinned) {
-      return a.pinned ? -1 : 1;
-    }
-    if (a.late != b.late) {
-      return a.late ? 1 : -1;
-    }
-    int byPriority = Integer.compare(a.work.priority(), b.work.priority());
-    return byPriority != 0 ? byPriority : Long.compare(a.sequence, b.sequence);
+    int byRank = Long.compare(a.rank(), b.rank());
+    return byRank != 0 ? byRank : Long.compare(a.sequence, b.sequence);
+  }
+
+  /** Returns a number that is lower for what goes first, whenever it arrived. */
+  long rank() {
+    long order = pinned ? 0 : late ? 2 : 1;
+    return (order << Integer.SIZE) + work.priority();
   }
 
   /** Returns whether its answer would come later than hoped for, if it began now. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
@@ -1,10 +1,13 @@
 package org.chicorylane.internal.pool;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The statements that wait for a server, in the order in which they should run.
@@ -25,13 +28,30 @@
   /** Time that an ordinary statement takes at a server, with the way there and back. */
   private static final double USUAL_SERVICE_NANOS = 30e6;
 
+  /** Pause between searches for what has become late; small against what clients hope for. */
+  private static final long LATE_CHECK_NANOS = Duration.ofMillis(5).toNanos();
+
   private final TreeSet<Waiting> waiting = new TreeSet<>(Waiting.ORDER);
 
+  /** How many wait, by rank; the ranks are few. */
+  private final TreeMap<Long, Count> counts = new TreeMap<>();
+
+  private long lateCheckedNanos = Long.MIN_VALUE / 2;
+
   /** Share of the last dispatches that could still be in time. */
   private double timelyShare;
 
   void add(Waiting w) {
-    waiting.add(w);
+    if (waiting.add(w)) {
+      counts.computeIfAbsent(w.rank(), r -> new Count()).add(w, 1);
+    }
+  }
+
+  private void forget(Waiting w) {
+    Count count = counts.get(w.rank());
+    if (count != null) {
+      count.add(w, -1);
+    }
   }
 
   int size() {
@@ -45,22 +65,52 @@
   /** Returns the statements in order; the iterator may remove. */
   @Override
   public Iterator<Waiting> iterator() {
-    return waiting.iterator();
+    Iterator<Waiting> inner = waiting.iterator();
+    return new Iterator<>() {
+      private @Nullable Waiting last;
+
+      @Override
+      public boolean hasNext() {
+        return inner.hasNext();
+      }
+
+      @Override
+      public Waiting next() {
+        Waiting next = inner.next();
+        last = next;
+        return next;
+      }
+
+      @Override
+      public void remove() {
+        inner.remove();
+        if (last != null) {
+          forget(last);
+        }
+      }
+    };
   }
 
   /** Removes and returns what {@code condition} holds for, in order. */
   List<Waiting> take(Predicate<Waiting> condition) {
-    List<Waiting> taken = waiting.stream().filter(condition).toList();
-    waiting.removeAll(taken);
+    List<Waiting> taken = new ArrayList<>();
+    for (Iterator<Waiting> i = iterator(); i.hasNext(); ) {
+      Waiting w = i.next();
+      if (condition.test(w)) {
+        i.remove();
+        taken.add(w);
+      }
+    }
     return taken;
   }
 
   /** Removes and returns what has just become late, marked so; it sorts behind the others now. */
   List<Waiting> takeLate(long nowNanos) {
     List<Waiting> late = new ArrayList<>();
-    if (waiting.size() < QUEUE_WORTH_ORDERING) {
+    if (waiting.size() < QUEUE_WORTH_ORDERING || nowNanos - lateCheckedNanos < LATE_CHECK_NANOS) {
       return late;
     }
+    lateCheckedNanos = nowNanos;
     late.addAll(take(w -> !w.late && w.misses(nowNanos, USUAL_SERVICE_NANOS)));
     late.forEach(w -> w.late = true);
     return late;
@@ -72,7 +122,7 @@
   }
 
   /**
-   * Returns the expected time until a server takes the work, -1 if none can.
+   * Returns the expected time until a server takes the work that arrives now, -1 if none can.
    *
    * @param statementsPerNano what the servers that may run it take
    */
@@ -81,13 +131,28 @@
       return -1;
     }
     int ahead = 0;
-    for (Waiting other : waiting) {
-      if (Waiting.ORDER.compare(other, w) < 0
-          && other.work.replicaMayServe() == w.work.replicaMayServe()) {
-        ahead++;
-      }
+    for (Count count : counts.headMap(w.rank(), true).values()) {
+      ahead += count.of(w);
     }
     double left = w.late ? Math.max(LEAST_LATE_SHARE, 1 - timelyShare) : 1;
     return (long) (ahead / (statementsPerNano * left) / 1e6);
   }
+
+  /** How many of a rank wait, by whether replicas may serve them. */
+  private static final class Count {
+    private int forReplicas;
+    private int forPrimary;
+
+    void add(Waiting w, int change) {
+      if (w.work.replicaMayServe()) {
+        forReplicas += change;
+      } else {
+        forPrimary += change;
+      }
+    }
+
+    int of(Waiting w) {
+      return w.work.replicaMayServe() ? forReplicas : forPrimary;
+    }
+  }
 }
