Count all work that waits for the one server that is left

Ruled out: slow servers (service times were usual). Change: without a replica in use all kinds count. testAllReadsOnThePrimaryThatIsLeftAreRefusedAtOnce failed first: 202 of 468 refusals came after more than 50 ms.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -369,7 +369,18 @@
 
   /** Returns the expected time until a server takes the work, -1 if none can. */
   private long expectedWaitMillis(Waiting w) {
-    return w.isPinned() ? 0 : queue.expectedWaitMillis(w, statementsPerNano(w));
+    return w.isPinned()
+        ? 0
+        : queue.expectedWaitMillis(w, statementsPerNano(w), !anyReplicaServes());
+  }
+
+  private boolean anyReplicaServes() {
+    for (PoolServer s : servers.values()) {
+      if (!s.primary && s.acceptsNewWork()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns how many statements a nanosecond the servers that may run the work can take. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
@@ -125,14 +125,15 @@
    * Returns the expected time until a server takes the work that arrives now, -1 if none can.
    *
    * @param statementsPerNano what the servers that may run it take
+   * @param onePlace whether all kinds of work wait for the same server
    */
-  long expectedWaitMillis(Waiting w, double statementsPerNano) {
+  long expectedWaitMillis(Waiting w, double statementsPerNano, boolean onePlace) {
     if (statementsPerNano == 0) {
       return -1;
     }
     int ahead = 0;
     for (Count count : counts.headMap(w.rank(), true).values()) {
-      ahead += count.of(w);
+      ahead += onePlace ? count.all() : count.of(w);
     }
     double left = w.late ? Math.max(LEAST_LATE_SHARE, 1 - timelyShare) : 1;
     return (long) (ahead / (statementsPerNano * left) / 1e6);
@@ -151,6 +152,10 @@
       }
     }
 
+    int all() {
+      return forReplicas + forPrimary;
+    }
+
     int of(Waiting w) {
       return w.work.replicaMayServe() ? forReplicas : forPrimary;
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolLoadTest.java
@@ -84,6 +84,35 @@
         .isTrue();
   }
 
+  @Test
+  void testAllReadsOnThePrimaryThatIsLeftAreRefusedAtOnce() {
+    for (String id : new String[] {"server-a", "server-b", "server-c"}) {
+      fixture.group.server(id).work = Duration.ofMillis(20);
+    }
+    load(50, 500);
+    fixture.group.server("server-b").crash();
+    fixture.group.server("server-c").crash();
+    fixture.advance(500);
+    for (int i = 0; i < 400; i++) {
+      fixture.submit(PoolFixture.read("b" + i));
+      fixture.advance(2);
+      fixture.submit(PoolFixture.work("l" + i, WorkKind.READ, Freshness.LATEST).build());
+      fixture.advance(3);
+    }
+    fixture.advance(1_000);
+    long refused =
+        fixture.answers.values().stream().filter(a -> a.failedWith(FailureCode.OVERLOADED)).count();
+    long refusedSlowly =
+        fixture.answers.entrySet().stream()
+            .filter(e -> e.getValue().failedWith(FailureCode.OVERLOADED))
+            .filter(e -> fixture.tookMillis.get(e.getKey()) > 50)
+            .count();
+    assertThat(refused).isGreaterThan(200);
+    assertWithMessage("refused after more than 50 ms, of %s", refused)
+        .that(refusedSlowly)
+        .isAtMost(refused / 5);
+  }
+
   @Test
   void testUrgentStatementsPassTheBurstOfOthers() {
     fixture.group.server("server-a").work = Duration.ofMillis(40);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -67,7 +67,7 @@
               .count();
       if (!w.late) {
         assertWithMessage("step %s", step)
-            .that(queue.expectedWaitMillis(w, 1.0 / MILLI))
+            .that(queue.expectedWaitMillis(w, 1.0 / MILLI, false))
             .isEqualTo(ahead);
       }
       queue.add(w);
