--- a/bench/src/main/java/org/chicorylane/bench/Main.java
+++ b/bench/src/main/java/org/chicorylane/bench/Main.java
@@ -62,9 +62,20 @@
       usage(err);
       return ExitCode.USAGE;
     }
+    if (arguments.contains("--help")) {
+      out.println("usage: chicorylane " + name + " [OPTIONS]");
+      out.println("  " + command.get().summary());
+      out.print(command.get().help());
+      return ExitCode.OK;
+    }
     return command.get().run(arguments.subList(1, arguments.size()), out, err);
   }
 
+  /** Returns the names of all commands. */
+  static List<String> names() {
+    return COMMANDS.stream().map(Command::name).toList();
+  }
+
   private static void usage(PrintStream out) {
     out.println("usage: chicorylane COMMAND [OPTIONS]");
     COMMANDS.forEach(c -> out.printf("  %-10s %s%n", c.name(), c.summary()));
--- a/bench/src/main/java/org/chicorylane/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/DemoCommand.java
@@ -30,6 +30,19 @@
         + " [--seconds N] [--instances N] [--kill-primary] [--json] [--seed N] [--verbose]";
   }
 
+  @Override
+  public String help() {
+    return """
+          --seconds N      how long, 15 by default
+          --instances N    how many, 3 by default
+          --seed N         of all that is drawn, 1 by default
+          --kill-primary   kills the primary half way
+          --json           prints the result as JSON
+          --verbose        shows the instances' log
+        example: chicorylane demo --seconds 15 --json
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options options =
--- a/bench/src/main/java/org/chicorylane/bench/fleet/StandInsCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/fleet/StandInsCommand.java
@@ -34,6 +34,16 @@
     return "run stand-in platform and databases: [--platform-port N] [--instance FILE]...";
   }
 
+  @Override
+  public String help() {
+    return """
+          --platform-port N        port of the platform, 7379 by default
+          --instance FILE          settings of an instance to list, may be repeated
+          --without-declarations   declares nothing
+        example: chicorylane standins --instance config/example/instance-1.json
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options options =
--- a/bench/src/main/java/org/chicorylane/bench/load/BenchCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/load/BenchCommand.java
@@ -50,6 +50,21 @@
         + " [--file FILE] [--plot FILE.png]";
   }
 
+  @Override
+  public String help() {
+    return """
+          NAME             what to measure
+          --seconds N      how long; its own default
+          --sessions N     callers, 8 by default
+          --runs N         repetitions, 5 by default
+          --fault FAULT    kill (default), freeze or partition
+          --seed N         of all that is drawn, 1 by default
+          --file FILE      where to write the result as JSON
+          --plot FILE      where to write a plot
+        example: chicorylane bench failover --runs 2 --fault kill
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options options = new Options();
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ApplyCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ApplyCommand.java
@@ -28,6 +28,19 @@
     return "declare documents, all or none: -f PATH... [--dry-run]";
   }
 
+  @Override
+  public String help() {
+    return """
+          -f PATH...       files or directories with documents
+          --dry-run        checks and changes nothing
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane apply -f config/example/declarations --dry-run
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options own =
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/CheckCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/CheckCommand.java
@@ -24,6 +24,14 @@
     return "check a settings file: --settings FILE";
   }
 
+  @Override
+  public String help() {
+    return """
+          --settings FILE  the settings to check; required
+        example: chicorylane check --settings config/example/instance-1.json
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Optional<Settings> settings = readSettings(arguments, err);
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/Command.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/Command.java
@@ -12,6 +12,9 @@
   /** Returns what the command does, on one line. */
   String summary();
 
+  /** Returns the options with their defaults and an example, one a line. */
+  String help();
+
   /**
    * Runs the command.
    *
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/DeleteCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/DeleteCommand.java
@@ -19,6 +19,19 @@
     return "delete a document: KIND NAME [--version VERSION]";
   }
 
+  @Override
+  public String help() {
+    return """
+          KIND NAME        the document
+          --version V      only if this is its version; any by default
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane delete ReadClass lookup
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options own = new Options().addOption(OperatorOptions.value("version", "VERSION"));
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/DiffCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/DiffCommand.java
@@ -24,6 +24,18 @@
     return "say what apply would change: -f PATH... (exit 1 if anything)";
   }
 
+  @Override
+  public String help() {
+    return """
+          -f PATH...       files or directories with documents
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane diff -f config/example/declarations
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options own = new Options().addOption(ApplyCommand.FILES);
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/GetCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/GetCommand.java
@@ -20,6 +20,19 @@
     return "print what is declared: [KIND [NAME]]";
   }
 
+  @Override
+  public String help() {
+    return """
+          KIND             only documents of this kind
+          NAME             only this one
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane get ReadClass lookup
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Optional<OperatorOptions> options =
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
@@ -46,6 +46,18 @@
         + " [--output table|json|html] [--file FILE]";
   }
 
+  @Override
+  public String help() {
+    return """
+          burn             the report: how fast each objective uses up its budget
+          --operator URL   an instance, may be repeated; http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default), json or html
+          --file FILE      where to write, standard output by default
+        example: chicorylane report burn --output html --file burn.html
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     if (arguments.isEmpty() || !arguments.get(0).equals("burn")) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ServeCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ServeCommand.java
@@ -26,6 +26,14 @@
     return "run one instance: --settings FILE";
   }
 
+  @Override
+  public String help() {
+    return """
+          --settings FILE  the settings of the instance; required
+        example: chicorylane serve --settings config/example/instance-1.json
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Optional<Settings> settings = CheckCommand.readSettings(arguments, err);
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ServerStateCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ServerStateCommand.java
@@ -42,6 +42,20 @@
     return verb.summary;
   }
 
+  @Override
+  public String help() {
+    return """
+          SERVER           the server
+          --group GROUP    its database group; required
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane %s ledger-smichov --group ledger
+        """
+        .formatted(name());
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options own =
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/StatusCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/StatusCommand.java
@@ -19,6 +19,17 @@
     return "print which revision each instance runs";
   }
 
+  @Override
+  public String help() {
+    return """
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane status
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Optional<OperatorOptions> options = OperatorOptions.read(new Options(), 0, arguments, err);
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/WaitCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/WaitCommand.java
@@ -35,6 +35,20 @@
         + "[--instances N]";
   }
 
+  @Override
+  public String help() {
+    return """
+          --for=in-force   what to wait for; required
+          --timeout N      seconds, 60 by default
+          --instances N    how many there must be, 1 by default
+          --operator URL   any instance, http://127.0.0.1:7403 by default
+          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+          --output FORMAT  table (default) or json
+          --by NAME        who makes the change, the user's name at the system by default
+        example: chicorylane wait --for=in-force --instances 3
+        """;
+  }
+
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options own =
