--- a/bench/src/main/java/org/chicorylane/bench/demo/DemoCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/demo/DemoCommand.java
@@ -13,6 +13,18 @@
 
 /** Shows the whole system at work within one program, and audits it. */
 public final class DemoCommand implements Command {
+
+  private static final String HELP =
+      """
+        --seconds N      how long, 15 by default
+        --instances N    how many, 3 by default
+        --seed N         of all that is drawn, 1 by default
+        --kill-primary   kills the primary half way
+        --json           prints the result as JSON
+        --verbose        shows the instances' log
+      example: chicorylane demo --seconds 15 --json
+      """;
+
   private static final int DEFAULT_SECONDS = 15;
   private static final int MAX_SECONDS = 3600;
   private static final int DEFAULT_INSTANCES = 3;
@@ -32,15 +44,7 @@
 
   @Override
   public String help() {
-    return """
-          --seconds N      how long, 15 by default
-          --instances N    how many, 3 by default
-          --seed N         of all that is drawn, 1 by default
-          --kill-primary   kills the primary half way
-          --json           prints the result as JSON
-          --verbose        shows the instances' log
-        example: chicorylane demo --seconds 15 --json
-        """;
+    return HELP;
   }
 
   @Override
--- a/bench/src/main/java/org/chicorylane/bench/fleet/StandInsCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/fleet/StandInsCommand.java
@@ -21,6 +21,15 @@
 
 /** Runs the stand-in platform and database groups of the example until it is ended. */
 public final class StandInsCommand implements Command {
+
+  private static final String HELP =
+      """
+        --platform-port N        port of the platform, 7379 by default
+        --instance FILE          settings of an instance to list, may be repeated
+        --without-declarations   declares nothing
+      example: chicorylane standins --instance config/example/instance-1.json
+      """;
+
   private static final int DEFAULT_PLATFORM_PORT = 7379;
   private static final int MAX_PORT = 65_535;
 
@@ -36,12 +45,7 @@
 
   @Override
   public String help() {
-    return """
-          --platform-port N        port of the platform, 7379 by default
-          --instance FILE          settings of an instance to list, may be repeated
-          --without-declarations   declares nothing
-        example: chicorylane standins --instance config/example/instance-1.json
-        """;
+    return HELP;
   }
 
   @Override
--- a/bench/src/main/java/org/chicorylane/bench/load/BenchCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/load/BenchCommand.java
@@ -29,6 +29,20 @@
  * say more than its absolute figures.
  */
 public final class BenchCommand implements Command {
+
+  private static final String HELP =
+      """
+        NAME             what to measure
+        --seconds N      how long; its own default
+        --sessions N     callers, 8 by default
+        --runs N         repetitions, 5 by default
+        --fault FAULT    kill (default), freeze or partition
+        --seed N         of all that is drawn, 1 by default
+        --file FILE      where to write the result as JSON
+        --plot FILE      where to write a plot
+      example: chicorylane bench failover --runs 2 --fault kill
+      """;
+
   private static final Gson GSON =
       new GsonBuilder().setPrettyPrinting().serializeSpecialFloatingPointValues().create();
   private static final int MAX_SECONDS = 600;
@@ -52,17 +66,7 @@
 
   @Override
   public String help() {
-    return """
-          NAME             what to measure
-          --seconds N      how long; its own default
-          --sessions N     callers, 8 by default
-          --runs N         repetitions, 5 by default
-          --fault FAULT    kill (default), freeze or partition
-          --seed N         of all that is drawn, 1 by default
-          --file FILE      where to write the result as JSON
-          --plot FILE      where to write a plot
-        example: chicorylane bench failover --runs 2 --fault kill
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ApplyCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ApplyCommand.java
@@ -16,6 +16,18 @@
  * names none is applied over the version that is there when the command begins.
  */
 public final class ApplyCommand implements Command {
+
+  private static final String HELP =
+      """
+        -f PATH...       files or directories with documents
+        --dry-run        checks and changes nothing
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane apply -f config/example/declarations --dry-run
+      """;
+
   static final Option FILES = Option.builder("f").hasArgs().argName("PATH").required().get();
 
   @Override
@@ -30,15 +42,7 @@
 
   @Override
   public String help() {
-    return """
-          -f PATH...       files or directories with documents
-          --dry-run        checks and changes nothing
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane apply -f config/example/declarations --dry-run
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/CheckCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/CheckCommand.java
@@ -13,6 +13,11 @@
 
 /** Checks a settings file and prints everything that is wrong with it. */
 public final class CheckCommand implements Command {
+  private static final String HELP =
+      """
+        --settings FILE  the settings to check; required
+      example: chicorylane check --settings config/example/instance-1.json
+      """;
 
   @Override
   public String name() {
@@ -26,10 +31,7 @@
 
   @Override
   public String help() {
-    return """
-          --settings FILE  the settings to check; required
-        example: chicorylane check --settings config/example/instance-1.json
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/DeleteCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/DeleteCommand.java
@@ -7,6 +7,18 @@
 
 /** Deletes a document, in the version that is there when the command begins or in a given one. */
 public final class DeleteCommand implements Command {
+
+  private static final String HELP =
+      """
+        KIND NAME        the document
+        --version V      only if this is its version; any by default
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane delete ReadClass lookup
+      """;
+
   private static final int KIND_AND_NAME = 2;
 
   @Override
@@ -21,15 +33,7 @@
 
   @Override
   public String help() {
-    return """
-          KIND NAME        the document
-          --version V      only if this is its version; any by default
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane delete ReadClass lookup
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/DiffCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/DiffCommand.java
@@ -13,6 +13,15 @@
 
 /** Says in which fields the documents of files differ from what is declared. */
 public final class DiffCommand implements Command {
+  private static final String HELP =
+      """
+        -f PATH...       files or directories with documents
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane diff -f config/example/declarations
+      """;
 
   @Override
   public String name() {
@@ -26,14 +35,7 @@
 
   @Override
   public String help() {
-    return """
-          -f PATH...       files or directories with documents
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane diff -f config/example/declarations
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/GetCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/GetCommand.java
@@ -8,6 +8,18 @@
 
 /** Prints what is declared. */
 public final class GetCommand implements Command {
+
+  private static final String HELP =
+      """
+        KIND             only documents of this kind
+        NAME             only this one
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane get ReadClass lookup
+      """;
+
   private static final int KIND_AND_NAME = 2;
 
   @Override
@@ -22,15 +34,7 @@
 
   @Override
   public String help() {
-    return """
-          KIND             only documents of this kind
-          NAME             only this one
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane get ReadClass lookup
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ReportCommand.java
@@ -32,6 +32,17 @@
  * <p>Prints nothing unless all instances answered, so that a report never covers fewer than asked.
  */
 public final class ReportCommand implements Command {
+
+  private static final String HELP =
+      """
+        burn             the report: how fast each objective uses up its budget
+        --operator URL   an instance, may be repeated; http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default), json or html
+        --file FILE      where to write, standard output by default
+      example: chicorylane report burn --output html --file burn.html
+      """;
+
   private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(10);
   private static final int HTTP_OK = 200;
 
@@ -48,14 +59,7 @@
 
   @Override
   public String help() {
-    return """
-          burn             the report: how fast each objective uses up its budget
-          --operator URL   an instance, may be repeated; http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default), json or html
-          --file FILE      where to write, standard output by default
-        example: chicorylane report burn --output html --file burn.html
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ServeCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ServeCommand.java
@@ -14,6 +14,13 @@
 
 /** Runs one instance until it is told to stop by SIGTERM, which drains it. */
 public final class ServeCommand implements Command {
+
+  private static final String HELP =
+      """
+        --settings FILE  the settings of the instance; required
+      example: chicorylane serve --settings config/example/instance-1.json
+      """;
+
   private static final Duration DRAIN_LIMIT = Duration.ofSeconds(30);
 
   @Override
@@ -28,10 +35,7 @@
 
   @Override
   public String help() {
-    return """
-          --settings FILE  the settings of the instance; required
-        example: chicorylane serve --settings config/example/instance-1.json
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/ServerStateCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/ServerStateCommand.java
@@ -8,6 +8,16 @@
 
 /** Takes a backend server out of its group's work, or back into it. */
 public final class ServerStateCommand implements Command {
+  private static final String HELP =
+      """
+        SERVER           the server
+        --group GROUP    its database group; required
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane %s ledger-smichov --group ledger
+      """;
 
   /** What is done to the server. */
   public enum Verb {
@@ -44,16 +54,7 @@
 
   @Override
   public String help() {
-    return """
-          SERVER           the server
-          --group GROUP    its database group; required
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane %s ledger-smichov --group ledger
-        """
-        .formatted(name());
+    return HELP.formatted(name());
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/StatusCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/StatusCommand.java
@@ -8,6 +8,14 @@
 
 /** Prints which revision each live instance runs. */
 public final class StatusCommand implements Command {
+  private static final String HELP =
+      """
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane status
+      """;
 
   @Override
   public String name() {
@@ -21,13 +29,7 @@
 
   @Override
   public String help() {
-    return """
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane status
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/command/WaitCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/command/WaitCommand.java
@@ -18,6 +18,19 @@
  * must be there.
  */
 public final class WaitCommand implements Command {
+
+  private static final String HELP =
+      """
+        --for=in-force   what to wait for; required
+        --timeout N      seconds, 60 by default
+        --instances N    how many there must be, 1 by default
+        --operator URL   any instance, http://127.0.0.1:7403 by default
+        --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
+        --output FORMAT  table (default) or json
+        --by NAME        who makes the change, the user's name at the system by default
+      example: chicorylane wait --for=in-force --instances 3
+      """;
+
   private static final String IN_FORCE = "in-force";
   private static final int DEFAULT_TIMEOUT_SECONDS = 60;
   private static final int MAXIMUM_TIMEOUT_SECONDS = 86_400;
@@ -37,16 +50,7 @@
 
   @Override
   public String help() {
-    return """
-          --for=in-force   what to wait for; required
-          --timeout N      seconds, 60 by default
-          --instances N    how many there must be, 1 by default
-          --operator URL   any instance, http://127.0.0.1:7403 by default
-          --token TOKEN    the operators' token, environment CHICORYLANE_TOKEN by default
-          --output FORMAT  table (default) or json
-          --by NAME        who makes the change, the user's name at the system by default
-        example: chicorylane wait --for=in-force --instances 3
-        """;
+    return HELP;
   }
 
   @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -138,7 +138,7 @@
               .transact(StoreMessages.transaction(question))
               .thenAccept(r -> reply(channel, question, StoreMessages.reply(r)));
       case STOP_HOME -> stopHome(channel, question, tenure, true);
-      case END_HOME -> stopHome(channel, question, tenure, false);
+      default -> stopHome(channel, question, tenure, false);
     }
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/platform/EtcdKeyValueStoreFunctionalTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/platform/EtcdKeyValueStoreFunctionalTest.java
@@ -27,9 +27,9 @@
   private final StandInPlatform platform = StandInPlatform.builder().seed(1).start();
   private final MetricRegistry metrics = new MetricRegistry();
   private final URI endpoint = URI.create("http://127.0.0.1:" + platform.port());
-  private final EtcdKeyValueStore store = store(TIMEOUT);
+  private final EtcdKeyValueStore store = client(TIMEOUT);
 
-  private EtcdKeyValueStore store(Duration callTimeout) {
+  private EtcdKeyValueStore client(Duration callTimeout) {
     return new EtcdKeyValueStore(
         List.of(endpoint),
         new EtcdKeyValueStore.Options(callTimeout, Duration.ofMillis(300), Duration.ofMillis(20)),
@@ -69,7 +69,7 @@
   @Test
   void testFrozenStoreTimesOutAndWriteMayHaveApplied() {
     platform.faults().freeze();
-    try (EtcdKeyValueStore impatient = store(SHORT_TIMEOUT)) {
+    try (EtcdKeyValueStore impatient = client(SHORT_TIMEOUT)) {
       WriteResult.Unavailable result =
           (WriteResult.Unavailable) impatient.compareAndSwap("/k", 0, "a").join();
       assertThat(result.mayHaveApplied()).isTrue();
@@ -113,7 +113,7 @@
   @Test
   void testSilentConnectionsAreReplaced() throws InterruptedException {
     BlockingQueue<WatchListener.Change> seen = new LinkedBlockingQueue<>();
-    try (EtcdKeyValueStore impatient = store(SHORT_TIMEOUT)) {
+    try (EtcdKeyValueStore impatient = client(SHORT_TIMEOUT)) {
       impatient.watch("/t/", 1, queueing(seen));
       long first = applied(impatient.compareAndSwap("/t/1", 0, "a"));
       assertThat(seen.poll(10, TimeUnit.SECONDS).entry().modRevision()).isEqualTo(first);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -82,7 +82,7 @@
   }
 
   @Test
-  void testLateOnesAreFoundOnceInAWhile() {
+  void testLateOnesAreLookedForSeldom() {
     for (int i = 0; i < 10; i++) {
       queue.add(waiting(WorkKind.READ, 1, 100, i * MILLI));
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeBalanceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeBalanceTest.java
@@ -75,7 +75,7 @@
   }
 
   @Test
-  void testSmallInstanceGetsNoGroupThatALargeOneCarriesBetter() {
+  void testSmallInstanceGetsNoGroupThatLargeOneCarriesBetter() {
     instance("large", 1_000);
     instance("small", 100);
     for (int g = 0; g < 9; g++) {
@@ -93,7 +93,7 @@
   }
 
   @Test
-  void testOneGroupMovesAtATime() {
+  void testGroupsMoveOneByOne() {
     instance("i0", 100);
     instance("i1", 100);
     List<String> groups = new ArrayList<>(List.of("a", "b", "c", "d"));
