--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -377,6 +377,7 @@
     GroupPool p = pool;
     if (k == null
         || p == null
+        || !context.balance().isDue(now())
         || now() - begunNanos < SETTLED.toNanos()
         || !isRecentlyConfirmed()
         || !k.isSteady()
@@ -390,7 +391,6 @@
   }
 
   private void offer(PeerInstance receiver) {
-    context.balance().onAttempt(now());
     List<String> open = new ArrayList<>(servers.stream().map(BackendServer::id).toList());
     for (BackendServer s : servers) {
       context
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeBalance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/HomeBalance.java
@@ -17,7 +17,7 @@
  */
 public final class HomeBalance {
 
-  /** Pause between two handovers; the first is in everyone's view by then. */
+  /** Pause between two looks; a handover is in everyone's view by then. */
   private static final Duration PAUSE = Duration.ofSeconds(3);
 
   private final String self;
@@ -30,17 +30,24 @@
   }
 
   /**
-   * Returns the instance to which the group should go now, if any. Whoever gets one must call
-   * {@link #onAttempt}.
+   * Returns whether it is time to look for a receiver again; most looks find none, and ranking all
+   * instances costs processor time.
+   */
+  boolean isDue(long nowNanos) {
+    return !begun || nowNanos - lastNanos >= PAUSE.toNanos();
+  }
+
+  /**
+   * Returns the instance to which the group should go now, if any; the next look is due after the
+   * pause.
    *
    * @param ranked all instances, those first that should have the group
    * @param otherHomes tells of how many other groups an instance, by its name, is the home
    */
   Optional<PeerInstance> receiver(
       List<PeerInstance> ranked, ToIntFunction<String> otherHomes, long nowNanos) {
-    if (begun && nowNanos - lastNanos < PAUSE.toNanos()) {
-      return Optional.empty();
-    }
+    begun = true;
+    lastNanos = nowNanos;
     Optional<PeerInstance> own = ranked.stream().filter(p -> p.name().equals(self)).findFirst();
     Optional<PeerInstance> other = ranked.stream().filter(p -> !p.name().equals(self)).findFirst();
     if (own.isEmpty() || other.isEmpty()) {
@@ -51,12 +58,6 @@
     return left >= reached ? other : Optional.empty();
   }
 
-  /** Takes note of an attempt to hand a group over. */
-  void onAttempt(long nowNanos) {
-    begun = true;
-    lastNanos = nowNanos;
-  }
-
   private static double load(int homes, PeerInstance instance) {
     return (double) homes / instance.weight();
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/PrimaryKeeper.java
@@ -111,7 +111,7 @@
     if (status.primary()
         && (status.term() > r.term()
             || (recorded && r.term() == 0)
-            || isSuccessor(serverId, status, r))) {
+            || tookItsPlace(serverId, status, r))) {
       adopt(serverId, status.term());
     } else if (status.primary() && !recorded && status.term() < r.term()) {
       pool.command(serverId, new ServerCommand.StepDown(r.term()), ignore());
@@ -127,7 +127,7 @@
    * Returns whether a server leads the recorded term in place of the recorded primary: a new
    * process with its log. Not while another server may still be promoted.
    */
-  private boolean isSuccessor(String serverId, ServerStatus status, HomeRecord r) {
+  private boolean tookItsPlace(String serverId, ServerStatus status, HomeRecord r) {
     String recorded = r.primaryId();
     if (recorded == null || recorded.equals(serverId) || pool.reaches(recorded)) {
       return false;
--- a/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeBalanceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/tenure/HomeBalanceTest.java
@@ -43,9 +43,8 @@
     for (long now = 0; now < 200 * SECOND; now += SECOND) {
       for (String group : List.copyOf(homes.keySet())) {
         HomeBalance balance = balances.get(homes.get(group));
-        Optional<String> to = receiver(balance, group, now);
+        Optional<String> to = balance.isDue(now) ? receiver(balance, group, now) : Optional.empty();
         if (to.isPresent()) {
-          balance.onAttempt(now);
           homes.put(group, to.get());
           moves++;
         }
@@ -100,8 +99,8 @@
     groups.forEach(g -> homes.put(g, "i0"));
     HomeBalance balance = new HomeBalance("i0");
     assertThat(receiver(balance, "a", 0)).hasValue("i1");
-    balance.onAttempt(0);
-    assertThat(receiver(balance, "b", SECOND)).isEmpty();
+    assertThat(balance.isDue(SECOND)).isFalse();
+    assertThat(balance.isDue(3 * SECOND)).isTrue();
     assertThat(receiver(balance, "b", 3 * SECOND)).hasValue("i1");
   }
 }
