Let Netty's warnings not fail after the log's thread has ended; one condition for records that say nothing new

Found in the read-through: the loop refuses work after its end, and the exception came out of the logger into Netty's own cleaning up (testWarningAfterTheThreadEndedDisturbsNobody failed first). GroupTenure.onRecord asked twice for the same outcome. No bound, check or assertion changed.

--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/NettyLog.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/NettyLog.java
@@ -5,6 +5,7 @@
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import java.util.Arrays;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,7 +17,8 @@
  * NettyLog.install();
  * }</pre>
  *
- * <p>Thread-safe; what comes before {@link #writeTo} goes to standard error.
+ * <p>Thread-safe; what comes before {@link #writeTo}, or after its thread has ended, goes to
+ * standard error.
  */
 public final class NettyLog extends InternalLoggerFactory {
 
@@ -58,19 +60,29 @@
       @Nullable String message,
       @Nullable Throwable cause) {
     if (to == null) {
-      System.err.println(level + " " + name + ": " + message + (cause == null ? "" : " " + cause));
+      writeToStandardError(level, name, message, cause);
       return;
     }
-    to.thread()
-        .execute(
-            () ->
-                to.log()
-                    .event(DecisionLog.Weight.FAILURE, "netty")
-                    .with("level", level)
-                    .with("logger", name)
-                    .with("message", message)
-                    .with("cause", cause)
-                    .write());
+    try {
+      to.thread()
+          .execute(
+              () ->
+                  to.log()
+                      .event(DecisionLog.Weight.FAILURE, "netty")
+                      .with("level", level)
+                      .with("logger", name)
+                      .with("message", message)
+                      .with("cause", cause)
+                      .write());
+    } catch (RejectedExecutionException e) {
+      // The log's thread has ended; a logger must not fail whoever logs.
+      writeToStandardError(level, name, message, cause);
+    }
+  }
+
+  private static void writeToStandardError(
+      String level, String name, @Nullable String message, @Nullable Throwable cause) {
+    System.err.println(level + " " + name + ": " + message + (cause == null ? "" : " " + cause));
   }
 
   /** A logger of one of Netty's classes. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/tenure/GroupTenure.java
@@ -187,13 +187,7 @@
   /** Takes the record as the store has it; {@code entry} is null if it has none. */
   public void onRecord(@Nullable KeyValueEntry entry) {
     recordKnown = true;
-    if (entry == null) {
-      if (record != null && revision > 0) {
-        return;
-      }
-      return;
-    }
-    if (entry.modRevision() <= revision) {
+    if (entry == null || entry.modRevision() <= revision) {
       return;
     }
     Optional<HomeRecord> decoded =
--- a/chicorylane/src/test/java/org/chicorylane/internal/runtime/NettyLogTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/runtime/NettyLogTest.java
@@ -5,6 +5,8 @@
 import io.netty.util.internal.logging.InternalLogger;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import org.junit.jupiter.api.Test;
 
 final class NettyLogTest {
@@ -26,6 +28,18 @@
     assertThat(text).contains("\"cause\":\"java.lang.IllegalStateException: closed\"");
   }
 
+  @Test
+  void testWarningAfterTheThreadEndedDisturbsNobody() {
+    JsonLineLog log = new JsonLineLog(new VirtualScheduler(), out, "i1", 10);
+    Executor ended =
+        task -> {
+          throw new RejectedExecutionException("ended");
+        };
+    NettyLog.logger("io.netty.Sample", new NettyLog.Target(log, ended)).warn("late");
+    log.drain();
+    assertThat(out.size()).isEqualTo(0);
+  }
+
   @Test
   void testLowerLevelsAreLeftOut() {
     JsonLineLog log = new JsonLineLog(new VirtualScheduler(), out, "i1", 10);
