--- a/standins/src/main/java/org/chicorylane/standin/database/QueryHandler.java
+++ b/standins/src/main/java/org/chicorylane/standin/database/QueryHandler.java
@@ -48,6 +48,9 @@
   private boolean skipping;
   private volatile TransactionStatus status = TransactionStatus.IDLE;
 
+  /** Whether messages of the extended protocol were handled since the last Sync. */
+  private volatile boolean awaitingSync;
+
   QueryHandler(SqlSession sql, BackendWriter writer) {
     this.sql = sql;
     this.writer = writer;
@@ -64,7 +67,7 @@
 
   /** Returns whether no transaction is under way, not even one that waits for its Sync. */
   boolean atRest() {
-    return status == TransactionStatus.IDLE;
+    return status == TransactionStatus.IDLE && !awaitingSync;
   }
 
   Duration idleTimeout() {
@@ -88,10 +91,12 @@
 
   void handle(FrontendMessage message) throws SqlError {
     if (message instanceof FrontendMessage.Sync) {
+      awaitingSync = false;
       sync();
     } else if (message instanceof FrontendMessage.Query query) {
       simpleQuery(query.sql());
     } else if (!skipping) {
+      awaitingSync = true;
       try {
         handleExtended(message);
       } catch (SqlError e) {
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
@@ -4,7 +4,8 @@
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -39,6 +40,9 @@
   private final List<StandInWireServer> servers = new ArrayList<>();
   private final CountDownLatch promoted = new CountDownLatch(1);
 
+  /** Sockets that are bound, but do not listen, to the ports of instances' settings. */
+  private final List<Socket> reservations = new ArrayList<>();
+
   /** Starts the store and the servers, and writes the server entries and the configuration. */
   public StandInSystem() throws IOException {
     AtomicLong commits = new AtomicLong(10);
@@ -148,7 +152,8 @@
   }
 
   /**
-   * Writes the settings file of an instance, with ports that are free at the time of the call.
+   * Writes the settings file of an instance, with ports that are reserved until this system is
+   * closed: only listeners with {@code SO_REUSEADDR} that name the port can bind it.
    *
    * @param file the file to write
    * @param instance the name of the instance
@@ -157,9 +162,7 @@
   public String writeSettings(Path file, String instance) throws IOException {
     int[] ports = new int[4];
     for (int i = 0; i < ports.length; i++) {
-      try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-        ports[i] = socket.getLocalPort();
-      }
+      ports[i] = reservePort();
     }
     JsonArray instancePorts = new JsonArray();
     instancePorts.add(ports[2]);
@@ -181,8 +184,19 @@
     return "127.0.0.1:" + ports[0];
   }
 
+  private int reservePort() throws IOException {
+    Socket socket = new Socket();
+    reservations.add(socket);
+    socket.setReuseAddress(true);
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    return socket.getLocalPort();
+  }
+
   @Override
   public void close() throws IOException {
+    for (Socket reservation : reservations) {
+      reservation.close();
+    }
     store.close();
     for (StandInWireServer server : servers) {
       server.close();
--- a/standins/src/test/java/org/chicorylane/standin/database/FaultFunctionalTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/database/FaultFunctionalTest.java
@@ -386,6 +386,23 @@
     assertThat(count(second)).isEqualTo("1");
   }
 
+  @Test
+  void testShutdownWaitsForSyncOfCommit() throws Exception {
+    try (RawSession before = new RawSession(first);
+        RawSession busy = new RawSession(first);
+        RawSession after = new RawSession(first)) {
+      busy.query("BEGIN");
+      busy.query("INSERT INTO item VALUES (1, 'busy', NULL)");
+      busy.executeWithoutSync("COMMIT");
+      final CompletableFuture<Void> stopped = first.shutDown();
+      assertThat(before.readUntilEnd()).isEqualTo("E");
+      assertThat(after.readUntilEnd()).isEqualTo("E");
+      busy.sync();
+      assertThat(busy.readUntilEnd()).isEqualTo("ZE");
+      stopped.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+    }
+  }
+
   @Test
   void testDuplicateKeyWaitsForFirstTransaction() throws Exception {
     try (Connection holder = connect(first, "")) {
