--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
@@ -19,12 +19,13 @@
 import org.chicorylane.standin.metadata.StandInMetadataStore;
 
 /**
- * The environment that an instance needs, on loopback ports: a metadata store, one database group
- * of three servers, and a configuration with one route of each kind.
+ * The environment that instances need, on loopback ports: a metadata store, database groups of
+ * three servers each, and a configuration with one route of each kind to the first group and one
+ * route to each further group.
  */
 public final class StandInSystem implements AutoCloseable {
 
-  /** The name of the database group. */
+  /** The name of the first database group. */
   public static final String GROUP = "plans";
 
   /** The database whose route sends every statement to the primary. */
@@ -36,18 +37,35 @@
   /** The database whose route guarantees that a session reads its own writes. */
   public static final String OWN = "db-own";
 
+  private static final int SERVERS_PER_GROUP = 3;
+
   private final StandInMetadataStore store = new StandInMetadataStore();
+  private final List<String> groups = new ArrayList<>();
   private final List<StandInWireServer> servers = new ArrayList<>();
   private final CountDownLatch promoted = new CountDownLatch(1);
 
   /** Sockets that are bound, but do not listen, to the ports of instances' settings. */
   private final List<Socket> reservations = new ArrayList<>();
 
-  /** Starts the store and the servers, and writes the server entries and the configuration. */
+  /** Starts the store and one database group. */
   public StandInSystem() throws IOException {
-    AtomicLong commits = new AtomicLong(10);
-    for (int i = 0; i < 3; i++) {
-      servers.add(new StandInWireServer(GROUP, "server-" + i, i == 0, commits));
+    this(List.of());
+  }
+
+  /**
+   * Starts the store and the servers, and writes the server entries and the configuration.
+   *
+   * @param furtherGroups the names of the groups beside {@link #GROUP}
+   */
+  public StandInSystem(List<String> furtherGroups) throws IOException {
+    groups.add(GROUP);
+    groups.addAll(furtherGroups);
+    for (String group : groups) {
+      AtomicLong commits = new AtomicLong(10);
+      for (int i = 0; i < SERVERS_PER_GROUP; i++) {
+        String id = "server-" + servers.size();
+        servers.add(new StandInWireServer(group, id, i == 0, commits));
+      }
     }
     store.onPromotion(
         (service, id) -> {
@@ -65,14 +83,19 @@
   }
 
   /**
-   * Waits until an instance is the group's home, which shows when the server that is the primary at
-   * the start receives a status query.
+   * Waits until each group has a home, which shows when the server that is the primary at the start
+   * receives a status query.
    *
-   * @param millis the longest wait, in milliseconds
-   * @return whether an instance became the home in time
+   * @param millis the longest wait for each group, in milliseconds
+   * @return whether all groups had a home in time
    */
   public boolean awaitHome(long millis) throws InterruptedException {
-    return servers.get(0).awaitLine("QUERY - STATUS", millis);
+    for (int i = 0; i < servers.size(); i += SERVERS_PER_GROUP) {
+      if (!servers.get(i).awaitLine("QUERY - STATUS", millis)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /**
@@ -85,7 +108,12 @@
     return promoted.await(millis, TimeUnit.MILLISECONDS);
   }
 
-  /** Returns the server at {@code index}; server 0 is the primary at the start. */
+  /** Returns the database whose route leads to a group other than {@link #GROUP}. */
+  public static String databaseOf(String furtherGroup) {
+    return "db-" + furtherGroup;
+  }
+
+  /** Returns the server at {@code index}; server 0 is the first group's primary at the start. */
   public StandInWireServer server(int index) {
     return servers.get(index);
   }
@@ -93,14 +121,14 @@
   /** Writes the entry of {@code server} to the store, with {@code state} as its state. */
   public void putServer(StandInWireServer server, String state) {
     JsonObject entry = new JsonObject();
-    entry.addProperty("service", GROUP);
+    entry.addProperty("service", server.service());
     entry.addProperty("address", server.address());
     entry.addProperty("zone", "zone-a");
     entry.addProperty("version", "v1");
     entry.addProperty("slots", 3);
     entry.addProperty("state", state);
     entry.addProperty("cold_remaining_ms", 0);
-    entry.addProperty("database_role", server.id().equals("server-0") ? "primary" : "replica");
+    entry.addProperty("database_role", server.startsAsPrimary() ? "primary" : "replica");
     entry.addProperty("sequence", 1);
     entry.addProperty("born", 1_700_000_000_000L);
     put("servers/" + server.id(), entry.toString());
@@ -109,15 +137,20 @@
   /** Writes the configuration with the given version number, under the operator's key. */
   public void putConfiguration(long version) {
     JsonArray routes = new JsonArray();
-    routes.add(route(LATEST, "primary"));
-    routes.add(route(BOUNDED, "bounded_staleness"));
-    routes.add(route(OWN, "read_your_writes"));
-    JsonObject service = new JsonObject();
-    service.addProperty("name", GROUP);
-    service.addProperty("max_connections", 23);
-    service.addProperty("sync_replicas", 1);
+    routes.add(route(LATEST, "primary", GROUP));
+    routes.add(route(BOUNDED, "bounded_staleness", GROUP));
+    routes.add(route(OWN, "read_your_writes", GROUP));
     JsonArray services = new JsonArray();
-    services.add(service);
+    for (String group : groups) {
+      if (!group.equals(GROUP)) {
+        routes.add(route(databaseOf(group), "read_your_writes", group));
+      }
+      JsonObject service = new JsonObject();
+      service.addProperty("name", group);
+      service.addProperty("max_connections", 23);
+      service.addProperty("sync_replicas", 1);
+      services.add(service);
+    }
     JsonObject limits = new JsonObject();
     limits.addProperty("transaction_idle_ms", 3_000);
     JsonObject configuration = new JsonObject();
@@ -128,7 +161,7 @@
     put("op/config", configuration.toString());
   }
 
-  private static JsonObject route(String database, String kind) {
+  private static JsonObject route(String database, String kind, String group) {
     JsonObject route = new JsonObject();
     route.addProperty("name", "route-" + database);
     route.addProperty("host", database);
@@ -137,7 +170,7 @@
     route.addProperty("timeout_ms", 800);
     route.addProperty("target_latency_ms", 250);
     route.addProperty("priority", 1);
-    route.addProperty("service", GROUP);
+    route.addProperty("service", group);
     route.addProperty("max_attempts", 2);
     if (!kind.equals("primary")) {
       route.addProperty("max_staleness_ms", 2_500);
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInWireClient.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireClient.java
@@ -74,6 +74,12 @@
     }
   }
 
+  /** Closes the connection with a reset instead of an orderly end. */
+  public void reset() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
@@ -27,6 +27,7 @@
 
   private final String service;
   private final String id;
+  private final boolean startsAsPrimary;
   private final AtomicLong commits;
   private final ServerSocket listener;
   private final ExecutorService executor = Executors.newCachedThreadPool();
@@ -48,6 +49,7 @@
       throws IOException {
     this.service = service;
     this.id = id;
+    this.startsAsPrimary = primary;
     this.primary = primary;
     this.commits = commits;
     this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
@@ -64,6 +66,16 @@
     return id;
   }
 
+  /** Returns the name of the server's database group. */
+  public String service() {
+    return service;
+  }
+
+  /** Returns whether the server was the primary when it started. */
+  public boolean startsAsPrimary() {
+    return startsAsPrimary;
+  }
+
   /** Returns the lines received on all connections so far, in order of arrival. */
   public List<String> received() {
     synchronized (received) {
