--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/JsonLineLog.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/JsonLineLog.java
@@ -4,7 +4,8 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -137,6 +138,16 @@
     }
   }
 
+  /**
+   * Returns the time of day in UTC, to the second. Avoids the formatter classes of {@code
+   * java.time}, because loading them delays the start of a process.
+   */
+  static String formatSecond(long epochSecond) {
+    String text = LocalDateTime.ofEpochSecond(epochSecond, 0, ZoneOffset.UTC).toString();
+    boolean isFullMinute = Math.floorMod(epochSecond, 60) == 0;
+    return isFullMinute ? text + ":00" : text;
+  }
+
   /** Lines that are written together, and a latch that opens once they are written. */
   private record Batch(String text, CountDownLatch written) {}
 
@@ -159,8 +170,7 @@
       long second = Math.floorDiv(epochMillis, 1_000);
       if (second != formattedSecond) {
         formattedSecond = second;
-        String whole = Instant.ofEpochSecond(second).toString();
-        formattedSecondText = whole.substring(0, whole.length() - 1);
+        formattedSecondText = formatSecond(second);
       }
       int millis = (int) Math.floorMod(epochMillis, 1_000L);
       text.append(formattedSecondText).append('.');
--- a/chicorylane/src/test/java/org/chicorylane/internal/runtime/JsonLineLogTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/runtime/JsonLineLogTest.java
@@ -115,4 +115,10 @@
     assertThat(written).isLessThan(110);
     release.countDown();
   }
+
+  @Test
+  void testTimeHasSecondsAtFullMinute() {
+    assertThat(JsonLineLog.formatSecond(1_796_342_400L)).isEqualTo("2026-12-04T00:00:00");
+    assertThat(JsonLineLog.formatSecond(1_796_342_461L)).isEqualTo("2026-12-04T00:01:01");
+  }
 }
