--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -72,7 +72,10 @@
 
   private static final int MAX_ATTEMPTS = 4;
 
-  /** A statement is refused if it is expected to wait longer than this share of its budget. */
+  /**
+   * A statement counts as late if it is expected to wait longer than this share of the time that it
+   * can wait, and is refused if it is expected to wait longer than this share of its budget.
+   */
   private static final double MAX_WAIT_SHARE = 0.75;
 
   /**
@@ -96,6 +99,7 @@
   private final WorkQueue queue = new WorkQueue();
   private final Set<StatementHandler> running = new LinkedHashSet<>();
   private final FloorTracker floors = new FloorTracker();
+  private final ServiceTimes serviceTimes = new ServiceTimes();
   private final ServerMonitor monitor;
   private final Scheduler.Timer checkTimer;
   private int maxConnections = 16;
@@ -109,6 +113,10 @@
   private long lastPrimaryAnswerNanos;
 
   private boolean dispatching;
+
+  /** Whether no replica could serve the read that was considered last. */
+  private boolean readsNeedPrimary;
+
   private PrimaryHalt halt = PrimaryHalt.NOTHING;
   private boolean retiring;
   private boolean stopped;
@@ -288,14 +296,15 @@
       transaction.lastUsedNanos = now;
       transaction.running = true;
     }
-    QueuedWork item = new QueuedWork(work, handler, now, nextSequence++, transaction);
+    double serviceNanos = serviceTimes.expectedNanos(work);
+    QueuedWork item = new QueuedWork(work, handler, now, nextSequence++, transaction, serviceNanos);
     long wait = expectedWaitMillis(item);
     if (wait < 0 && now - lastPrimaryAnswerNanos > PRIMARY_OUTAGE_NANOS) {
       long down = (now - lastPrimaryAnswerNanos) / 1_000_000;
       refuse(item, "no server can take it, the primary since " + down + " ms", RETRY_AFTER_MILLIS);
       return;
     }
-    if (!item.isPinned() && wait > work.targetMillis()) {
+    if (!item.isPinned() && wait > item.maxTimelyWaitMillis() * MAX_WAIT_SHARE) {
       item.late = true;
       wait = expectedWaitMillis(item);
     }
@@ -418,36 +427,28 @@
 
   /** Returns the expected time in milliseconds until a server takes the work, or -1 if none can. */
   private long expectedWaitMillis(QueuedWork item) {
-    return item.isPinned()
-        ? 0
-        : queue.expectedWaitMillis(item, statementsPerNano(item), !hasAvailableReplica());
-  }
-
-  private boolean hasAvailableReplica() {
-    for (PoolServer s : servers.values()) {
-      if (!s.primary && s.acceptsNewWork()) {
-        return true;
-      }
+    if (item.isPinned()) {
+      return 0;
     }
-    return false;
-  }
-
-  /** Returns the total throughput of the servers that may run the work, per nanosecond. */
-  private double statementsPerNano(QueuedWork item) {
     long now = scheduler.nanoTime();
     LogPosition floor =
         item.work.canRunOnReplica() ? floors.floorFor(item.work, item.arrivedNanos) : null;
-    double rate = 0;
+    double slots = 0;
+    double replicaSlots = 0;
     for (PoolServer s : servers.values()) {
-      boolean serves =
-          s.primary
-              ? halt.allows(item.work)
-              : floor != null && ServerChoice.isFresh(s, floor, floors, now);
-      if (serves && s.acceptsNewWork()) {
-        rate += Math.max(1, s.backend.slots()) / s.serviceNanos;
+      if (s.primary && halt.allows(item.work) && s.acceptsNewWork()) {
+        slots += s.effectiveSlots();
+      } else if (!s.primary
+          && floor != null
+          && ServerChoice.isFresh(s, floor, floors, now)
+          && s.acceptsNewWork()) {
+        replicaSlots += s.effectiveSlots();
       }
     }
-    return rate;
+    if (item.work.canRunOnReplica()) {
+      readsNeedPrimary = replicaSlots == 0;
+    }
+    return queue.expectedWaitMillis(item, slots + replicaSlots, readsNeedPrimary, now);
   }
 
   /** Dispatches the queued statements that servers can take now, in order. */
@@ -557,7 +558,7 @@
   private void run(QueuedWork item, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.inFlight++;
     item.attempts++;
-    queue.onDispatched(item);
+    queue.onDispatched(item, now);
     PoolTransaction t = item.transaction;
     List<ServerCommand> setup =
         new ArrayList<>(c.prepareSetup(item.work.values(), item.work.template()));
@@ -651,10 +652,15 @@
     private final PooledConnection connection;
     private final long sentNanos;
 
+    /** Share of the time until the answer in which the statement occupies a slot. */
+    private final double slotShare;
+
     StatementHandler(QueuedWork item, PooledConnection c, long sentNanos) {
       this.item = item;
       this.connection = c;
       this.sentNanos = sentNanos;
+      int slots = c.server.slots();
+      this.slotShare = (double) slots / Math.max(slots, c.server.inFlight);
     }
 
     @Override
@@ -664,7 +670,9 @@
       server.inFlight--;
       recordAnswer(server, sentNanos, answer);
       if (answer.succeeded()) {
-        server.onServed(scheduler.nanoTime() - sentNanos);
+        double nanos = (scheduler.nanoTime() - sentNanos) * slotShare;
+        server.onServed(nanos, serviceTimes.expectedNanos(item.work));
+        serviceTimes.onServed(item.work, nanos);
       }
       handleAnswer(item, connection, answer, sentNanos);
       dispatchQueued();
@@ -679,7 +687,8 @@
 
     /** Returns whether the answer is so late that it counts as lost. */
     boolean isOverdue(long now) {
-      long scaledServiceNanos = (long) (connection.server.serviceNanos * OVERDUE_FACTOR);
+      double serviceNanos = item.serviceNanos * connection.server.slowness;
+      long scaledServiceNanos = (long) (serviceNanos * OVERDUE_FACTOR / slotShare);
       boolean isRepeatable = item.transaction == null && !item.work.isWrite();
       long minimumNanos = isRepeatable ? MIN_OVERDUE_READ_NANOS : MIN_OVERDUE_WRITE_NANOS;
       return now - sentNanos > Math.max(minimumNanos, scaledServiceNanos);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -18,11 +18,8 @@
  */
 final class PoolServer {
 
-  /** Service time assumed before the first answer, in nanoseconds. */
-  private static final double INITIAL_SERVICE_NANOS = 15e6;
-
-  /** Weight of the newest answer in the moving average of the service time. */
-  private static final double SERVICE_TIME_WEIGHT = 0.1;
+  /** Weight of the newest answer in the moving average of the slowness. */
+  private static final double SLOWNESS_WEIGHT = 0.1;
 
   /** Lag assumed for a replica that has not reported its position, in milliseconds. */
   private static final long UNKNOWN_LAG_MILLIS = 60_000;
@@ -46,7 +43,9 @@
   long lastContactNanos;
   LogPosition position = LogPosition.ZERO;
   long lagMillis = UNKNOWN_LAG_MILLIS;
-  double serviceNanos = INITIAL_SERVICE_NANOS;
+
+  /** Ratio of the server's service times to those expected of its statements; 1 is as expected. */
+  double slowness = 1;
 
   /** Whether the server is considered lost, until a control connection to it opens again. */
   boolean unreachable;
@@ -70,14 +69,24 @@
     return isUsable() && (!backend.draining() || primary);
   }
 
-  /** Returns the expected time until the answer to a statement sent now, in nanoseconds. */
-  double expectedAnswerNanos() {
-    int slots = Math.max(1, backend.slots());
-    return serviceNanos * Math.max(1.0, (inFlight + 1.0) / slots);
+  /** Returns the number of statements that the server runs at the same time. */
+  int slots() {
+    return Math.max(1, backend.slots());
+  }
+
+  /** Returns the number of slots of average speed that do as much work as the server's slots. */
+  double effectiveSlots() {
+    return slots() / slowness;
+  }
+
+  /** Returns the expected time until the answer to a statement sent now, in service times. */
+  double expectedAnswerTime() {
+    return slowness * Math.max(1.0, (inFlight + 1.0) / slots());
   }
 
-  void onServed(long nanos) {
-    serviceNanos += SERVICE_TIME_WEIGHT * (nanos - serviceNanos);
+  /** Records that a statement occupied a slot for {@code nanos}. */
+  void onServed(double nanos, double expectedNanos) {
+    slowness += SLOWNESS_WEIGHT * (nanos / expectedNanos - slowness);
   }
 
   void updatePosition(@Nullable LogPosition reported) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
@@ -9,15 +9,34 @@
   /**
    * Orders statements of running transactions first, since these hold a connection; then statements
    * that can still be answered within their target time before those that cannot, so that a backlog
-   * does not delay all statements beyond their targets; then by priority and arrival.
+   * does not delay all statements beyond their targets; then by priority; then shorter statements
+   * before longer ones, so that as many callers as possible are served; then by arrival.
    */
   static final Comparator<QueuedWork> ORDER = QueuedWork::compare;
 
+  /** Statements of one priority whose expected service times differ by less than this are equal. */
+  private static final double SERVICE_TIME_STEP = 1.25;
+
+  /**
+   * Service times that must fit before the target time, because service times vary and the answer
+   * still has to travel.
+   */
+  private static final double SERVICE_TIMES_TO_TARGET = 2;
+
+  private static final int MAX_SERVICE_RANK = 255;
+
+  private static final double MICROSECOND_NANOS = 1e3;
+
   final Work work;
   final WorkHandler handler;
   final long arrivedNanos;
   final long sequence;
   final @Nullable PoolTransaction transaction;
+
+  /** Time that the work is expected to occupy a server's slot, in nanoseconds. */
+  final double serviceNanos;
+
+  private final int serviceRank;
   private final boolean hadConnectionOnArrival;
 
   /** Whether the target time can no longer be met. Affects the order. */
@@ -34,15 +53,24 @@
       WorkHandler handler,
       long arrivedNanos,
       long sequence,
-      @Nullable PoolTransaction transaction) {
+      @Nullable PoolTransaction transaction,
+      double serviceNanos) {
     this.work = work;
     this.handler = handler;
     this.arrivedNanos = arrivedNanos;
     this.sequence = sequence;
     this.transaction = transaction;
+    this.serviceNanos = serviceNanos;
+    this.serviceRank = rankOfServiceTime(serviceNanos);
     this.hadConnectionOnArrival = transaction != null && transaction.connection != null;
   }
 
+  /** Returns the number of steps from one microsecond to the service time. */
+  private static int rankOfServiceTime(double nanos) {
+    double steps = Math.log(nanos / MICROSECOND_NANOS) / Math.log(SERVICE_TIME_STEP);
+    return (int) Math.max(0, Math.min(MAX_SERVICE_RANK, Math.round(steps)));
+  }
+
   private static int compare(QueuedWork a, QueuedWork b) {
     int byRank = Long.compare(a.rank(), b.rank());
     return byRank != 0 ? byRank : Long.compare(a.sequence, b.sequence);
@@ -50,13 +78,21 @@
 
   /** Returns the rank, without regard to the time of arrival; lower ranks are dispatched first. */
   long rank() {
-    long group = hadConnectionOnArrival ? 0 : late ? 2 : 1;
-    return (group << Integer.SIZE) + work.priority();
+    if (hadConnectionOnArrival) {
+      return work.priority();
+    }
+    long group = late ? 2 : 1;
+    return (group << Integer.SIZE) + work.priority() * (MAX_SERVICE_RANK + 1L) + serviceRank;
   }
 
   /** Returns whether the answer would miss the target time if the work was dispatched now. */
-  boolean wouldMissTarget(long nowNanos, double serviceNanos) {
-    return nowNanos + serviceNanos > arrivedNanos + work.targetMillis() * 1_000_000L;
+  boolean wouldMissTarget(long nowNanos) {
+    return nowNanos - arrivedNanos > maxTimelyWaitMillis() * 1e6;
+  }
+
+  /** Returns the time in milliseconds that the work can wait and still be answered in time. */
+  double maxTimelyWaitMillis() {
+    return Math.max(0, work.targetMillis() - SERVICE_TIMES_TO_TARGET * serviceNanos / 1e6);
   }
 
   /** Returns the time at which the client gives up. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -54,14 +54,14 @@
         if (s.inFlight >= maxInFlight(s) || !hasConnection.test(s)) {
           continue;
         }
-        if (best == null || s.expectedAnswerNanos() < best.expectedAnswerNanos()) {
+        if (best == null || s.expectedAnswerTime() < best.expectedAnswerTime()) {
           best = s;
         }
       }
       if (best != null) {
         return best;
       }
-      if (anyEligible && (primary == null || primary.inFlight >= primary.backend.slots() - 1)) {
+      if (anyEligible && (primary == null || primary.inFlight >= primary.slots() - 1)) {
         return null;
       }
     }
@@ -97,6 +97,6 @@
 
   /** Returns the maximum number of statements in flight at a server. */
   static int maxInFlight(PoolServer s) {
-    return Math.max(1, s.backend.slots()) + PIPELINED_STATEMENTS;
+    return s.slots() + PIPELINED_STATEMENTS;
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
@@ -19,28 +19,20 @@
   /** Shorter queues are not searched for late statements: they empty before the order matters. */
   private static final int MIN_SIZE_FOR_LATE_CHECK = 4;
 
-  /** Weight of the newest dispatch in the moving average {@link #timelyShare}. */
-  private static final double TIMELY_SHARE_WEIGHT = 0.02;
-
-  /** Minimum share of the servers' capacity that late statements are expected to get. */
-  private static final double MIN_LATE_SHARE = 0.05;
-
-  /** Time that a typical statement takes at a server, including the network round trip. */
-  private static final double TYPICAL_SERVICE_NANOS = 30e6;
+  /** Minimum share of the servers' slots that statements of any rank are expected to get. */
+  private static final double MIN_SLOT_SHARE = 0.05;
 
   /** Interval between searches for late statements; short compared with clients' target times. */
   private static final long LATE_CHECK_INTERVAL_NANOS = Duration.ofMillis(5).toNanos();
 
   private final TreeSet<QueuedWork> waiting = new TreeSet<>(QueuedWork.ORDER);
 
-  /** Number of waiting statements by rank. There are few distinct ranks. */
+  /** Service times of the waiting statements by rank. There are few distinct ranks. */
   private final TreeMap<Long, Count> counts = new TreeMap<>();
 
+  private final RankLoad load = new RankLoad();
   private long lastLateCheckNanos = Long.MIN_VALUE / 2;
 
-  /** Moving average of the share of dispatched statements that were not late. */
-  private double timelyShare;
-
   void add(QueuedWork item) {
     if (waiting.add(item)) {
       counts.computeIfAbsent(item.rank(), rank -> new Count()).add(item, 1);
@@ -116,56 +108,55 @@
       return late;
     }
     lastLateCheckNanos = nowNanos;
-    late.addAll(
-        removeMatching(
-            item -> !item.late && item.wouldMissTarget(nowNanos, TYPICAL_SERVICE_NANOS)));
+    late.addAll(removeMatching(item -> !item.late && item.wouldMissTarget(nowNanos)));
     late.forEach(item -> item.late = true);
     return late;
   }
 
   /** Records that a statement is sent to a server. */
-  void onDispatched(QueuedWork item) {
-    timelyShare += TIMELY_SHARE_WEIGHT * ((item.late ? 0 : 1) - timelyShare);
+  void onDispatched(QueuedWork item, long nowNanos) {
+    load.onDispatched(item, nowNanos);
   }
 
   /**
    * Returns the expected time in milliseconds until a server takes work that arrives now, or -1 if
    * no server can.
    *
-   * @param statementsPerNano the throughput of the servers that may run the work
+   * @param slots the slots of the servers that may run the work
    * @param sharedServer whether work for replicas and work for the primary wait for the same server
    */
-  long expectedWaitMillis(QueuedWork item, double statementsPerNano, boolean sharedServer) {
-    if (statementsPerNano == 0) {
+  long expectedWaitMillis(QueuedWork item, double slots, boolean sharedServer, long nowNanos) {
+    if (slots == 0) {
       return -1;
     }
-    int ahead = 0;
+    double nanosAhead = 0;
     for (Count count : counts.headMap(item.rank(), true).values()) {
-      ahead += sharedServer ? count.total() : count.countForSameServers(item);
+      nanosAhead += sharedServer ? count.total() : count.forSameServers(item);
     }
-    double capacityShare = item.late ? Math.max(MIN_LATE_SHARE, 1 - timelyShare) : 1;
-    return (long) (ahead / (statementsPerNano * capacityShare) / 1e6);
+    double slotsLeft =
+        Math.max(MIN_SLOT_SHARE * slots, slots - load.slotsAheadOf(item, nowNanos, sharedServer));
+    return (long) (nanosAhead / slotsLeft / 1e6);
   }
 
-  /** Number of waiting statements of one rank, by whether replicas may serve them. */
+  /** Service times of the waiting statements of one rank, by whether replicas may serve them. */
   private static final class Count {
-    private int forReplicas;
-    private int forPrimary;
+    private double forReplicas;
+    private double forPrimary;
 
-    void add(QueuedWork item, int change) {
+    void add(QueuedWork item, int sign) {
       if (item.work.canRunOnReplica()) {
-        forReplicas += change;
+        forReplicas += sign * item.serviceNanos;
       } else {
-        forPrimary += change;
+        forPrimary += sign * item.serviceNanos;
       }
     }
 
-    int total() {
+    double total() {
       return forReplicas + forPrimary;
     }
 
-    /** Returns the number of statements that the same servers as for {@code item} may run. */
-    int countForSameServers(QueuedWork item) {
+    /** Returns the service time of statements that the same servers as for {@code item} may run. */
+    double forSameServers(QueuedWork item) {
       return item.work.canRunOnReplica() ? forReplicas : forPrimary;
     }
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.jspecify.annotations.Nullable;
@@ -48,6 +49,10 @@
   public long term = 1;
   public long sealedTerm;
   public Duration work = Duration.ofMillis(10);
+
+  /** Time that a statement occupies a slot, by its request id. */
+  public Function<String, Duration> workOf = id -> work;
+
   public Duration lag = Duration.ofMillis(20);
   public int statements;
   public int maximumBusy;
@@ -247,7 +252,7 @@
         return;
       }
       occupy(
-          work,
+          workOf.apply(requestId),
           () -> {
             statements++;
             group.onRun(ModelServer.this, this, requestId, Map.copyOf(values), state);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -122,6 +122,7 @@
     private boolean begins;
     private boolean readOnly;
     private int priority = 1;
+    private int target = 250;
     private int budget = 800;
 
     Builder(String id, WorkKind kind, Freshness freshness) {
@@ -157,6 +158,11 @@
       return this;
     }
 
+    Builder target(int millis) {
+      target = millis;
+      return this;
+    }
+
     Builder budget(int millis) {
       budget = millis;
       return this;
@@ -177,7 +183,7 @@
           begins,
           readOnly,
           priority,
-          250,
+          target,
           budget);
     }
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolLoadTest.java
@@ -8,6 +8,8 @@
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.topology.Freshness;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against late answers, slow refusals and unneeded connections under load patterns that a
@@ -148,6 +150,69 @@
     assertThat(shareWithinTarget()).isAtLeast(0.95);
   }
 
+  /**
+   * The replicas are too far behind for all reads, and the primary alone has room for five sixths
+   * of the load. The service times are a third, one and three times those of a usual deployment.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 9})
+  void testLaggingReplicasLeavePrimaryToShortStatements(int scale) {
+    fixture.group.server("server-b").lag = Duration.ofMinutes(1);
+    fixture.group.server("server-c").lag = Duration.ofMinutes(1);
+    fixture.group.server("server-a").workOf =
+        id ->
+            Duration.ofMillis(
+                switch (id.charAt(0)) {
+                      case 'u' -> 2L;
+                      case 's' -> 5L;
+                      default -> 7L;
+                    }
+                    * scale);
+    fixture.advance(5_000);
+    for (int i = 0; i < 800; i++) {
+      int kind = random.nextInt(20);
+      Work work;
+      if (kind < 3) {
+        work = PoolFixture.work("u" + i, WorkKind.READ, Freshness.LATEST).build();
+      } else if (kind < 17) {
+        work = overtaken("s" + i, Freshness.OWN_WRITES, 80 * scale);
+      } else {
+        work = overtaken("l" + i, Freshness.BOUNDED_AGE, 160 * scale);
+      }
+      fixture.submit(work);
+      sent++;
+      if (i % 50 == 0) {
+        fixture.submit(PoolFixture.write("w" + i));
+      }
+      // Three slots are enough for one statement in 1.62 scaled milliseconds.
+      fixture.advance(i % 20 < 7 ? 2L * scale : scale);
+    }
+    fixture.advance(5_000);
+    assertWithMessage("short statements in time")
+        .that(shareInTime("s", 80 * scale))
+        .isAtLeast(0.95);
+    assertWithMessage("urgent statements in time").that(shareInTime("u", 250)).isAtLeast(0.95);
+    assertWithMessage("long statements served").that(shareInTime("l", 800)).isAtLeast(0.1);
+  }
+
+  private static Work overtaken(String id, Freshness freshness, int targetMillis) {
+    return PoolFixture.work(id, WorkKind.READ, freshness)
+        .priority(2)
+        .target(targetMillis)
+        .budget(10 * targetMillis)
+        .build();
+  }
+
+  private double shareInTime(String prefix, int millis) {
+    long all = fixture.answers.keySet().stream().filter(id -> id.startsWith(prefix)).count();
+    long inTime =
+        fixture.answers.entrySet().stream()
+            .filter(e -> e.getKey().startsWith(prefix) && e.getValue().succeeded())
+            .filter(e -> fixture.tookMillis.get(e.getKey()) <= millis)
+            .count();
+    return (double) inTime / all;
+  }
+
   @Test
   void testSlowReplicaGetsFewReads() {
     fixture.group.server("server-b").work = Duration.ofMillis(120);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -23,7 +23,8 @@
   private final WorkQueue queue = new WorkQueue();
   private long sequence;
 
-  private QueuedWork queuedWork(WorkKind kind, int priority, int targetMillis, long arrivedNanos) {
+  private QueuedWork queuedWork(
+      WorkKind kind, int priority, int targetMillis, long arrivedNanos, int serviceMillis) {
     Work work =
         new Work(
             kind,
@@ -48,7 +49,8 @@
           @Override
           public void onNotHome() {}
         };
-    return new QueuedWork(work, ignored, arrivedNanos, sequence++, null);
+    return new QueuedWork(
+        work, ignored, arrivedNanos, sequence++, null, (double) serviceMillis * MILLI);
   }
 
   private List<QueuedWork> all() {
@@ -62,17 +64,20 @@
     Random random = new Random(7);
     for (int step = 0; step < 500; step++) {
       WorkKind kind = random.nextBoolean() ? WorkKind.READ : WorkKind.WRITE;
-      QueuedWork item = queuedWork(kind, random.nextInt(3), 10 + random.nextInt(300), step * MILLI);
+      int service = 3 + random.nextInt(60);
+      QueuedWork item =
+          queuedWork(kind, random.nextInt(3), 10 + random.nextInt(300), step * MILLI, service);
       item.late = random.nextInt(4) == 0;
-      long ahead =
+      double nanosAhead =
           all().stream()
               .filter(other -> QueuedWork.ORDER.compare(other, item) < 0)
               .filter(other -> other.work.canRunOnReplica() == item.work.canRunOnReplica())
-              .count();
+              .mapToDouble(other -> other.serviceNanos)
+              .sum();
       if (!item.late) {
         assertWithMessage("step %s", step)
-            .that(queue.expectedWaitMillis(item, 1.0 / MILLI, false))
-            .isEqualTo(ahead);
+            .that(queue.expectedWaitMillis(item, 1, false, step * MILLI))
+            .isEqualTo(Math.round(nanosAhead / MILLI));
       }
       queue.add(item);
       if (random.nextInt(3) == 0) {
@@ -88,10 +93,47 @@
   @Test
   void testSearchesForLateStatementsAreLimitedInRate() {
     for (int i = 0; i < 10; i++) {
-      queue.add(queuedWork(WorkKind.READ, 1, 100, i * MILLI));
+      queue.add(queuedWork(WorkKind.READ, 1, 100, i * MILLI, 15));
     }
     assertThat(queue.removeNewlyLate(75 * MILLI)).hasSize(5);
     assertThat(queue.removeNewlyLate(79 * MILLI)).isEmpty();
     assertThat(queue.removeNewlyLate(80 * MILLI)).hasSize(5);
   }
+
+  @Test
+  void testExpectedWaitLeavesOutSlotsOfStatementsThatOvertake() {
+    queue.add(queuedWork(WorkKind.READ, 1, 400, 0, 40));
+    QueuedWork next = queuedWork(WorkKind.READ, 1, 400, 0, 40);
+    assertThat(queue.expectedWaitMillis(next, 2, false, 0)).isEqualTo(20);
+    long now = 0;
+    for (int i = 0; i < 200; i++) {
+      now += 10 * MILLI;
+      queue.onDispatched(queuedWork(WorkKind.READ, 1, 400, 0, 10), now);
+    }
+    long wait = queue.expectedWaitMillis(next, 2, false, now);
+    assertThat(wait).isAtLeast(36);
+    assertThat(wait).isAtMost(44);
+    QueuedWork shorter = queuedWork(WorkKind.READ, 1, 400, 0, 10);
+    assertThat(queue.expectedWaitMillis(shorter, 2, false, now)).isEqualTo(0);
+  }
+
+  @Test
+  void testShorterStatementsGoFirstWithinPriority() {
+    QueuedWork slow = queuedWork(WorkKind.READ, 2, 400, 0, 22);
+    QueuedWork fast = queuedWork(WorkKind.READ, 2, 400, MILLI, 14);
+    QueuedWork urgent = queuedWork(WorkKind.READ, 1, 400, 2 * MILLI, 60);
+    queue.add(slow);
+    queue.add(fast);
+    queue.add(urgent);
+    assertThat(all()).containsExactly(urgent, fast, slow).inOrder();
+  }
+
+  @Test
+  void testOrderIsTheSameAtThreeTimesAndAThirdOfTheServiceTimes() {
+    for (int scale : new int[] {1, 3, 9}) {
+      QueuedWork slow = queuedWork(WorkKind.READ, 2, 400, 0, 8 * scale);
+      QueuedWork fast = queuedWork(WorkKind.READ, 2, 400, MILLI, 5 * scale);
+      assertWithMessage("scale %s", scale).that(QueuedWork.ORDER.compare(fast, slow)).isLessThan(0);
+    }
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/OperationsWalkTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/OperationsWalkTest.java
@@ -99,7 +99,8 @@
 
   @Test
   void testFailureDuringChangeOfPrimaryIsTracedThroughThePromotion() {
-    clients.begin(20);
+    // So many clients that the primary is running a write when it crashes.
+    clients.begin(40);
     fleet.advance(2_000);
     fleet.group.server("server-a").crash();
     fleet.advance(4_000);
