--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -336,16 +336,31 @@
   }
 
   /**
-   * Claims the home's role at the request of the current home.
+   * Claims the home's role at the request of the current home. Reads the record first, and declines
+   * if the store does not answer: a claim that the store applied only after an outage would replace
+   * a home that can then continue.
    *
    * @param outcome called with whether this instance is the home now
    */
   public void takeOver(Consumer<Boolean> outcome) {
     if ((isHome() && !isStandingIn()) || leaving || claimInProgress) {
-      outcome.accept(isHome());
+      outcome.accept(isHome() && !isStandingIn());
       return;
     }
-    claimHome("asked by the home", outcome);
+    claimInProgress = true;
+    context
+        .store()
+        .get(HomeRecord.keyOf(group))
+        .thenAccept(
+            result -> {
+              claimInProgress = false;
+              if (result instanceof ReadResult.Read read && !leaving) {
+                read.first().ifPresent(this::onRecord);
+                claimHome("asked by the home", outcome);
+              } else {
+                outcome.accept(false);
+              }
+            });
   }
 
   /** Hands the group over because this instance shuts down. */
