--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.chicorylane.internal.passthrough.Answer;
@@ -45,10 +46,15 @@
  */
 public final class HomeElection {
 
-  /** The collaborators that the elections of all groups of an instance share. */
+  /**
+   * The collaborators that the elections of all groups of an instance share.
+   *
+   * @param storeUnavailable returns whether this instance's last call to the store failed
+   */
   public record Context(
       HomeRecord.Holder self,
       KeyValueStore store,
+      BooleanSupplier storeUnavailable,
       ConditionalWriter swaps,
       ServerConnector connector,
       Promoter promoter,
@@ -336,13 +342,18 @@
   }
 
   /**
-   * Claims the home's role at the request of the current home.
+   * Claims the home's role at the request of the current home. Declines while the store does not
+   * answer this instance: a claim that the store applied only after an outage would replace a home
+   * that can then continue.
    *
    * @param outcome called with whether this instance is the home now
    */
   public void takeOver(Consumer<Boolean> outcome) {
-    if ((isHome() && !isStandingIn()) || leaving || claimInProgress) {
-      outcome.accept(isHome());
+    if ((isHome() && !isStandingIn())
+        || leaving
+        || claimInProgress
+        || context.storeUnavailable().getAsBoolean()) {
+      outcome.accept(isHome() && !isStandingIn());
       return;
     }
     claimHome("asked by the home", outcome);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.chicorylane.internal.election.HomeElection;
@@ -20,6 +22,8 @@
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.platform.KeyValueStore;
+import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.WriteResult;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -39,6 +43,8 @@
   /** A home counts as reachable if its last response is at most this old. */
   private static final Duration MAXIMUM_RESPONSE_AGE = Duration.ofMillis(700);
 
+  private static final String STORE_UNAVAILABLE = "the store does not answer this instance either";
+
   private final Scheduler scheduler;
   private final ServerConnector connector;
   private final Function<String, @Nullable HomeElection> elections;
@@ -46,6 +52,7 @@
   private final Function<String, PeerLink> links;
   private final LatestConfiguration configuration;
   private final KeyValueStore store;
+  private final BooleanSupplier storeUnavailable;
 
   MeshService(
       Scheduler scheduler,
@@ -54,8 +61,10 @@
       Collection<HomeElection> allElections,
       Function<String, PeerLink> links,
       LatestConfiguration configuration,
-      KeyValueStore store) {
+      KeyValueStore store,
+      BooleanSupplier storeUnavailable) {
     this.store = store;
+    this.storeUnavailable = storeUnavailable;
     this.scheduler = scheduler;
     this.connector = connector;
     this.elections = elections;
@@ -135,12 +144,15 @@
         }
       }
       case STORE_RANGE ->
-          store
-              .range(question.getArguments(0))
+          (storeUnavailable.getAsBoolean()
+                  ? CompletableFuture.completedFuture(new ReadResult.Unavailable(STORE_UNAVAILABLE))
+                  : store.range(question.getArguments(0)))
               .thenAccept(r -> reply(channel, question, StoreMessages.encodeReply(r)));
       case STORE_TRANSACT ->
-          store
-              .transact(StoreMessages.decodeTransaction(question))
+          (storeUnavailable.getAsBoolean()
+                  ? CompletableFuture.completedFuture(
+                      new WriteResult.Unavailable(STORE_UNAVAILABLE, false))
+                  : store.transact(StoreMessages.decodeTransaction(question)))
               .thenAccept(r -> reply(channel, question, StoreMessages.encodeReply(r)));
       case STOP_HOME -> stopHome(channel, question, election, true);
       default -> stopHome(channel, question, election, false);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -131,7 +131,8 @@
             elections.values(),
             this::link,
             configuration,
-            ports.store());
+            ports.store(),
+            ports.storeUnavailable());
     ConditionalWriter swaps =
         new ConditionalWriter(
             store,
@@ -144,6 +145,7 @@
         new HomeElection.Context(
             new HomeRecord.Holder(self.name(), self.incarnation(), self.address()),
             store,
+            ports.storeUnavailable(),
             swaps,
             ports.connector(),
             ports.promoter(),
@@ -282,7 +284,8 @@
   }
 
   private void followPrefix(String prefix, PrefixFollower.Listener listener) {
-    PrefixFollower follower = new PrefixFollower(store, prefix, ports.scheduler(), listener);
+    PrefixFollower follower =
+        new PrefixFollower(store, ports.storeUnavailable(), prefix, ports.scheduler(), listener);
     follower.start();
     ports
         .scheduler()
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -46,6 +46,10 @@
   final List<String> violations = new ArrayList<>();
   final List<String> lines = new ArrayList<>();
   boolean storeDown;
+
+  /** Whether the store refuses calls at once while it is down, instead of not answering. */
+  boolean storeRefuses;
+
   boolean losesPromotions;
   boolean logging;
   private final Map<String, ModelGroup> groupsWithoutClients = new LinkedHashMap<>();
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -47,6 +47,7 @@
   boolean frozen;
   boolean storeUnreachable;
   boolean losesStoreAnswers;
+  int storeCalls;
   private boolean lastCallFailed;
   private int incarnation;
   private final List<Runnable> heldTasks = new ArrayList<>();
@@ -334,9 +335,10 @@
 
   private <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> action, T failed) {
     CompletableFuture<T> result = new CompletableFuture<>();
+    storeCalls++;
     if (storeUnreachable || fleet.storeDown) {
       runAfter(
-          STORE_TIMEOUT,
+          fleet.storeRefuses ? STORE_DELAY : STORE_TIMEOUT,
           () -> {
             lastCallFailed = true;
             result.complete(failed);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -187,6 +187,23 @@
     finish();
   }
 
+  @Test
+  void testStoreThatRefusesAllCallsIsCalledAtLowRate() {
+    begin();
+    fleet.storeDown = true;
+    fleet.storeRefuses = true;
+    fleet.advance(1_000);
+    int before = fleet.hosts().stream().mapToInt(h -> h.storeCalls).sum();
+    fleet.advance(5_000);
+    int calls = fleet.hosts().stream().mapToInt(h -> h.storeCalls).sum() - before;
+    // Once a second each: the three prefixes that an instance follows, and its home records. A
+    // period of 5 s holds at most 6 calls of each.
+    assertWithMessage("calls of 4 instances in 5 s").that(calls).isAtMost(4 * 4 * 6);
+    fleet.storeDown = false;
+    fleet.advance(1_500);
+    finish();
+  }
+
   @Test
   void testHomeIsolatedFromStoreContinuesThroughOtherInstances() {
     begin();
