--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -78,17 +78,7 @@
    */
   private static final double MAX_WAIT_SHARE = 0.75;
 
-  /**
-   * Connections to each server left free for status requests and for another home, whose pool
-   * overlaps with this one while the home changes.
-   */
-  private static final int RESERVED_CONNECTIONS = 5;
-
-  /** Connections to one server opened at the same time; each takes up a slot for a while. */
-  private static final int MAX_CONCURRENT_OPENS = 3;
-
   private final String group;
-  private final ServerConnector connector;
   private final Scheduler scheduler;
   private final DecisionLog log;
   private final LongPredicate mayServe;
@@ -100,9 +90,9 @@
   private final Set<StatementHandler> running = new LinkedHashSet<>();
   private final FloorTracker floors = new FloorTracker();
   private final ServiceTimes serviceTimes = new ServiceTimes();
+  private final ServerConnections connections;
   private final ServerMonitor monitor;
   private final Scheduler.Timer checkTimer;
-  private int maxConnections = 16;
   private long transactionIdleNanos = Duration.ofSeconds(30).toNanos();
   private @Nullable String primaryId;
   private long term;
@@ -137,11 +127,11 @@
       PoolListener listener) {
     this.metrics = metrics;
     this.group = group;
-    this.connector = connector;
     this.scheduler = scheduler;
     this.log = log;
     this.mayServe = mayServe;
     this.listener = listener;
+    this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
     this.monitor =
         new ServerMonitor(group, connector, scheduler, log, metrics, listener, new MonitoredPool());
     this.lastPrimaryAnswerNanos = scheduler.nanoTime();
@@ -151,12 +141,12 @@
   /**
    * Sets the limits that operators declare.
    *
-   * @param connectionsPerServer the maximum number of connections to each server; {@link
-   *     #RESERVED_CONNECTIONS} of them are left free
+   * @param connectionsPerServer the maximum number of connections to each server; some of them are
+   *     left free
    * @param transactionIdleLimit the time after which an idle transaction is rolled back
    */
   public void configure(int connectionsPerServer, Duration transactionIdleLimit) {
-    maxConnections = Math.max(2, connectionsPerServer - RESERVED_CONNECTIONS);
+    connections.setServerLimit(connectionsPerServer);
     transactionIdleNanos = transactionIdleLimit.toNanos();
   }
 
@@ -349,9 +339,7 @@
     List<QueuedWork> rest = queue.removeMatching(item -> !item.isPinned());
     rest.forEach(this::removeTransaction);
     rest.forEach(item -> item.handler.onNotHome());
-    for (PoolServer s : servers.values()) {
-      new ArrayList<>(s.idle).forEach(this::closeConnection);
-    }
+    servers.values().forEach(connections::closeIdle);
   }
 
   /** Returns whether no statement waits or runs and no transaction is open. */
@@ -363,6 +351,7 @@
   public void stop() {
     stopped = true;
     checkTimer.cancel();
+    connections.stop();
     for (QueuedWork item : queue.removeMatching(item -> true)) {
       if (item.isPinned()) {
         item.handler.onAnswer(abortedAnswer("the home of the group changed"));
@@ -381,7 +370,7 @@
       return;
     }
     if (transaction.running) {
-      closeConnection(c);
+      connections.close(c);
       dispatchQueued();
       return;
     }
@@ -391,7 +380,7 @@
         new ServerLink.AnswerHandler() {
           @Override
           public void onAnswer(Answer answer) {
-            returnToPool(c, answer);
+            connections.giveBack(c, answer);
             dispatchQueued();
           }
 
@@ -400,31 +389,6 @@
         });
   }
 
-  /**
-   * Makes a connection idle. Closes it instead if it cannot be reused: the pool is shutting down, a
-   * transaction is still open on it, or the server accepts no new work.
-   */
-  private void returnToPool(PooledConnection c, Answer last) {
-    if (c.closed) {
-      return;
-    }
-    if (retiring || last.state() != TransactionState.IDLE || !c.server.acceptsNewWork()) {
-      closeConnection(c);
-      return;
-    }
-    c.transaction = null;
-    c.server.idle.addLast(c);
-  }
-
-  private void closeConnection(PooledConnection c) {
-    if (!c.closed) {
-      c.closed = true;
-      c.server.connections.remove(c);
-      c.server.idle.remove(c);
-      c.link.close();
-    }
-  }
-
   /** Returns the expected time in milliseconds until a server takes the work, or -1 if none can. */
   private long expectedWaitMillis(QueuedWork item) {
     if (item.isPinned()) {
@@ -527,14 +491,12 @@
     LogPosition floor =
         item.work.canRunOnReplica() ? floors.floorFor(item.work, item.arrivedNanos) : null;
     PoolServer best =
-        ServerChoice.choose(
-            servers.values(), item, floor, halt, floors, now, this::hasIdleConnection);
+        ServerChoice.choose(servers.values(), item, floor, halt, floors, now, connections::hasIdle);
     if (best == null) {
       return false;
     }
-    PooledConnection c = best.takeIdle(item.work.values());
+    PooledConnection c = connections.takeIdle(best, item.work.values());
     if (c == null) {
-      openConnection(best);
       return false;
     }
     if (t != null) {
@@ -545,15 +507,6 @@
     return true;
   }
 
-  /** Returns whether the server has an idle connection; opens one ahead if not. */
-  private boolean hasIdleConnection(PoolServer s) {
-    if (!s.idle.isEmpty()) {
-      return true;
-    }
-    openConnection(s);
-    return false;
-  }
-
   /** Sends a statement over a connection, after the commands that prepare the connection. */
   private void run(QueuedWork item, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.inFlight++;
@@ -631,7 +584,7 @@
         return;
       }
       connection.server.inFlight--;
-      closeConnection(connection);
+      connections.close(connection);
       retryUnrun(item, connection.server, failed);
       dispatchQueued();
     }
@@ -731,15 +684,15 @@
         if (failure == FailureCode.NOT_PREPARED) {
           c.clearPrepared();
         }
-        returnToPool(c, answer);
+        connections.giveBack(c, answer);
       } else {
-        closeConnection(c);
+        connections.close(c);
       }
       retryUnrun(item, c.server, answer);
       return;
     }
     if (t == null) {
-      returnToPool(c, answer);
+      connections.giveBack(c, answer);
       if (failure == FailureCode.FAILED && !item.work.isWrite() && item.attempts < 2) {
         item.excludedReplicaId = c.server.backend.id();
         queue.add(item);
@@ -747,7 +700,7 @@
       }
     } else if (item.work.kind() == WorkKind.COMMIT || answer.state() == TransactionState.IDLE) {
       transactions.remove(t.key);
-      returnToPool(c, answer);
+      connections.giveBack(c, answer);
     }
     if (answer.succeeded() && (item.work.kind() == WorkKind.COMMIT || item.work.isWrite())) {
       LogPosition position = answer.position();
@@ -876,7 +829,7 @@
     String text = reason + "; retry after " + Math.max(20, retryMillis) + " ms";
     if (item.transaction != null && !item.work.begins()) {
       if (item.transaction.connection != null) {
-        closeConnection(item.transaction.connection);
+        connections.close(item.transaction.connection);
       }
       deliver(item, null, abortedAnswer(text), 0);
     } else {
@@ -935,54 +888,6 @@
     item.handler.onAnswer(answer);
   }
 
-  private void openConnection(PoolServer s) {
-    if (s.opening >= MAX_CONCURRENT_OPENS
-        || s.connections.size() + s.opening >= maxConnections
-        || s.unreachable
-        || s.removed
-        || retiring) {
-      return;
-    }
-    s.opening++;
-    connector.connect(
-        s.target(),
-        new ServerConnector.Listener() {
-          private @Nullable PooledConnection connection;
-
-          @Override
-          public void onOpen(ServerLink link, @Nullable LogPosition position) {
-            s.opening--;
-            if (stopped || s.removed) {
-              link.close();
-              return;
-            }
-            connection = new PooledConnection(s, link);
-            s.connections.add(connection);
-            s.idle.addLast(connection);
-            s.lastContactNanos = scheduler.nanoTime();
-            s.updatePosition(position);
-            dispatchQueued();
-          }
-
-          @Override
-          public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
-            s.opening--;
-            if (failure == ServerConnector.ConnectFailure.REFUSED) {
-              monitor.markLost(s, ServerLoss.REFUSED, detail);
-            }
-          }
-
-          @Override
-          public void onClosed() {
-            if (connection != null) {
-              closeConnection(connection);
-              removeTransactionOf(connection);
-              dispatchQueued();
-            }
-          }
-        });
-  }
-
   /**
    * Removes the transaction of a closed connection. If a statement of it waits or runs, the
    * transaction is kept, and handling that statement's failure decides about it.
@@ -995,16 +900,7 @@
   }
 
   private void closeAllConnections(PoolServer s) {
-    ServerLink control = s.control;
-    s.control = null;
-    s.statusPending = false;
-    if (control != null) {
-      control.close();
-    }
-    for (PooledConnection c : new ArrayList<>(s.connections)) {
-      closeConnection(c);
-      removeTransactionOf(c);
-    }
+    connections.closeAll(s).forEach(this::removeTransactionOf);
   }
 
   private void checkPeriodically() {
@@ -1013,7 +909,7 @@
         List.copyOf(servers.values()), floors.isLastSampleOlderThan(MAX_PRIMARY_POSITION_AGE, now));
     for (StatementHandler late :
         running.stream().filter(handler -> handler.isOverdue(now)).toList()) {
-      closeConnection(late.connection);
+      connections.close(late.connection);
     }
     enforceTimeLimits(now);
     dispatchQueued();
@@ -1031,6 +927,25 @@
     }
   }
 
+  /** Handles the events of the connections to the servers. */
+  private final class ConnectionListener implements ServerConnections.Listener {
+    @Override
+    public void onOpened() {
+      dispatchQueued();
+    }
+
+    @Override
+    public void onRefused(PoolServer server, String detail) {
+      monitor.markLost(server, ServerLoss.REFUSED, detail);
+    }
+
+    @Override
+    public void onClosed(PooledConnection connection) {
+      removeTransactionOf(connection);
+      dispatchQueued();
+    }
+  }
+
   /** Gives the server monitor access to the pool. */
   private final class MonitoredPool implements ServerMonitor.Pool {
     @Override
