--- a/bench/src/main/java/org/chicorylane/bench/load/BenchCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/load/BenchCommand.java
@@ -14,6 +14,7 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
+import org.chicorylane.bench.day.ExplainDay;
 import org.chicorylane.internal.command.Command;
 import org.chicorylane.internal.command.ExitCode;
 import org.chicorylane.internal.command.OptionReader;
@@ -42,6 +43,8 @@
         --file FILE      where to write the result as JSON
         --plot FILE      where to write a plot
       example: chicorylane bench failover --runs 2 --fault kill
+      explain-day REPORT [LOG] [--csv FILE] [--plot FILE.svg]
+                       tells where a played day lost credit
       """;
 
   private static final Gson GSON =
@@ -72,6 +75,9 @@
 
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
+    if (!arguments.isEmpty() && arguments.get(0).equals(ExplainDay.NAME)) {
+      return ExplainDay.run(arguments.subList(1, arguments.size()), out, err);
+    }
     Options options = new Options();
     for (String name : List.of("seconds", "sessions", "runs", "fault", "seed", "file", "plot")) {
       options.addOption(Option.builder().longOpt(name).hasArg().get());
