--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolLoadTest.java
@@ -159,15 +159,7 @@
   void testLaggingReplicasLeavePrimaryToShortStatements(int scale) {
     fixture.group.server("server-b").lag = Duration.ofMinutes(1);
     fixture.group.server("server-c").lag = Duration.ofMinutes(1);
-    fixture.group.server("server-a").workOf =
-        id ->
-            Duration.ofMillis(
-                switch (id.charAt(0)) {
-                      case 'u' -> 2L;
-                      case 's' -> 5L;
-                      default -> 7L;
-                    }
-                    * scale);
+    fixture.group.server("server-a").workOf = id -> Duration.ofMillis(workMillis(id) * scale);
     fixture.advance(5_000);
     for (int i = 0; i < 800; i++) {
       int kind = random.nextInt(20);
@@ -195,6 +187,14 @@
     assertWithMessage("long statements served").that(shareInTime("l", 800)).isAtLeast(0.1);
   }
 
+  private static long workMillis(String id) {
+    return switch (id.charAt(0)) {
+      case 'u' -> 2;
+      case 's' -> 5;
+      default -> 7;
+    };
+  }
+
   private static Work overtaken(String id, Freshness freshness, int targetMillis) {
     return PoolFixture.work(id, WorkKind.READ, freshness)
         .priority(2)
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -129,7 +129,7 @@
   }
 
   @Test
-  void testOrderIsTheSameAtThreeTimesAndAThirdOfTheServiceTimes() {
+  void testOrderIsTheSameForLongerAndShorterServiceTimes() {
     for (int scale : new int[] {1, 3, 9}) {
       QueuedWork slow = queuedWork(WorkKind.READ, 2, 400, 0, 8 * scale);
       QueuedWork fast = queuedWork(WorkKind.READ, 2, 400, MILLI, 5 * scale);
