--- a/bench/src/test/java/org/chicorylane/bench/day/ExplainDayTest.java
+++ b/bench/src/test/java/org/chicorylane/bench/day/ExplainDayTest.java
@@ -17,7 +17,8 @@
 final class ExplainDayTest {
 
   private static final String WINDOW =
-      "{\"name\":\"%d\",\"n\":100,\"in_aim\":%d,\"late\":4,\"refused\":3,\"failed\":2,\"worth\":%s}";
+      "{\"name\":\"%d\",\"n\":100,\"in_aim\":%d,\"late\":4,\"refused\":3,"
+          + "\"failed\":2,\"worth\":%s}";
 
   private static final String LINE =
       "  %s front-1 {\"time\":\"t\",\"event\":\"statement\",\"group\":\"plans\",\"kind\":\"READ\","
