--- a/bench/src/main/java/org/chicorylane/bench/day/LossLog.java
+++ b/bench/src/main/java/org/chicorylane/bench/day/LossLog.java
@@ -40,7 +40,7 @@
 
   private static final Pattern NUMBERS = Pattern.compile("[0-9]+");
 
-  /** The first word of a server's or group's name tells nothing about the reason. */
+  /** A server, group or address by name; reasons that differ only in it are counted together. */
   private static final Pattern NAMES = Pattern.compile("\\b(server|group|to) \\S+");
 
   private final Map<Cause, Integer> counts = new TreeMap<>();
