Log what a promotion rests on, and commits confirmed after it was chosen

The record of the incident could not tell its hypotheses apart: which server each choice saw with what log, when each was asked and whether it was sealed (H2), which promotion a new home inherits and which replicas it resumes (H1, H4), what an excluded instance had acknowledged (H5), and commits whose success arrives after the choice or after the lease has ended (H3). New lines: promotion-choice, promotion-call, replica-resumed, commit-confirmed-late (also counted in the metric commits.confirmed_late); home-begun, home-stopped and home-ended tell more. No decision changes.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -663,10 +663,22 @@
     GroupPool p = pool == null ? openPool() : pool;
     supervisor = new PrimarySupervisor(this, context, p, now());
     HomeRecord r = record;
-    log("home-begun").with("epoch", r == null ? 0 : r.epoch()).with("revision", revision).write();
+    logHomeBegun(r);
     onHomeChanged.run();
   }
 
+  private void logHomeBegun(@Nullable HomeRecord r) {
+    DecisionLog.Line line = log("home-begun");
+    if (r != null) {
+      line.with("epoch", r.epoch())
+          .with("primary", r.primaryId())
+          .with("term", r.term())
+          .with("promoting", r.promoting())
+          .with("prior_homes", r.priorHomes().size());
+    }
+    line.with("revision", revision).write();
+  }
+
   private GroupPool openPool() {
     Listener listener = new Listener();
     GroupPool p =
@@ -699,7 +711,11 @@
         supervisor.stop();
         supervisor = null;
       }
-      log("home-ended").with("reason", reason).with("revision", revision).write();
+      log("home-ended")
+          .with("reason", reason)
+          .with("revision", revision)
+          .with("acknowledged", p.acknowledged())
+          .write();
       retiringPools.add(p);
       p.retire();
       context.scheduler().schedule(RETIREMENT_TIMEOUT, () -> stopRetiredPool(p));
@@ -753,9 +769,9 @@
     }
 
     @Override
-    public void onServerStatus(String serverId, ServerStatus status) {
+    public void onServerStatus(String serverId, ServerStatus status, long askedNanos) {
       if (supervisor != null) {
-        supervisor.onServerStatus(serverId, status);
+        supervisor.onServerStatus(serverId, status, askedNanos);
       }
     }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -148,7 +148,11 @@
               if (reply.stopped()) {
                 stopped.add(other);
                 acknowledged = acknowledged.max(reply.acknowledged());
-                election.log("home-stopped").with("home", other.name()).write();
+                election
+                    .log("home-stopped")
+                    .with("home", other.name())
+                    .with("acknowledged", reply.acknowledged())
+                    .write();
                 onStopped.run();
               }
             });
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -65,6 +65,10 @@
   private final GroupPool pool;
   private final long startNanos;
   private final Map<String, ServerStatus> statuses = new HashMap<>();
+
+  /** Time at which the status of each server in {@link #statuses} was requested. */
+  private final Map<String, Long> statusAskedNanos = new HashMap<>();
+
   private final HomeExclusion exclusion;
   private final ReplicationCheck replicationCheck;
   private Step step = Step.STEADY;
@@ -120,9 +124,12 @@
   /**
    * Applies a server's status: adopts a newly found primary, demotes a primary of an earlier term,
    * replaces the recorded primary if it is a replica now, and unseals replicas.
+   *
+   * @param askedNanos time at which the status was requested
    */
-  void onServerStatus(String serverId, ServerStatus status) {
+  void onServerStatus(String serverId, ServerStatus status, long askedNanos) {
     statuses.put(serverId, status);
+    statusAskedNanos.put(serverId, askedNanos);
     HomeRecord r = election.record();
     if (r == null || step == Step.ENDED) {
       return;
@@ -139,6 +146,13 @@
       election.log("primary-denies").with("server", serverId).with("term", status.term()).write();
       startChange(false, "server " + serverId + " is a replica now");
     } else if (step == Step.STEADY && status.sealedTerm() > 0 && !status.primary()) {
+      election
+          .log("replica-resumed")
+          .with("server", serverId)
+          .with("sealed_term", status.sealedTerm())
+          .with("promoting", r.promoting())
+          .with("prior_homes", r.priorHomes().size())
+          .write();
       pool.sendCommand(serverId, new ServerCommand.ResumeReceiving(), ignoreAnswer());
     }
   }
@@ -484,6 +498,7 @@
             plannedChange || oldPrimaryStatus == null
                 ? null
                 : oldPrimaryStatus.received().max(acknowledged));
+    logChoice(choice, r, acknowledged);
     if (choice instanceof PromotionChoice.Leads leads) {
       adopt(leads.serverId(), leads.term());
     } else if (choice instanceof PromotionChoice.Promote promote
@@ -498,6 +513,38 @@
     }
   }
 
+  /** Logs a choice with all that it rests on. */
+  private void logChoice(PromotionChoice choice, HomeRecord r, LogPosition acknowledged) {
+    StringBuilder servers = new StringBuilder();
+    for (BackendServer s : election.servers()) {
+      servers.append(servers.isEmpty() ? "" : ", ").append(s.id()).append(' ');
+      ServerStatus status = statuses.get(s.id());
+      if (status == null) {
+        servers.append("silent");
+        continue;
+      }
+      long ageMillis = (now() - statusAskedNanos.getOrDefault(s.id(), startNanos)) / 1_000_000;
+      servers
+          .append(status.primary() ? "primary" : "replica")
+          .append(" at ")
+          .append(status.received())
+          .append(" sealed ")
+          .append(status.sealedTerm())
+          .append(" asked ")
+          .append(ageMillis)
+          .append(" ms ago");
+    }
+    election
+        .log("promotion-choice")
+        .with("choice", choice)
+        .with("primary", r.primaryId())
+        .with("term", r.term())
+        .with("acknowledged", acknowledged)
+        .with("acknowledged_known", Boolean.toString(acknowledgedKnown))
+        .with("servers", servers)
+        .write();
+  }
+
   private void promote(HomeRecord r, BackendServer target, LogPosition received) {
     enter(Step.PROMOTING);
     promotedLogEnd = received;
@@ -527,6 +574,7 @@
       return;
     }
     pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
+    election.log("promotion-call").with("server", target).with("token", token).write();
     context
         .promoter()
         .promote(
@@ -611,12 +659,13 @@
   }
 
   private ServerLink.AnswerHandler statusHandler(String serverId, Runnable next) {
+    long askedNanos = now();
     return new ServerLink.AnswerHandler() {
       @Override
       public void onAnswer(Answer answer) {
         ServerStatus status = answer.status();
         if (status != null) {
-          onServerStatus(serverId, status);
+          onServerStatus(serverId, status, askedNanos);
           statuses.put(serverId, status);
         }
         next.run();
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -707,10 +707,31 @@
       if (position != null && c.server.primary && position.term() == term) {
         acknowledged = acknowledged.max(position);
       }
+      logUnsafeAcknowledgement(item, c.server, position);
     }
     deliver(item, c.server, answer, sentNanos);
   }
 
+  /** Logs a commit that was confirmed when a promotion may not take it into account. */
+  private void logUnsafeAcknowledgement(
+      QueuedWork item, PoolServer server, @Nullable LogPosition position) {
+    boolean hasLease = mayServe.test(scheduler.nanoTime());
+    if (hasLease && server.primary && halt != PrimaryHalt.EVERYTHING) {
+      return;
+    }
+    metrics.recordUnsafeAcknowledgement();
+    log.event(DecisionLog.Priority.BELIEF, "commit-confirmed-late")
+        .with("request", item.work.requestId())
+        .with("group", group)
+        .with("server", server.backend.id())
+        .with("position", position)
+        .with("term", term)
+        .with("halt", halt)
+        .with("lease", Boolean.toString(hasLease))
+        .with("primary", Boolean.toString(server.primary))
+        .write();
+  }
+
   /**
    * Returns whether work may be retried after a failure in which nothing was run: no statement of
    * its transaction has run before, there are attempts and time left, and a retry can help.
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolListener.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolListener.java
@@ -13,8 +13,13 @@
    */
   void onServerUnresponsive(String serverId);
 
-  /** Called when a server has reported its status. */
-  void onServerStatus(String serverId, ServerStatus status);
+  /**
+   * Called when a server has reported its status.
+   *
+   * @param askedNanos time at which the status was requested; the server's state may have changed
+   *     since
+   */
+  void onServerStatus(String serverId, ServerStatus status, long askedNanos);
 
   /**
    * Called when the server that the pool uses as the primary answers that it is not the primary.
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -58,6 +58,11 @@
     count("servers.lost");
   }
 
+  /** Records a commit that was confirmed when a promotion may not take it into account. */
+  void recordUnsafeAcknowledgement() {
+    count("commits.confirmed_late");
+  }
+
   private void count(String name) {
     counters.computeIfAbsent(name, registry::counter).inc();
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -184,7 +184,7 @@
             s.statusPending = false;
             pool.onAnswer(s, sent, answer);
             if (answer.status() != null) {
-              listener.onServerStatus(s.backend.id(), answer.status());
+              listener.onServerStatus(s.backend.id(), answer.status(), sent);
             }
             pool.onChange();
           }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -48,7 +48,7 @@
               public void onServerUnresponsive(String serverId) {}
 
               @Override
-              public void onServerStatus(String serverId, ServerStatus status) {}
+              public void onServerStatus(String serverId, ServerStatus status, long askedNanos) {}
 
               @Override
               public void onPrimaryRoleRefused(String serverId) {}
