Acknowledge a commit only while no promotion can leave it out

Cause: the home held back new writes during a change of primary, but passed on the success of those under way, whenever it came: after it had read the acknowledged position and chosen the server to promote, after its lease had ended, and from a server that had been replaced meanwhile.

Change: an answered commit is acknowledged only while the lease is valid, the server is still the primary of the pool's term, and no server has been chosen for promotion; otherwise it is reported as in doubt. The halt of all work begins with the choice, not with the order after the record's write.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -547,6 +547,7 @@
 
   private void promote(HomeRecord r, BackendServer target, LogPosition received) {
     enter(Step.PROMOTING);
+    pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
     promotedLogEnd = received;
     long generation = stepGeneration;
     election
@@ -564,6 +565,7 @@
         },
         () -> {
           if (generation == stepGeneration) {
+            pool.setPrimaryHalt(PrimaryHalt.WRITES);
             scheduleRetry("the record could not be written");
           }
         });
@@ -573,7 +575,6 @@
     if (generation != stepGeneration || step != Step.PROMOTING || !election.mayWork(now())) {
       return;
     }
-    pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
     election.log("promotion-call").with("server", target).with("token", token).write();
     context
         .promoter()
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -702,24 +702,43 @@
       transactions.remove(t.key);
       connections.giveBack(c, answer);
     }
-    if (answer.succeeded() && (item.work.kind() == WorkKind.COMMIT || item.work.isWrite())) {
-      LogPosition position = answer.position();
-      if (position != null && c.server.primary && position.term() == term) {
-        acknowledged = acknowledged.max(position);
+    LogPosition position = answer.position();
+    if (answer.succeeded() && mayHaveCommitted(item)) {
+      if (position == null || !mayAcknowledge(c.server, position)) {
+        logUnacknowledged(item, c.server, position);
+        deliver(
+            item,
+            c.server,
+            inDoubt(item, "server " + c.server.backend.id() + " may have been replaced"),
+            0);
+        return;
       }
-      logUnsafeAcknowledgement(item, c.server, position);
+      acknowledged = acknowledged.max(position);
     }
     deliver(item, c.server, answer, sentNanos);
   }
 
-  /** Logs a commit that was confirmed when a promotion may not take it into account. */
-  private void logUnsafeAcknowledgement(
+  /** Returns whether a success of the work makes a write durable. */
+  private static boolean mayHaveCommitted(QueuedWork item) {
+    PoolTransaction t = item.transaction;
+    return t == null ? item.work.isWrite() : item.work.kind() == WorkKind.COMMIT && t.wrote;
+  }
+
+  /**
+   * Returns whether a commit up to {@code position} may be acknowledged: this instance still is the
+   * home, so that no other one has excluded it, and no server has been chosen for promotion since.
+   */
+  private boolean mayAcknowledge(PoolServer server, LogPosition position) {
+    return position.term() >= term
+        && server.primary
+        && halt.allowsAcknowledgement()
+        && mayServe.test(scheduler.nanoTime());
+  }
+
+  private void logUnacknowledged(
       QueuedWork item, PoolServer server, @Nullable LogPosition position) {
     boolean hasLease = mayServe.test(scheduler.nanoTime());
-    if (hasLease && server.primary && halt != PrimaryHalt.EVERYTHING) {
-      return;
-    }
-    metrics.recordUnsafeAcknowledgement();
+    metrics.recordUnacknowledgedCommit();
     log.event(DecisionLog.Priority.BELIEF, "commit-confirmed-late")
         .with("request", item.work.requestId())
         .with("group", group)
@@ -732,6 +751,10 @@
         .write();
   }
 
+  private static Answer inDoubt(QueuedWork item, String reason) {
+    return Answer.failure(FailureCode.IN_DOUBT, reason, stateAfterFailure(item));
+  }
+
   /**
    * Returns whether work may be retried after a failure in which nothing was run: no statement of
    * its transaction has run before, there are attempts and time left, and a retry can help.
@@ -812,18 +835,9 @@
     if (t != null && t.abandoned) {
       return;
     }
-    boolean inDoubt =
-        t == null ? item.work.isWrite() : item.work.kind() == WorkKind.COMMIT && t.wrote;
-    if (inDoubt) {
+    if (mayHaveCommitted(item)) {
       removeTransaction(item);
-      deliver(
-          item,
-          c.server,
-          Answer.failure(
-              FailureCode.IN_DOUBT,
-              "server " + server + " did not answer",
-              stateAfterFailure(item)),
-          0);
+      deliver(item, c.server, inDoubt(item, "server " + server + " did not answer"), 0);
     } else if (t == null) {
       if (item.attempts < MAX_ATTEMPTS && scheduler.nanoTime() < item.deadlineNanos()) {
         item.excludedReplicaId = c.server.primary ? null : server;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -58,8 +58,8 @@
     count("servers.lost");
   }
 
-  /** Records a commit that was confirmed when a promotion may not take it into account. */
-  void recordUnsafeAcknowledgement() {
+  /** Records a commit that succeeded too late to be acknowledged. */
+  void recordUnacknowledgedCommit() {
     count("commits.confirmed_late");
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PrimaryHalt.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PrimaryHalt.java
@@ -25,8 +25,21 @@
     boolean allows(Work work) {
       return false;
     }
+
+    @Override
+    boolean allowsAcknowledgement() {
+      return false;
+    }
   };
 
   /** Returns whether the work may be started on the primary. */
   abstract boolean allows(Work work);
+
+  /**
+   * Returns whether a commit that the primary reports as successful may be acknowledged. Returns
+   * false once the server to promote may have been chosen: its log need not hold the commit.
+   */
+  boolean allowsAcknowledgement() {
+    return true;
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -141,6 +141,54 @@
     assertThat(fixture.pool.hasTransaction(fixture, 1)).isFalse();
   }
 
+  /** Runs a write, so that the next one is sent at once. */
+  private void openConnectionToPrimary() {
+    fixture.submit(PoolFixture.write("first"));
+    fixture.advance(60);
+  }
+
+  // Incident 23: the success of a commit reached the client after the promotion was chosen.
+  @Test
+  void testCommitConfirmedAfterServerToPromoteWasChosenIsInDoubt() {
+    openConnectionToPrimary();
+    fixture.submit(PoolFixture.write("w"));
+    fixture.pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
+    fixture.advance(60);
+    assertThat(fixture.group.server("server-a").log()).hasSize(2);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.IN_DOUBT);
+  }
+
+  // Incident 23: a commit was acknowledged by an instance whose lease had ended meanwhile.
+  @Test
+  void testCommitConfirmedAfterLeaseEndedIsInDoubt() {
+    openConnectionToPrimary();
+    fixture.submit(PoolFixture.write("w"));
+    fixture.mayServe = false;
+    fixture.advance(60);
+    assertThat(fixture.group.server("server-a").log()).hasSize(2);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.IN_DOUBT);
+  }
+
+  // Incident 23: a commit of the replaced primary was acknowledged after its successor led.
+  @Test
+  void testCommitConfirmedByReplacedPrimaryIsInDoubt() {
+    openConnectionToPrimary();
+    fixture.submit(PoolFixture.write("w"));
+    fixture.pool.setPrimary("server-b", 2);
+    fixture.advance(60);
+    assertThat(fixture.group.server("server-a").log()).hasSize(2);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.IN_DOUBT);
+  }
+
+  @Test
+  void testReadConfirmedAfterServerToPromoteWasChosenSucceeds() {
+    openConnectionToPrimary();
+    fixture.submit(PoolFixture.work("r", WorkKind.READ, Freshness.LATEST).build());
+    fixture.pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
+    fixture.advance(60);
+    assertThat(fixture.failureOf("r")).isNull();
+  }
+
   @Test
   void testAbandonedTransactionIsRolledBack() {
     fixture.submit(
