Make the model group follow the servers' protocol, and check each promotion

A promotion that lost acknowledged commits showed only if the final log still lacked them. ModelGroup now records, when a promotion takes effect, each commit whose success a client has and that the promoted log lacks, and a success that reaches a client after a promotion without the commit.

The model also differed from the servers' protocol. Now: a stop needs a term above the server's; a restart ends it; the log is a stream, so a commit is confirmed when a stopped replica resumes or is reached again; servers cut off from the new primary keep their term and log until they reach it, an old primary for a second more; the outcome of a promotion call reaches only the process that sent it. Promotion calls moved to ModelPromotionService, with faults for late execution, late effect and lost answers. 'Busy for a moment' after a rollback is not modelled.

--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.BackendServer;
@@ -27,10 +29,25 @@
         TransactionState state);
   }
 
+  private static final Duration CONTACT_INTERVAL = Duration.ofMillis(50);
+
+  /** Checks in a row in which an old primary reaches the new one before it becomes a replica. */
+  private static final int DEMOTION_CHECKS = 20;
+
+  /** Milliseconds of virtual time at which a {@code VirtualScheduler} starts. */
+  private static final long START_MILLIS = 3_600_000;
+
   private final Scheduler scheduler;
   private final String name;
   private final Map<String, ModelServer> servers = new LinkedHashMap<>();
   private final Map<String, ModelServer> replaced = new HashMap<>();
+
+  /** Commits whose success a client has received, with the time in milliseconds. */
+  private final Map<String, Long> acknowledged = new LinkedHashMap<>();
+
+  /** Acknowledged commits that a promotion has lost. */
+  public final List<String> violations = new ArrayList<>();
+
   private Duration oneWay = Duration.ofMillis(1);
   public Duration handshake = Duration.ofMillis(12);
   public int opened;
@@ -50,6 +67,7 @@
       servers.put(server.id, server);
     }
     server(idPrefix + "a").primary = true;
+    scheduler.repeat(CONTACT_INTERVAL, this::checkContacts);
   }
 
   /** Returns a server by its id, null if there is none. */
@@ -68,24 +86,84 @@
     return new BackendServer(id, name, id + ":1", "zone-" + id, 3, draining, s.primary, 1);
   }
 
-  /** Makes a server the primary of the next term. */
+  /**
+   * Makes a server the primary of the next term, with the log that it has now. The replicas that it
+   * reaches are rolled back to that log and receive again. Records a violation for each
+   * acknowledged commit that the log lacks.
+   */
   public void promote(String id) {
     long next = term() + 1;
     ModelServer promoted = server(id);
-    promoted.primary = true;
-    promoted.term = next;
-    promoted.sealedTerm = 0;
-    promoted.log.add(
-        new ModelServer.LogEntry(
-            new LogPosition(next, promoted.received().offset() + 1), "term-" + next));
+    checkHoldsAcknowledged(promoted, next);
+    promoted.lead(next);
     for (ModelServer s : servers.values()) {
-      if (s != promoted && !s.primary && s.running) {
+      if (s != promoted && !s.primary && s.running && areConnected(promoted, s)) {
         s.becomeReplica(next);
-        s.sealedTerm = 0;
       }
     }
   }
 
+  private void checkHoldsAcknowledged(ModelServer promoted, long newTerm) {
+    Set<String> held = requestIds(promoted);
+    for (String commit : List.copyOf(acknowledged.keySet())) {
+      if (!held.contains(commit)) {
+        violations.add(
+            "promote of "
+                + promoted.id
+                + " (term "
+                + newTerm
+                + ", log "
+                + promoted.received()
+                + ") lacks commit "
+                + commit
+                + " acknowledged at "
+                + acknowledged.remove(commit)
+                + ", which is in the logs of "
+                + holdersOf(commit));
+      }
+    }
+  }
+
+  /**
+   * Records that a client received the success of a commit. Records a violation if the log of the
+   * latest term's primary lacks it.
+   */
+  public void recordAcknowledged(String commit) {
+    ModelServer leader = primary();
+    if (requestIds(leader).contains(commit)) {
+      acknowledged.put(commit, millis());
+    } else {
+      violations.add(
+          "promote of "
+              + leader.id
+              + " (term "
+              + leader.term
+              + ") lacks commit "
+              + commit
+              + " acknowledged at "
+              + millis()
+              + ", after the promotion took effect");
+    }
+  }
+
+  private static Set<String> requestIds(ModelServer server) {
+    Set<String> ids = new HashSet<>();
+    server.log.forEach(e -> ids.add(e.requestId()));
+    return ids;
+  }
+
+  private List<String> holdersOf(String commit) {
+    return servers.values().stream()
+        .filter(s -> requestIds(s).contains(commit))
+        .map(ModelServer::id)
+        .toList();
+  }
+
+  /** Returns the milliseconds since the scheduler's start. */
+  private long millis() {
+    return scheduler.millis() - START_MILLIS;
+  }
+
   /** Crashes a server and starts a new one with the same log and role in its place. */
   public void replace(String id, String newId) {
     ModelServer old = server(id);
@@ -121,53 +199,98 @@
     listener.onRun(server, connection, requestId, values, state);
   }
 
+  /** Rolls a replica back to the log of its term's primary if it reaches that primary. */
   void copyFromPrimary(ModelServer replica) {
     for (ModelServer p : servers.values()) {
-      if (p.primary && p.term == replica.term && p != replica) {
-        replica.log.clear();
-        replica.log.addAll(p.log);
+      if (p.primary && p.running && p.term == replica.term && areConnected(p, replica)) {
+        catchUp(p, replica, p.received());
         replica.applied = replica.received();
       }
     }
   }
 
+  /** Replicates a new entry; {@code confirmed} runs once a replica has received it. */
   void replicate(ModelServer from, ModelServer.LogEntry entry, Runnable confirmed) {
-    List<Boolean> firstConfirmation = new ArrayList<>();
-    for (ModelServer s : servers.values()) {
-      if (s == from || s.primary || from.isolatedFromServers || s.isolatedFromServers) {
-        continue;
-      }
-      scheduler.schedule(
-          oneWay,
-          () -> {
-            boolean receives =
-                s.running
-                    && !s.ignoresReplication
-                    && !s.primary
-                    && s.sealedTerm == 0
-                    && s.term == from.term;
-            if (!receives || !from.running) {
-              return;
-            }
-            catchUp(from, s, entry);
-            scheduler.schedule(s.lag, () -> s.apply(entry.position()));
-            if (firstConfirmation.isEmpty()) {
-              firstConfirmation.add(true);
-              confirmed.run();
-            }
-          });
+    from.unconfirmed.add(new ModelServer.Unconfirmed(entry.position(), confirmed));
+    servers.values().forEach(s -> sendLog(from, s));
+  }
+
+  /** Sends a server the log of its term's primary, as after the server was stopped. */
+  void sendLogTo(ModelServer to) {
+    servers.values().stream().filter(p -> p.primary).forEach(p -> sendLog(p, to));
+  }
+
+  private void sendLog(ModelServer from, ModelServer to) {
+    if (!receives(from, to)) {
+      return;
     }
+    LogPosition end = from.received();
+    scheduler.schedule(
+        oneWay,
+        () -> {
+          if (!receives(from, to)) {
+            return;
+          }
+          catchUp(from, to, end);
+          scheduler.schedule(to.lag, () -> to.apply(end));
+          from.confirm(to.received());
+        });
   }
 
-  private static void catchUp(ModelServer from, ModelServer to, ModelServer.LogEntry upTo) {
-    for (ModelServer.LogEntry e : from.log) {
-      if (e.position().compareTo(to.received()) > 0
-          && e.position().compareTo(upTo.position()) <= 0) {
+  private static boolean receives(ModelServer from, ModelServer to) {
+    return from != to
+        && from.running
+        && from.primary
+        && to.running
+        && !to.primary
+        && !to.ignoresReplication
+        && to.sealedTerm == 0
+        && to.term == from.term
+        && areConnected(from, to);
+  }
+
+  private static boolean areConnected(ModelServer a, ModelServer b) {
+    return !a.isolatedFromServers && !b.isolatedFromServers;
+  }
+
+  /** Makes the log of {@code to} the log of {@code from} up to a position. */
+  private static void catchUp(ModelServer from, ModelServer to, LogPosition upTo) {
+    int common = commonLength(from.log, to.log);
+    to.log.subList(common, to.log.size()).clear();
+    for (ModelServer.LogEntry e : from.log.subList(common, from.log.size())) {
+      if (e.position().compareTo(upTo) <= 0) {
         to.log.add(e);
       }
     }
   }
 
+  private static int commonLength(List<ModelServer.LogEntry> a, List<ModelServer.LogEntry> b) {
+    int length = Math.min(a.size(), b.size());
+    while (length > 0 && !a.get(length - 1).equals(b.get(length - 1))) {
+      length--;
+    }
+    return length;
+  }
+
+  /**
+   * Sends the log to replicas that lag, and lets servers learn of a later term: replicas at once,
+   * an old primary when it has reached the new one for a while.
+   */
+  private void checkContacts() {
+    ModelServer leader = primary();
+    for (ModelServer s : servers.values()) {
+      if (!s.running) {
+        continue;
+      }
+      boolean reachesLater = s.term < leader.term && leader.running && areConnected(leader, s);
+      s.contactChecks = reachesLater ? s.contactChecks + 1 : 0;
+      if (reachesLater && (!s.primary || s.contactChecks > DEMOTION_CHECKS)) {
+        s.becomeReplica(leader.term);
+      }
+      sendLogTo(s);
+    }
+  }
+
   @Override
   public void connect(Target target, Listener connectListener) {
     ModelServer server = server(target.serverId());
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -21,11 +21,15 @@
   /** A write in the log. */
   public record LogEntry(LogPosition position, String requestId) {}
 
+  /** A commit that no replica has received yet. */
+  record Unconfirmed(LogPosition position, Runnable confirmed) {}
+
   private final ModelGroup group;
   private final Scheduler scheduler;
   final String id;
   final List<LogEntry> log = new ArrayList<>();
   final List<Connection> connections = new ArrayList<>();
+  final List<Unconfirmed> unconfirmed = new ArrayList<>();
   private final Deque<Runnable> queue = new ArrayDeque<>();
   private final int slots;
   public boolean primary;
@@ -57,6 +61,10 @@
   public int statements;
   public int maximumBusy;
   LogPosition applied = new LogPosition(1, 0);
+
+  /** Contact checks in a row in which this server reached the primary of a later term. */
+  int contactChecks;
+
   private int busy;
   private int incarnation;
 
@@ -105,26 +113,51 @@
     running = false;
     incarnation++;
     queue.clear();
+    unconfirmed.clear();
     busy = 0;
     List.copyOf(connections).forEach(Connection::breakDown);
   }
 
-  /** Starts the process again with its log, as a replica if the group has a later term. */
+  /**
+   * Starts the process again with its log, as a replica if the group has a later term. A replica
+   * that was stopped receives again.
+   */
   public void restart() {
     running = true;
     unresponsive = false;
+    sealedTerm = 0;
     if (group.term() > term) {
       becomeReplica(group.term());
     }
   }
 
+  /** Becomes the primary of a new term with the log that it has. */
+  void lead(long newTerm) {
+    primary = true;
+    term = newTerm;
+    sealedTerm = 0;
+    unconfirmed.clear();
+    LogPosition start = new LogPosition(newTerm, received().offset() + 1);
+    log.add(new LogEntry(start, "term-" + newTerm));
+  }
+
   /** Becomes a replica of a later term and takes over the log of that term's primary. */
   void becomeReplica(long newTerm) {
     primary = false;
     term = newTerm;
+    sealedTerm = 0;
+    unconfirmed.clear();
     group.copyFromPrimary(this);
   }
 
+  /** Answers the commits that a replica with a log up to {@code received} has confirmed. */
+  void confirm(LogPosition received) {
+    List<Unconfirmed> confirmed =
+        unconfirmed.stream().filter(u -> u.position().compareTo(received) <= 0).toList();
+    unconfirmed.removeAll(confirmed);
+    confirmed.forEach(u -> u.confirmed().run());
+  }
+
   private void occupy(Duration time, Runnable done) {
     Runnable start =
         () -> {
@@ -226,9 +259,11 @@
         state = TransactionState.IDLE;
         written.clear();
       } else if (command instanceof ServerCommand.StopReceiving c) {
-        sealedTerm = primary ? sealedTerm : Math.max(sealedTerm, c.term());
+        boolean applies = !primary && c.term() > term;
+        sealedTerm = applies ? Math.max(sealedTerm, c.term()) : sealedTerm;
       } else if (command instanceof ServerCommand.ResumeReceiving) {
         sealedTerm = 0;
+        group.sendLogTo(ModelServer.this);
       } else if (command instanceof ServerCommand.StepDown c && primary && c.term() > term) {
         becomeReplica(c.term());
       }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
@@ -57,6 +57,19 @@
     stopped = true;
   }
 
+  /** Sends one write over a new session at an instance, also after {@link #stop()}. */
+  void writeOnce(ModelHost host) {
+    String id = "w" + requests++;
+    ClientSession session = host.instance.sessions().open(ModelFleet.LATEST, () -> {});
+    session.run(
+        id,
+        new ClientStatement.Write("WRITE item data"),
+        answer -> {
+          recordOutcome(id, answer, "session of " + id);
+          host.instance.sessions().close(session);
+        });
+  }
+
   /**
    * Checks a statement that a server runs: a write in a transaction runs once, and a read sees
    * every acknowledged write that the freshness of its database requires.
@@ -123,6 +136,27 @@
     }
   }
 
+  private void recordOutcome(String id, Answer answer, String session) {
+    count(answer);
+    if (answer.succeeded()) {
+      fleet.group.recordAcknowledged(id);
+      acknowledged.add(new AcknowledgedWrite(id, fleet.scheduler.millis(), session));
+      lastWriteMillis = fleet.scheduler.millis();
+    } else if (answer.failure() != null && answer.failure().guaranteesNoEffect()) {
+      notRun.add(id);
+    }
+  }
+
+  private void count(Answer answer) {
+    if (answer.succeeded()) {
+      succeeded++;
+    } else if (answer.failure() != null && answer.failure().guaranteesNoEffect()) {
+      refused++;
+    } else {
+      uncertain++;
+    }
+  }
+
   /** A client that connects to another running instance when its connection is lost. */
   private final class Client {
     private final String name;
@@ -130,6 +164,7 @@
     private @Nullable ModelHost host;
     private @Nullable ClientSession session;
     private int attempt;
+    private int sessions;
 
     Client(String name, String database) {
       this.name = name;
@@ -146,6 +181,7 @@
         host = running.isEmpty() ? null : running.get(random.nextInt(running.size()));
         if (host != null && host.instance != null) {
           session = host.instance.sessions().open(database, this::disconnect);
+          sessions++;
         }
       }
       if (session == null) {
@@ -162,6 +198,11 @@
       }
     }
 
+    /** Returns the name of the current session, which ends with its connection. */
+    private String sessionName() {
+      return name + "-" + sessions;
+    }
+
     private void disconnect() {
       if (host != null && host.instance != null && session != null) {
         host.instance.sessions().close(session);
@@ -205,7 +246,7 @@
 
     private void read(ClientSession open) {
       String id = "r" + requests++;
-      pendingReads.put(id, new PendingRead(database, name, fleet.scheduler.millis()));
+      pendingReads.put(id, new PendingRead(database, sessionName(), fleet.scheduler.millis()));
       run(
           open,
           id,
@@ -222,7 +263,7 @@
           id,
           new ClientStatement.Write("WRITE item data"),
           answer -> {
-            recordOutcome(id, answer);
+            recordOutcome(id, answer, sessionName());
             scheduleNextOperation(30);
           });
     }
@@ -253,31 +294,11 @@
                           commit,
                           new ClientStatement.Commit(),
                           answer -> {
-                            recordOutcome(commit, answer);
+                            recordOutcome(commit, answer, sessionName());
                             scheduleNextOperation(30);
                           });
                     }
                   }));
     }
-
-    private void recordOutcome(String id, Answer answer) {
-      count(answer);
-      if (answer.succeeded()) {
-        acknowledged.add(new AcknowledgedWrite(id, fleet.scheduler.millis(), name));
-        lastWriteMillis = fleet.scheduler.millis();
-      } else if (answer.failure() != null && answer.failure().guaranteesNoEffect()) {
-        notRun.add(id);
-      }
-    }
-
-    private void count(Answer answer) {
-      if (answer.succeeded()) {
-        succeeded++;
-      } else if (answer.failure() != null && answer.failure().guaranteesNoEffect()) {
-        refused++;
-      } else {
-        uncertain++;
-      }
-    }
   }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -7,10 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
-import org.chicorylane.internal.election.Promoter;
 import org.chicorylane.internal.passthrough.ModelGroup;
-import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.platform.InMemoryKeyValueStore;
 import org.chicorylane.internal.platform.StoreTransaction;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -26,7 +23,8 @@
  * A simulated fleet in virtual time: instances, a key-value store, one database group with clients,
  * and optionally further groups without clients.
  *
- * <p>It checks that the fencing tokens of promotions never decrease.
+ * <p>It checks that the fencing tokens of promotions never decrease and that a promoted server
+ * holds every acknowledged commit.
  */
 final class ModelFleet implements TopologyDecoder {
 
@@ -37,25 +35,24 @@
   static final long MAXIMUM_AGE_MILLIS = 1_500;
 
   private static final String GROUP = "plans";
-  private static final Duration PROMOTION_DURATION = Duration.ofMillis(300);
 
   final VirtualScheduler scheduler = new VirtualScheduler();
   final InMemoryKeyValueStore store = new InMemoryKeyValueStore();
   final ModelGroup group = new ModelGroup(scheduler, GROUP, 3);
-  final List<String> promotions = new ArrayList<>();
-  final List<String> violations = new ArrayList<>();
+  final List<String> violations = group.violations;
+  final ModelPromotionService promotionService =
+      new ModelPromotionService(scheduler, this::group, violations);
+  final List<String> promotions = promotionService.accepted;
   final List<String> lines = new ArrayList<>();
   boolean storeDown;
 
   /** Whether the store refuses calls at once while it is down, instead of not answering. */
   boolean storeRefuses;
 
-  boolean losesPromotions;
   boolean logging;
   private final Map<String, ModelGroup> groupsWithoutClients = new LinkedHashMap<>();
   private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
   private final Map<String, Boolean> draining = new HashMap<>();
-  private long highestFencingToken;
 
   ModelFleet(int instances) {
     this(instances, 0);
@@ -138,36 +135,6 @@
     store.transact(StoreTransaction.builder().put(key, value).build());
   }
 
-  /**
-   * Simulates the promotion service, and records a violation if {@code token} is lower than one
-   * that was used before.
-   */
-  void promote(String groupName, String id, long token, Consumer<Promoter.Outcome> outcome) {
-    if (token < highestFencingToken) {
-      violations.add("fencing token " + token + " after " + highestFencingToken);
-    }
-    highestFencingToken = Math.max(highestFencingToken, token);
-    if (losesPromotions) {
-      scheduler.schedule(Duration.ofMillis(10), () -> outcome.accept(Promoter.Outcome.UNKNOWN));
-      return;
-    }
-    ModelServer server = group.server(id);
-    boolean runs = server != null && server.running && !server.unresponsive;
-    promotions.add(id);
-    scheduler.schedule(
-        Duration.ofMillis(10),
-        () -> outcome.accept(runs ? Promoter.Outcome.ACCEPTED : Promoter.Outcome.REJECTED));
-    if (runs) {
-      scheduler.schedule(
-          PROMOTION_DURATION,
-          () -> {
-            if (server.running && !server.primary) {
-              group.promote(id);
-            }
-          });
-    }
-  }
-
   DecisionLog log(String name) {
     return (priority, event) -> new TextLine(name + " " + event);
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.chicorylane.internal.election.Promoter;
 import org.chicorylane.internal.mesh.MeshChannel;
 import org.chicorylane.internal.mesh.MeshTransport;
 import org.chicorylane.internal.mesh.NettyMeshTransport;
@@ -76,7 +78,7 @@
                 this,
                 () -> lastCallFailed,
                 this,
-                fleet::promote,
+                this::promote,
                 fleet,
                 this,
                 this,
@@ -84,6 +86,21 @@
     instance.start();
   }
 
+  private void promote(
+      String group, String serverId, long token, Consumer<Promoter.Outcome> onOutcome) {
+    int ownIncarnation = incarnation;
+    fleet.promotionService.call(
+        name,
+        group,
+        serverId,
+        token,
+        outcome -> {
+          if (running && ownIncarnation == incarnation) {
+            execute(() -> onOutcome.accept(outcome));
+          }
+        });
+  }
+
   /** Stops the process at once and closes its connections. */
   void kill() {
     running = false;
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -303,13 +303,13 @@
   @Test
   void testReplacedHomeOrdersNoFurtherPromotion() {
     begin();
-    fleet.losesPromotions = true;
+    fleet.promotionService.losesCalls = true;
     fleet.group.server("server-a").crash();
     fleet.advance(1_500);
     ModelHost home = fleet.home().orElseThrow();
     home.instance.drain(Duration.ofSeconds(4), home::kill);
     fleet.advance(2_000);
-    fleet.losesPromotions = false;
+    fleet.promotionService.losesCalls = false;
     fleet.advance(3_000);
     fleet.group.server("server-a").restart();
     fleet.advance(3_000);
