Choose the server to promote only by what this attempt has learned

Cause: the choice took what was missing for knowledge. A replica whose entry had lapsed was forgotten, so the others were all; a status that was asked before the replicas were stopped, or before an earlier home was excluded, counted as the end of a log; a home took its own acknowledged position as complete although an earlier home or a successor, excluded by time or restarted, may have acknowledged more.

Change: LogReports holds only answers to questions of the attempt, which begins once all other homes are excluded, and of replicas that are sealed for it. GroupMembers remembers servers without an entry, and the record lists the members for instances that start later. The bound on the acknowledged positions is known only from the primary's log end after the exclusion, or an own promotion, and only if a successor that may have stood in told what it had acknowledged. A record tells if it omits earlier homes.

PromotionChoiceTest has a case for each of the reasons.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -20,6 +20,7 @@
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolListener;
 import org.chicorylane.internal.pool.PoolMetrics;
+import org.chicorylane.internal.pool.PrimaryHalt;
 import org.chicorylane.internal.pool.ServerLoss;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
@@ -104,6 +105,8 @@
   private @Nullable GroupPool pool;
   private @Nullable PrimarySupervisor supervisor;
   private final List<GroupPool> retiringPools = new ArrayList<>();
+  private LogPosition acknowledgedByStoppedPools = LogPosition.ZERO;
+  private final GroupMembers members = new GroupMembers();
   private List<BackendServer> servers = List.of();
   private @Nullable GroupDeclaration declaration;
   private Duration transactionIdleLimit = Duration.ofSeconds(30);
@@ -200,6 +203,7 @@
     declaration = declared;
     transactionIdleLimit = idleLimit;
     servers = presentServers;
+    members.update(presentServers, now());
     if (pool != null) {
       pool.configure(declared.maximumConnections(), idleLimit);
       pool.setServers(presentServers);
@@ -310,35 +314,44 @@
 
   /**
    * Stops this instance's work on the group at the request of a later home. Afterwards this
-   * instance does not stand in under a record up to {@code atRevision}. Returns the highest
-   * acknowledged position; null if this instance has not stopped, because it became the home after
-   * that revision or because work that may finish is still running.
+   * instance does not stand in under a record up to {@code atRevision}. It does not stop if it
+   * became the home after that revision, or while work that may finish is still running.
    *
    * @param incarnation id of the process start that is asked to stop; if this process is another
    *     one, there is nothing to stop
    * @param immediately whether running statements and transactions are ended instead of finished
    */
-  public @Nullable LogPosition stopWork(String incarnation, long atRevision, boolean immediately) {
+  public PeerClient.StopReply stopWork(String incarnation, long atRevision, boolean immediately) {
     boolean becameHomeLater =
         revision > atRevision && record != null && record.home().equals(context.self());
     if (becameHomeLater) {
       log("stop-refused").with("asked_at", atRevision).with("revision", revision).write();
-      return null;
-    }
-    LogPosition acknowledged = pool == null ? LogPosition.ZERO : pool.acknowledged();
-    if (incarnation.equals(context.self().incarnation())) {
-      barredUpToRevision = Math.max(barredUpToRevision, Math.max(revision, atRevision));
-      retirePool("the home asked to stop");
-      if (!immediately && !isIdle()) {
-        return null;
-      }
-      for (GroupPool old : List.copyOf(retiringPools)) {
-        acknowledged = acknowledged.max(old.acknowledged());
-        old.stop();
-      }
-      retiringPools.clear();
+      return new PeerClient.StopReply(false, null);
+    }
+    if (!incarnation.equals(context.self().incarnation())) {
+      return new PeerClient.StopReply(true, null);
+    }
+    barredUpToRevision = Math.max(barredUpToRevision, Math.max(revision, atRevision));
+    retirePool("the home asked to stop");
+    if (!immediately && !isIdle()) {
+      return new PeerClient.StopReply(false, null);
     }
-    return acknowledged;
+    List.copyOf(retiringPools).forEach(this::stopRetiredPool);
+    return new PeerClient.StopReply(true, acknowledged());
+  }
+
+  /** Returns the highest position that this instance has acknowledged in the group. */
+  LogPosition acknowledged() {
+    LogPosition highest = acknowledgedByStoppedPools;
+    for (GroupPool p : pools()) {
+      highest = highest.max(p.acknowledged());
+    }
+    return highest;
+  }
+
+  /** Holds back work from the primary in all pools, also in those that are closing. */
+  void haltPrimary() {
+    pools().forEach(p -> p.setPrimaryHalt(PrimaryHalt.EVERYTHING));
   }
 
   /**
@@ -512,6 +525,11 @@
     return servers;
   }
 
+  /** Returns the servers that may have confirmed commits, with or without an entry. */
+  GroupMembers members() {
+    return members;
+  }
+
   /** Returns the candidates for home other than the instance {@code except}, best first. */
   List<PeerInstance> candidates(String except) {
     return Candidates.rank(
@@ -661,8 +679,11 @@
     lostSinceNanos = 0;
     homeSinceNanos = now();
     GroupPool p = pool == null ? openPool() : pool;
-    supervisor = new PrimarySupervisor(this, context, p, now());
     HomeRecord r = record;
+    if (r != null) {
+      members.add(r.members(), now());
+    }
+    supervisor = new PrimarySupervisor(this, context, p, now());
     logHomeBegun(r);
     onHomeChanged.run();
   }
@@ -725,6 +746,7 @@
 
   private void stopRetiredPool(GroupPool old) {
     if (retiringPools.remove(old)) {
+      acknowledgedByStoppedPools = acknowledgedByStoppedPools.max(old.acknowledged());
       old.stop();
     }
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -33,6 +33,13 @@
   private final Runnable onStopped;
   private final long startNanos;
   private final Set<HomeRecord.Holder> stopped = new HashSet<>();
+
+  /** The instances that stopped and told what they had acknowledged. */
+  private final Set<HomeRecord.Holder> accounted = new HashSet<>();
+
+  /** Whether a successor was excluded without telling what it had acknowledged. */
+  private boolean unaccountedSuccessor;
+
   private final Set<HomeRecord.Holder> pendingImmediateStops = new HashSet<>();
   private final Map<HomeRecord.Holder, Long> lastEndRequestNanos = new HashMap<>();
   private final Map<HomeRecord.Holder, Long> successorRemovedNanos = new HashMap<>();
@@ -60,18 +67,33 @@
   boolean havePriorHomesStopped(HomeRecord r) {
     long validity = context.timings().validity().toNanos();
     long now = context.scheduler().nanoTime();
-    return r.priorHomes().stream()
-        .allMatch(
-            h ->
-                stopped.contains(h)
-                    || now - successorRemovedNanos.getOrDefault(h, startNanos) > validity);
+    boolean omittedExpired = !r.hasOmittedPriorHomes() || now - startNanos > validity;
+    return omittedExpired
+        && r.priorHomes().stream()
+            .allMatch(
+                h ->
+                    stopped.contains(h)
+                        || now - successorRemovedNanos.getOrDefault(h, startNanos) > validity);
   }
 
-  /** Returns the highest position that the stopped instances had acknowledged. */
+  /** Returns the highest position that the stopped instances reported as acknowledged. */
   LogPosition acknowledged() {
     return acknowledged;
   }
 
+  /**
+   * Returns whether {@link #acknowledged} covers all that successors have acknowledged since this
+   * home started or {@link #onPrimaryChanged} was called.
+   */
+  boolean isSuccessorAccounted(HomeRecord r) {
+    return !unaccountedSuccessor && (r.successor() == null || accounted.contains(r.successor()));
+  }
+
+  /** Forgets what was acknowledged on the earlier primary, whose log the present one holds. */
+  void onPrimaryChanged() {
+    unaccountedSuccessor = false;
+  }
+
   /** Asks earlier homes that have not stopped, at intervals, to stop once their work has ended. */
   void endPriorHomes(HomeRecord r) {
     long now = context.scheduler().nanoTime();
@@ -107,6 +129,7 @@
           r.withoutSuccessor(context.ids().next()),
           revision -> {
             removingSuccessor = false;
+            unaccountedSuccessor = true;
             successorRemovedNanos.put(successor, context.scheduler().nanoTime());
           },
           () -> removingSuccessor = false);
@@ -121,6 +144,7 @@
   void onNewRecord(HomeRecord before) {
     if (before.successor() != null) {
       stopped.remove(before.successor());
+      accounted.remove(before.successor());
     }
   }
 
@@ -147,11 +171,15 @@
               }
               if (reply.stopped()) {
                 stopped.add(other);
-                acknowledged = acknowledged.max(reply.acknowledged());
+                LogPosition reported = reply.acknowledged();
+                if (reported != null) {
+                  accounted.add(other);
+                  acknowledged = acknowledged.max(reported);
+                }
                 election
                     .log("home-stopped")
                     .with("home", other.name())
-                    .with("acknowledged", reply.acknowledged())
+                    .with("acknowledged", reported)
                     .write();
                 onStopped.run();
               }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -4,8 +4,12 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
@@ -25,6 +29,8 @@
  * @param successor the instance that may serve on the same primary in place of the home, while the
  *     home is lost and the store cannot record a new one; null if there is none
  * @param priorHomes earlier homes that may not have learned that they were replaced
+ * @param hasOmittedPriorHomes whether there are further such homes that the record does not list
+ * @param members the ids of the servers that may have confirmed commits of the primary
  * @param writer the unique id of the write
  */
 public record HomeRecord(
@@ -35,13 +41,15 @@
     @Nullable String promoting,
     @Nullable Holder successor,
     List<Holder> priorHomes,
+    boolean hasOmittedPriorHomes,
+    Set<String> members,
     String writer) {
 
   /** Prefix of the keys under which records are stored. */
   public static final String KEY_PREFIX = "lane/groups/";
 
-  /** Maximum number of earlier homes kept; more changes within one lease are not expected. */
-  private static final int MAX_PRIOR_HOMES = 6;
+  /** Maximum number of earlier homes that a record lists. */
+  private static final int MAX_PRIOR_HOMES = 16;
 
   /**
    * An instance that is or was a home.
@@ -67,9 +75,10 @@
     }
   }
 
-  /** Creates a record with a copy of the list. */
+  /** Creates a record with copies of the collections. */
   public HomeRecord {
     priorHomes = List.copyOf(priorHomes);
+    members = Set.copyOf(members);
   }
 
   /**
@@ -78,7 +87,7 @@
    * @param writer the unique id of the write
    */
   static HomeRecord first(Holder home, @Nullable Holder successor, String writer) {
-    return new HomeRecord(1, home, null, 0, null, successor, List.of(), writer);
+    return new HomeRecord(1, home, null, 0, null, successor, List.of(), false, Set.of(), writer);
   }
 
   /**
@@ -92,7 +101,8 @@
       prior.add(successor);
     }
     prior.removeIf(h -> h.name().equals(newHome.name()));
-    int firstKept = Math.max(0, prior.size() - MAX_PRIOR_HOMES);
+    List<Holder> latest = latestOfEachName(prior);
+    int firstKept = Math.max(0, latest.size() - MAX_PRIOR_HOMES);
     return new HomeRecord(
         epoch + 1,
         newHome,
@@ -100,10 +110,22 @@
         term,
         promoting,
         newSuccessor,
-        prior.subList(firstKept, prior.size()),
+        latest.subList(firstKept, latest.size()),
+        hasOmittedPriorHomes || firstKept > 0,
+        members,
         newWriter);
   }
 
+  /** Drops processes that were followed by another one of the same name, since they have ended. */
+  private static List<Holder> latestOfEachName(List<Holder> holders) {
+    Map<String, Holder> byName = new LinkedHashMap<>();
+    for (Holder h : holders) {
+      byName.remove(h.name());
+      byName.put(h.name(), h);
+    }
+    return List.copyOf(byName.values());
+  }
+
   /**
    * Returns this record with a primary that leads its term and without a pending promotion.
    *
@@ -111,7 +133,11 @@
    *     the record
    */
   HomeRecord withPrimary(
-      String newPrimaryId, long newTerm, boolean priorHomesStopped, String newWriter) {
+      String newPrimaryId,
+      long newTerm,
+      boolean priorHomesStopped,
+      Set<String> newMembers,
+      String newWriter) {
     return new HomeRecord(
         epoch,
         home,
@@ -120,12 +146,30 @@
         null,
         successor,
         priorHomesStopped ? List.of() : priorHomes,
+        !priorHomesStopped && hasOmittedPriorHomes,
+        newMembers,
+        newWriter);
+  }
+
+  /** Returns this record with other members. */
+  HomeRecord withMembers(Set<String> newMembers, String newWriter) {
+    return new HomeRecord(
+        epoch,
+        home,
+        primaryId,
+        term,
+        promoting,
+        successor,
+        priorHomes,
+        hasOmittedPriorHomes,
+        newMembers,
         newWriter);
   }
 
   /** Returns this record with a pending promotion, for use after all earlier homes have stopped. */
   HomeRecord withPromotion(String serverId, String newWriter) {
-    return new HomeRecord(epoch, home, primaryId, term, serverId, successor, List.of(), newWriter);
+    return new HomeRecord(
+        epoch, home, primaryId, term, serverId, successor, List.of(), false, members, newWriter);
   }
 
   /** Returns this record without the successor, which becomes an earlier home. */
@@ -134,7 +178,17 @@
     if (successor != null) {
       prior.add(successor);
     }
-    return new HomeRecord(epoch, home, primaryId, term, promoting, null, prior, newWriter);
+    return new HomeRecord(
+        epoch,
+        home,
+        primaryId,
+        term,
+        promoting,
+        null,
+        prior,
+        hasOmittedPriorHomes,
+        members,
+        newWriter);
   }
 
   /** Returns the key of a group's record. */
@@ -156,6 +210,10 @@
     JsonArray prior = new JsonArray();
     priorHomes.forEach(h -> prior.add(encodeHolder(h)));
     o.add("prior", prior);
+    o.addProperty("prior_omitted", hasOmittedPriorHomes);
+    JsonArray memberIds = new JsonArray();
+    members.stream().sorted().forEach(memberIds::add);
+    o.add("members", memberIds);
     o.addProperty("writer", writer);
     return o.toString();
   }
@@ -171,6 +229,10 @@
   private static HomeRecord readRecord(JsonObject o) {
     List<Holder> prior = new ArrayList<>();
     o.getAsJsonArray("prior").forEach(e -> prior.add(readHolder(e)));
+    Set<String> members = new HashSet<>();
+    if (o.has("members")) {
+      o.getAsJsonArray("members").forEach(e -> members.add(e.getAsString()));
+    }
     return new HomeRecord(
         o.get("epoch").getAsLong(),
         readHolder(o.get("home")),
@@ -179,6 +241,8 @@
         readText(o, "promoting"),
         o.has("successor") ? readHolder(o.get("successor")) : null,
         prior,
+        o.has("prior_omitted") && o.get("prior_omitted").getAsBoolean(),
+        members,
         o.get("writer").getAsString());
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PeerClient.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PeerClient.java
@@ -5,6 +5,7 @@
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.PeerInstance;
+import org.jspecify.annotations.Nullable;
 
 /** Sends requests to other instances. Each callback is called once, at the latest on timeout. */
 public interface PeerClient {
@@ -46,7 +47,8 @@
    * Reply to a request to stop.
    *
    * @param stopped whether the instance has certainly stopped
-   * @param acknowledged the highest position that it reported as acknowledged, zero if none
+   * @param acknowledged the highest position that it has acknowledged, zero if none; null if this
+   *     is not known, such as after its process has ended
    */
-  record StopReply(boolean stopped, LogPosition acknowledged) {}
+  record StopReply(boolean stopped, @Nullable LogPosition acknowledged) {}
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -1,10 +1,9 @@
 package org.chicorylane.internal.election;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -41,6 +40,12 @@
   /** Time allowed for replicas to connect to a newly promoted primary. */
   private static final Duration SETTLING_TIME = Duration.ofSeconds(2);
 
+  /** Delay before a server that did not answer with its status is asked again. */
+  private static final Duration SEAL_RETRY_DELAY = Duration.ofMillis(40);
+
+  /** Time allowed at the start for all servers to report, so that the latest primary is found. */
+  private static final Duration FIRST_REPORTS_TIMEOUT = Duration.ofMillis(500);
+
   private enum Step {
     /** A primary is believed to lead the group, or the first one is not known yet. */
     STEADY,
@@ -65,12 +70,9 @@
   private final GroupPool pool;
   private final long startNanos;
   private final Map<String, ServerStatus> statuses = new HashMap<>();
-
-  /** Time at which the status of each server in {@link #statuses} was requested. */
-  private final Map<String, Long> statusAskedNanos = new HashMap<>();
-
   private final HomeExclusion exclusion;
   private final ReplicationCheck replicationCheck;
+  private final LogReports reports = new LogReports();
   private Step step = Step.STEADY;
   private long stepStartNanos;
 
@@ -79,12 +81,19 @@
 
   private boolean plannedChange;
 
-  /** Whether the known positions cover all commits that earlier homes may have acknowledged. */
-  private boolean acknowledgedKnown;
+  /**
+   * A position that no commit acknowledged by an earlier home exceeds: the end of the primary's log
+   * after all of them were excluded. Null until it is known.
+   */
+  private @Nullable LogPosition inheritedBound;
+
+  /** Time at which all earlier homes were found excluded; 0 before that. */
+  private long excludedNanos;
 
   private LogPosition promotedLogEnd = LogPosition.ZERO;
   private long primaryAdoptedNanos;
   private boolean writingRecord;
+  private boolean writingMembers;
 
   /** The server whose last promotion was rejected; it is passed over once. */
   private @Nullable String rejectedServerId;
@@ -99,8 +108,6 @@
     this.startNanos = nowNanos;
     this.replicationCheck = new ReplicationCheck(context.scheduler(), statuses, this::queryStatus);
     this.exclusion = new HomeExclusion(election, context, this::proceedIfExclusive);
-    HomeRecord r = election.record();
-    this.acknowledgedKnown = r != null && r.priorHomes().isEmpty() && r.epoch() == 1;
   }
 
   /** Returns whether a primary leads the group and no change of it is in progress. */
@@ -129,12 +136,15 @@
    */
   void onServerStatus(String serverId, ServerStatus status, long askedNanos) {
     statuses.put(serverId, status);
-    statusAskedNanos.put(serverId, askedNanos);
+    reports.add(serverId, status, askedNanos);
     HomeRecord r = election.record();
     if (r == null || step == Step.ENDED) {
       return;
     }
     boolean recorded = serverId.equals(r.primaryId());
+    if (recorded && status.primary() && status.term() == r.term()) {
+      learnInheritedBound(status, askedNanos);
+    }
     if (status.primary()
         && (status.term() > r.term()
             || (recorded && r.term() == 0)
@@ -145,7 +155,7 @@
     } else if (recorded && !status.primary() && step == Step.STEADY) {
       election.log("primary-denies").with("server", serverId).with("term", status.term()).write();
       startChange(false, "server " + serverId + " is a replica now");
-    } else if (step == Step.STEADY && status.sealedTerm() > 0 && !status.primary()) {
+    } else if (status.sealedTerm() > 0 && !status.primary() && mayResumeReplicas(r)) {
       election
           .log("replica-resumed")
           .with("server", serverId)
@@ -157,6 +167,29 @@
     }
   }
 
+  /**
+   * Returns whether no promotion needs the replicas to stay sealed: this home orders none, and no
+   * other home can, since it would have recorded it before.
+   */
+  private boolean mayResumeReplicas(HomeRecord r) {
+    return step == Step.STEADY && r.promoting() == null && election.mayWork(now());
+  }
+
+  private void learnInheritedBound(ServerStatus primary, long askedNanos) {
+    if (inheritedBound == null && excludedNanos != 0 && askedNanos >= excludedNanos) {
+      inheritedBound = primary.received();
+      election.log("acknowledged-bound").with("position", primary.received()).write();
+    }
+  }
+
+  /** Requests the end of the primary's log once all earlier homes are excluded. */
+  private void queryInheritedBound(HomeRecord r, String primary) {
+    if (inheritedBound == null && excludedNanos == 0 && exclusion.havePriorHomesStopped(r)) {
+      excludedNanos = now();
+      queryStatus(primary, () -> {});
+    }
+  }
+
   /**
    * Returns whether a server leads the recorded term in place of the unreachable recorded primary,
    * as a new process with the same log does. Returns false while another server may be promoted.
@@ -181,6 +214,7 @@
 
   void onServerLost(String serverId, ServerLoss loss) {
     statuses.remove(serverId);
+    reports.remove(serverId);
     HomeRecord r = election.record();
     if (r == null || step != Step.STEADY || !serverId.equals(r.primaryId())) {
       return;
@@ -293,16 +327,12 @@
     if (writingRecord) {
       return;
     }
-    String promoting = r.promoting();
-    if (promoting != null) {
-      ServerStatus status = statuses.get(promoting);
-      if (status != null && status.primary() && status.term() > r.term()) {
-        adopt(promoting, status.term());
-      } else {
-        startChange(false, "an earlier home was promoting " + promoting);
-      }
+    if (r.promoting() != null) {
+      startChange(false, "the promotion of " + r.promoting() + " is pending");
       return;
     }
+    queryInheritedBound(r, primary);
+    recordMembers(r);
     BackendServer server = findServer(primary);
     boolean hasOtherCandidate = election.servers().stream().anyMatch(s -> isCandidate(s, primary));
     if (!hasOtherCandidate) {
@@ -333,16 +363,35 @@
     }
   }
 
+  /** Records servers that joined, so that a later home knows of them even without an entry. */
+  private void recordMembers(HomeRecord r) {
+    Set<String> members = election.members().all(now());
+    if (!writingMembers && !r.members().containsAll(members) && election.isRecentlyConfirmed()) {
+      writingMembers = true;
+      election.write(
+          r.withMembers(members, context.ids().next()),
+          revision -> writingMembers = false,
+          () -> writingMembers = false);
+    }
+  }
+
   private void findFirstPrimary() {
+    boolean allKnown = election.servers().stream().allMatch(s -> statuses.containsKey(s.id()));
+    if (!allKnown && now() - startNanos < FIRST_REPORTS_TIMEOUT.toNanos()) {
+      return;
+    }
+    String latest = null;
+    long latestTerm = -1;
     for (BackendServer s : election.servers()) {
       ServerStatus status = statuses.get(s.id());
-      if (status != null && status.primary()) {
-        adopt(s.id(), status.term());
-        return;
+      if (status != null && status.primary() && status.term() > latestTerm) {
+        latest = s.id();
+        latestTerm = status.term();
       }
     }
-    boolean allKnown = election.servers().stream().allMatch(s -> statuses.containsKey(s.id()));
-    if (allKnown && !election.servers().isEmpty()) {
+    if (latest != null) {
+      adopt(latest, latestTerm);
+    } else if (allKnown && !election.servers().isEmpty()) {
       startChange(false, "no server of the group is a primary");
     }
   }
@@ -363,14 +412,20 @@
     pool.setPrimary(serverId, term);
     if (promoted) {
       pool.raiseAcknowledged(promotedLogEnd);
-      acknowledgedKnown = true;
+      inheritedBound = promotedLogEnd;
+      exclusion.onPrimaryChanged();
     }
     primaryAdoptedNanos = now();
     rejectedServerId = null;
     writingRecord = true;
     exclusion.onNewRecord(r);
     election.write(
-        r.withPrimary(serverId, term, exclusion.havePriorHomesStopped(r), context.ids().next()),
+        r.withPrimary(
+            serverId,
+            term,
+            exclusion.havePriorHomesStopped(r),
+            election.members().all(now()),
+            context.ids().next()),
         revision -> writingRecord = false,
         () -> writingRecord = false);
   }
@@ -386,10 +441,10 @@
     }
     election.log("primary-change").with("planned", isPlanned).with("reason", reason).write();
     plannedChange = isPlanned;
-    pool.setPrimaryHalt(PrimaryHalt.WRITES);
     enter(Step.EXCLUDING);
     HomeRecord r = election.record();
     if (r != null) {
+      pool.setPrimaryHalt(PrimaryHalt.WRITES);
       refreshPrimaryStatus(r.primaryId());
       exclusion.stopPriorHomes(r);
       exclusion.stopSuccessor(r, 0);
@@ -441,8 +496,9 @@
   }
 
   /**
-   * Stops the replicas from receiving log and reads the ends of their logs. Chooses one of them
-   * once all have answered.
+   * Stops the replicas from receiving log and reads the ends of all logs. Chooses a server once all
+   * that can be reached have answered. All other homes are excluded by now, so the reports cover
+   * what these have acknowledged.
    */
   private void seal() {
     enter(Step.SEALING);
@@ -450,31 +506,57 @@
     if (r == null) {
       return;
     }
-    long sealTerm = r.term() + 1;
-    long generation = stepGeneration;
-    List<String> pendingReplicas = new ArrayList<>();
+    long sealTerm = 1 + latestTerm(r);
+    reports.start(sealTerm, now());
     for (BackendServer s : election.servers()) {
-      if (!s.id().equals(r.primaryId())) {
-        pendingReplicas.add(s.id());
-      }
+      boolean isPrimary = s.id().equals(r.primaryId()) && r.promoting() == null;
+      requestReport(
+          s.id(),
+          isPrimary ? new ServerCommand.Status() : new ServerCommand.StopReceiving(sealTerm),
+          r,
+          stepGeneration);
     }
-    List<String> replicas = List.copyOf(pendingReplicas);
-    for (String id : replicas) {
-      statuses.remove(id);
-      Runnable next =
-          () -> {
-            pendingReplicas.remove(id);
-            if (pendingReplicas.isEmpty() && generation == stepGeneration && step == Step.SEALING) {
-              choosePromotion(r);
-            }
-          };
-      if (!pool.sendCommand(
-          id, new ServerCommand.StopReceiving(sealTerm), statusHandler(id, next))) {
-        election.log("replica-not-sealed").with("server", id).write();
-      }
+  }
+
+  private long latestTerm(HomeRecord r) {
+    return statuses.values().stream().mapToLong(ServerStatus::term).reduce(r.term(), Math::max);
+  }
+
+  /** Asks a server for its report until it answers with its status or the attempt ends. */
+  private void requestReport(
+      String serverId, ServerCommand command, HomeRecord before, long generation) {
+    if (generation != stepGeneration || step != Step.SEALING) {
+      return;
+    }
+    boolean sent =
+        pool.sendCommand(
+            serverId,
+            command,
+            statusHandler(
+                serverId,
+                () -> {
+                  if (reports.find(serverId) == null) {
+                    context
+                        .scheduler()
+                        .schedule(
+                            SEAL_RETRY_DELAY,
+                            () -> requestReport(serverId, command, before, generation));
+                  }
+                  if (generation == stepGeneration && step == Step.SEALING && haveAllReported()) {
+                    choosePromotion(before);
+                  }
+                }));
+    if (!sent) {
+      election.log("report-not-requested").with("server", serverId).write();
     }
   }
 
+  /** Returns whether each server that can be reached has reported. */
+  private boolean haveAllReported() {
+    return election.servers().stream()
+        .allMatch(s -> reports.find(s.id()) != null || !pool.canReach(s.id()));
+  }
+
   /**
    * Chooses a server to promote, or the one that leads already, by the replicas' logs.
    *
@@ -486,19 +568,19 @@
     if (r == null || r.epoch() != before.epoch()) {
       return;
     }
-    LogPosition acknowledged = pool.acknowledged().max(exclusion.acknowledged());
-    ServerStatus oldPrimaryStatus = r.primaryId() == null ? null : statuses.get(r.primaryId());
-    PromotionChoice choice =
-        PromotionChoice.choose(
+    LogPosition acknowledged = election.acknowledged().max(exclusion.acknowledged());
+    LogPosition inherited = exclusion.isSuccessorAccounted(r) ? inheritedBound : null;
+    PromotionChoice.Basis basis =
+        new PromotionChoice.Basis(
             election.servers(),
-            statuses,
+            election.members().missing(now()),
+            reports,
             r.primaryId(),
             r.term(),
-            acknowledgedKnown ? acknowledged : null,
-            plannedChange || oldPrimaryStatus == null
-                ? null
-                : oldPrimaryStatus.received().max(acknowledged));
-    logChoice(choice, r, acknowledged);
+            inherited == null ? null : inherited.max(acknowledged),
+            acknowledged);
+    PromotionChoice choice = PromotionChoice.choose(basis);
+    logChoice(choice, basis);
     if (choice instanceof PromotionChoice.Leads leads) {
       adopt(leads.serverId(), leads.term());
     } else if (choice instanceof PromotionChoice.Promote promote
@@ -514,40 +596,22 @@
   }
 
   /** Logs a choice with all that it rests on. */
-  private void logChoice(PromotionChoice choice, HomeRecord r, LogPosition acknowledged) {
-    StringBuilder servers = new StringBuilder();
-    for (BackendServer s : election.servers()) {
-      servers.append(servers.isEmpty() ? "" : ", ").append(s.id()).append(' ');
-      ServerStatus status = statuses.get(s.id());
-      if (status == null) {
-        servers.append("silent");
-        continue;
-      }
-      long ageMillis = (now() - statusAskedNanos.getOrDefault(s.id(), startNanos)) / 1_000_000;
-      servers
-          .append(status.primary() ? "primary" : "replica")
-          .append(" at ")
-          .append(status.received())
-          .append(" sealed ")
-          .append(status.sealedTerm())
-          .append(" asked ")
-          .append(ageMillis)
-          .append(" ms ago");
-    }
+  private void logChoice(PromotionChoice choice, PromotionChoice.Basis basis) {
     election
         .log("promotion-choice")
         .with("choice", choice)
-        .with("primary", r.primaryId())
-        .with("term", r.term())
-        .with("acknowledged", acknowledged)
-        .with("acknowledged_known", Boolean.toString(acknowledgedKnown))
-        .with("servers", servers)
+        .with("primary", basis.primaryId())
+        .with("term", basis.term())
+        .with("bound", basis.bound())
+        .with("acknowledged", basis.acknowledged())
+        .with("servers", reports.describe(basis.servers(), now()))
+        .with("missing", String.join(" ", basis.missing()))
         .write();
   }
 
   private void promote(HomeRecord r, BackendServer target, LogPosition received) {
     enter(Step.PROMOTING);
-    pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
+    election.haltPrimary();
     promotedLogEnd = received;
     long generation = stepGeneration;
     election
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -1,19 +1,20 @@
 package org.chicorylane.internal.election;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.BackendServer;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Result of choosing the server to promote, after the replicas were sealed and reported the ends of
- * their logs.
+ * Result of choosing the server to promote, after all other homes were excluded and the replicas
+ * were sealed and reported the ends of their logs.
  */
 sealed interface PromotionChoice {
 
-  /** Promote the replica with the longest log, which holds every acknowledged commit. */
+  /** Promote the server, whose log holds every acknowledged commit. */
   record Promote(BackendServer server, LogPosition received) implements PromotionChoice {}
 
   /** No promotion is needed: a server already leads a later term. */
@@ -23,62 +24,123 @@
   record Wait(String reason) implements PromotionChoice {}
 
   /**
-   * Chooses among all servers except the current primary. The replica with the longest log is
-   * chosen if all replicas have reported their status, or if its log covers the highest
-   * acknowledged position. If that position is not known, its log must cover the primary's log as
-   * it was after the primary's writes were held back.
+   * What a choice rests on.
    *
-   * @param statuses the last reported status by server id
-   * @param term the current term
-   * @param acknowledged the highest acknowledged position, null if it is not known
-   * @param primaryReceived the end of the current primary's log, null if it did not report one
+   * @param servers the servers that have an entry
+   * @param missing the ids of further servers that belong to the group but have no entry
+   * @param reports the reports of this attempt
+   * @param primaryId the recorded primary
+   * @param term the recorded term
+   * @param bound a position that no acknowledged commit exceeds, null if none is known
+   * @param acknowledged the highest position that is known to be acknowledged; there may be others
    */
-  static PromotionChoice choose(
+  record Basis(
       List<BackendServer> servers,
-      Map<String, ServerStatus> statuses,
+      Set<String> missing,
+      LogReports reports,
       @Nullable String primaryId,
       long term,
-      @Nullable LogPosition acknowledged,
-      @Nullable LogPosition primaryReceived) {
-    BackendServer best = null;
-    LogPosition furthestPosition = LogPosition.ZERO;
-    boolean allReported = true;
-    for (BackendServer s : servers) {
-      if (s.id().equals(primaryId)) {
-        continue;
-      }
-      ServerStatus status = statuses.get(s.id());
-      if (status == null) {
-        allReported = false;
-        continue;
-      }
-      if (status.primary() && status.term() > term) {
-        return new Leads(s.id(), status.term());
-      }
-      if (status.primary() && status.term() == term) {
-        // It has replaced the primary in the same term; promoting it would have no effect.
+      @Nullable LogPosition bound,
+      LogPosition acknowledged) {
+
+    boolean isPrimary(BackendServer s) {
+      return s.id().equals(primaryId);
+    }
+
+    @Nullable ServerStatus reportOf(BackendServer s) {
+      return reports.find(s.id());
+    }
+  }
+
+  /**
+   * Chooses the replica with the longest log. Its log holds every acknowledged commit if it covers
+   * the bound of the acknowledged positions, or the primary's log, or if all servers that may have
+   * confirmed a commit have reported.
+   */
+  static PromotionChoice choose(Basis basis) {
+    Leads leading = findLeading(basis);
+    return leading != null ? leading : chooseReplica(basis);
+  }
+
+  private static @Nullable Leads findLeading(Basis basis) {
+    Leads leading = null;
+    for (BackendServer s : basis.servers()) {
+      ServerStatus status = basis.reportOf(s);
+      if (status == null || !status.primary() || status.term() <= basis.term()) {
         continue;
       }
-      boolean hasLongerLog = status.received().compareTo(furthestPosition) > 0;
-      boolean isPreferredForEqualLog =
-          status.received().equals(furthestPosition)
-              && best != null
-              && best.draining()
-              && !s.draining();
-      if (best == null || hasLongerLog || isPreferredForEqualLog) {
-        best = s;
-        furthestPosition = status.received();
+      if (leading == null || status.term() > leading.term()) {
+        leading = new Leads(s.id(), status.term());
       }
     }
+    return leading;
+  }
+
+  private static PromotionChoice chooseReplica(Basis basis) {
+    List<BackendServer> replicas =
+        basis.servers().stream().filter(s -> !basis.isPrimary(s)).toList();
+    BackendServer best = longestLog(basis, replicas);
     if (best == null) {
       return new Wait("no replica answers");
     }
-    LogPosition requiredPosition = acknowledged == null ? primaryReceived : acknowledged;
+    LogPosition end = receivedBy(basis, best);
+    LogPosition bound = basis.bound();
+    LogPosition primaryEnd = primaryLogEnd(basis);
+    boolean allReported =
+        replicas.stream().allMatch(s -> basis.reportOf(s) != null)
+            && basis.missing().stream().allMatch(id -> id.equals(basis.primaryId()));
     boolean holdsAllAcknowledged =
         allReported
-            || (requiredPosition != null && furthestPosition.compareTo(requiredPosition) >= 0);
+            || (bound != null && end.compareTo(bound) >= 0)
+            || (primaryEnd != null && end.compareTo(primaryEnd) >= 0);
     return holdsAllAcknowledged
-        ? new Promote(best, furthestPosition)
-        : new Wait("a replica that may hold acknowledged commits does not answer");
+        ? promote(basis, best)
+        : new Wait("a server that may hold acknowledged commits does not answer");
+  }
+
+  /**
+   * Returns the end of the recorded primary's log, which holds every acknowledged commit; null if
+   * it did not report or another server may have led a later term.
+   */
+  private static @Nullable LogPosition primaryLogEnd(Basis basis) {
+    LogPosition end = null;
+    for (BackendServer s : basis.servers()) {
+      ServerStatus status = basis.reportOf(s);
+      if (status != null && status.term() > basis.term()) {
+        return null;
+      }
+      if (status != null && basis.isPrimary(s) && status.primary()) {
+        end = status.received().max(basis.acknowledged());
+      }
+    }
+    return end;
+  }
+
+  /** Returns the replica with the longest log; of equal ones, one that is not draining. */
+  private static @Nullable BackendServer longestLog(Basis basis, List<BackendServer> servers) {
+    List<BackendServer> candidates = new ArrayList<>();
+    for (BackendServer s : servers) {
+      ServerStatus status = basis.reportOf(s);
+      if (status != null && !status.primary()) {
+        candidates.add(s);
+      }
+    }
+    BackendServer best = null;
+    for (BackendServer s : candidates) {
+      int byLog = best == null ? 1 : receivedBy(basis, s).compareTo(receivedBy(basis, best));
+      if (byLog > 0 || (byLog == 0 && best != null && best.draining() && !s.draining())) {
+        best = s;
+      }
+    }
+    return best;
+  }
+
+  private static Promote promote(Basis basis, BackendServer server) {
+    return new Promote(server, receivedBy(basis, server));
+  }
+
+  private static LogPosition receivedBy(Basis basis, BackendServer server) {
+    ServerStatus status = basis.reportOf(server);
+    return status == null ? LogPosition.ZERO : status.received();
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeerClient.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshPeerClient.java
@@ -81,7 +81,7 @@
             (reply, refused) -> {
               LogPosition position =
                   reply == null || !reply.hasPosition()
-                      ? LogPosition.ZERO
+                      ? null
                       : new LogPosition(
                           reply.getPosition().getTerm(), reply.getPosition().getNumber());
               handler.accept(new StopReply(refused || (reply != null && reply.getYes()), position));
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import org.chicorylane.internal.election.HomeElection;
 import org.chicorylane.internal.election.HomeRecord;
+import org.chicorylane.internal.election.PeerClient;
 import org.chicorylane.internal.mesh.MeshChannel;
 import org.chicorylane.internal.mesh.MeshMessages;
 import org.chicorylane.internal.mesh.NettyMeshTransport;
@@ -161,12 +162,12 @@
 
   private static void stopHome(
       MeshChannel channel, MeshQuestion question, @Nullable HomeElection election, boolean atOnce) {
-    LogPosition acknowledged =
+    PeerClient.StopReply stop =
         election == null
-            ? LogPosition.ZERO
+            ? new PeerClient.StopReply(true, null)
             : election.stopWork(
                 question.getIncarnation(), Long.parseLong(question.getArguments(0)), atOnce);
-    reply(channel, question, acknowledged != null, acknowledged);
+    reply(channel, question, stop.stopped(), stop.acknowledged());
   }
 
   private boolean canReachHome(HomeElection election) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,13 +32,16 @@
             "server-b",
             new HomeRecord.Holder("i2", "i2-a", "10.0.0.2:1"),
             List.of(new HomeRecord.Holder("i3", "i3-a", "10.0.0.3:1")),
+            true,
+            Set.of("server-a", "server-c"),
             "w1");
     assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
   @Test
   void testNullFieldsStayNullAfterDecoding() {
-    HomeRecord record = new HomeRecord(1, HOME, null, 0, null, null, List.of(), "w1");
+    HomeRecord record =
+        new HomeRecord(1, HOME, null, 0, null, null, List.of(), false, Set.of(), "w1");
     assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -2,9 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.BackendServer;
@@ -17,11 +17,26 @@
  */
 final class PromotionChoiceTest {
 
-  private final Map<String, ServerStatus> statuses = new HashMap<>();
+  private static final long START_NANOS = 1_000;
+
+  private final LogReports reports = new LogReports();
+  private final Set<String> missing = new HashSet<>();
   private boolean draining;
 
+  PromotionChoiceTest() {
+    reports.start(2, START_NANOS);
+  }
+
   private void setReplicaStatus(String id, long term, long offset) {
-    statuses.put(id, new ServerStatus(false, term, new LogPosition(term, offset), 2, 0));
+    report(id, new ServerStatus(false, term, new LogPosition(term, offset), 2, 0));
+  }
+
+  private void setPrimaryStatus(String id, long term, long offset) {
+    report(id, new ServerStatus(true, term, new LogPosition(term, offset), 0, 0));
+  }
+
+  private void report(String id, ServerStatus status) {
+    reports.add(id, status, START_NANOS);
   }
 
   private BackendServer server(String id) {
@@ -29,15 +44,20 @@
         id, "plans", "10.0.0.1:1", "z", 3, draining && id.equals("b"), false, 1);
   }
 
-  private PromotionChoice choose(
-      @Nullable LogPosition acknowledged, @Nullable LogPosition primaryReceived) {
+  private PromotionChoice choose(@Nullable LogPosition bound) {
+    return choose(bound, LogPosition.ZERO);
+  }
+
+  private PromotionChoice choose(@Nullable LogPosition bound, LogPosition acknowledged) {
     return PromotionChoice.choose(
-        List.of(server("a"), server("b"), server("c")),
-        statuses,
-        "a",
-        1,
-        acknowledged,
-        primaryReceived);
+        new PromotionChoice.Basis(
+            List.of(server("a"), server("b"), server("c")),
+            missing,
+            reports,
+            "a",
+            1,
+            bound,
+            acknowledged));
   }
 
   private static String promotedId(PromotionChoice choice) {
@@ -48,14 +68,14 @@
   void testReplicaWithLongestLogIsPromotedWhenAllReported() {
     setReplicaStatus("b", 1, 100);
     setReplicaStatus("c", 1, 120);
-    assertThat(promotedId(choose(null, null))).isEqualTo("c");
+    assertThat(promotedId(choose(null))).isEqualTo("c");
   }
 
   @Test
   void testLogOfLaterTermCountsAsLonger() {
     setReplicaStatus("b", 2, 5);
     setReplicaStatus("c", 1, 120);
-    assertThat(promotedId(choose(null, null))).isEqualTo("b");
+    assertThat(promotedId(choose(null))).isEqualTo("b");
   }
 
   @Test
@@ -63,50 +83,97 @@
     draining = true;
     setReplicaStatus("b", 1, 100);
     setReplicaStatus("c", 1, 100);
-    assertThat(promotedId(choose(null, null))).isEqualTo("c");
+    assertThat(promotedId(choose(null))).isEqualTo("c");
   }
 
   @Test
   void testSingleReplicaIsPromotedIfItHoldsAllAcknowledgedCommits() {
     setReplicaStatus("c", 1, 120);
-    assertThat(promotedId(choose(new LogPosition(1, 120), null))).isEqualTo("c");
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("c");
   }
 
   @Test
   void testSingleReplicaThatLacksAcknowledgedCommitsIsNotPromoted() {
     setReplicaStatus("c", 1, 119);
-    assertThat(choose(new LogPosition(1, 120), null)).isInstanceOf(PromotionChoice.Wait.class);
+    assertThat(choose(new LogPosition(1, 120))).isInstanceOf(PromotionChoice.Wait.class);
   }
 
   @Test
   void testSingleReplicaIsNotPromotedIfAcknowledgedPositionIsUnknown() {
     setReplicaStatus("c", 1, 120);
-    assertThat(choose(null, null)).isInstanceOf(PromotionChoice.Wait.class);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
   }
 
   @Test
   void testPrimaryLogEndDoesNotReplaceHigherAcknowledgedPosition() {
     setReplicaStatus("c", 1, 110);
-    assertThat(choose(new LogPosition(1, 120), new LogPosition(1, 100)))
-        .isInstanceOf(PromotionChoice.Wait.class);
+    setPrimaryStatus("a", 1, 100);
+    assertThat(choose(null, new LogPosition(1, 120))).isInstanceOf(PromotionChoice.Wait.class);
   }
 
   @Test
   void testServerThatLeadsLaterTermIsAdopted() {
     setReplicaStatus("c", 1, 120);
-    statuses.put("b", new ServerStatus(true, 2, new LogPosition(2, 1), 0, 0));
-    assertThat(choose(null, null)).isEqualTo(new PromotionChoice.Leads("b", 2));
+    setPrimaryStatus("b", 2, 1);
+    assertThat(choose(null)).isEqualTo(new PromotionChoice.Leads("b", 2));
   }
 
   @Test
   void testServerThatReplacedPrimaryInSameTermIsNotPromoted() {
-    statuses.put("b", new ServerStatus(true, 1, new LogPosition(1, 130), 2, 0));
+    setPrimaryStatus("b", 1, 130);
     setReplicaStatus("c", 1, 120);
-    assertThat(promotedId(choose(new LogPosition(1, 120), null))).isEqualTo("c");
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("c");
   }
 
   @Test
   void testWaitsIfNoReplicaReported() {
-    assertThat(choose(LogPosition.ZERO, null)).isInstanceOf(PromotionChoice.Wait.class);
+    assertThat(choose(LogPosition.ZERO)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  // Incident 23: a replica whose entry had lapsed held a commit; the others counted as all.
+  @Test
+  void testServerWithoutEntryCountsAsSilent() {
+    missing.add("d");
+    setReplicaStatus("b", 1, 100);
+    setReplicaStatus("c", 1, 120);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  @Test
+  void testServerWithoutEntryIsNotNeededIfBoundIsCovered() {
+    missing.add("d");
+    setReplicaStatus("c", 1, 120);
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("c");
+  }
+
+  // Incident 23: a position from before the replica was sealed counted as the end of its log.
+  @Test
+  void testReplicaThatIsNotSealedCountsAsSilent() {
+    setReplicaStatus("b", 1, 100);
+    report("c", new ServerStatus(false, 1, new LogPosition(1, 120), 0, 0));
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  // Incident 23: an answer to a question of an earlier attempt counted.
+  @Test
+  void testAnswerToQuestionFromBeforeAttemptCountsAsSilent() {
+    setReplicaStatus("b", 1, 100);
+    reports.add("c", new ServerStatus(false, 1, new LogPosition(1, 120), 2, 0), START_NANOS - 1);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  @Test
+  void testReplicaThatCoversPrimaryLogIsPromoted() {
+    setPrimaryStatus("a", 1, 120);
+    setReplicaStatus("c", 1, 120);
+    assertThat(promotedId(choose(null))).isEqualTo("c");
+  }
+
+  // Incident 23: the primary's log does not hold the commits of a later term.
+  @Test
+  void testPrimaryLogDoesNotCountIfLaterTermWasSeen() {
+    setPrimaryStatus("a", 1, 100);
+    setReplicaStatus("c", 2, 110);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
   }
 }
