Finish an ordered promotion before anything else is decided

Commits that were acknowledged meanwhile, on the old primary or on another promoted server, were rolled back; reads ran on the old primary after its successor led.

Cause: the recorded promotion was treated as history, not as something that may still happen. The next home opened its pool on the old primary, resumed the replicas that were stopped for the promotion, and chose anew; the home itself chose another server when the first did not lead in time.

Change: while the record names a promotion the home holds back all work from the primary and resumes no replica. PromotionOrders remembers the order: the same server is ordered again, and no other one is promoted or used as the primary until the order can no longer take effect. After an inherited order all other servers, the old primary too, must have reported, since the earlier home may have used the ordered one. A home that cannot reach the ordered server hands over to an instance that does. A successor that stands in stops when the record changes the primary.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -240,9 +241,17 @@
         retirePool("another instance is the home");
       }
       onHomeChanged.run();
+    } else if (isStandingIn() && !hasSamePrimary(before, decoded.get())) {
+      retirePool("the home changes the primary");
     }
   }
 
+  private static boolean hasSamePrimary(HomeRecord a, HomeRecord b) {
+    return a.term() == b.term()
+        && Objects.equals(a.primaryId(), b.primaryId())
+        && Objects.equals(a.promoting(), b.promoting());
+  }
+
   /**
    * Applies the result of a linearizable read that was sent at {@code sentNanos}. The lease is
    * renewed if the read shows the latest known revision and this instance is its home or successor.
@@ -683,8 +692,10 @@
     if (r != null) {
       members.add(r.members(), now());
     }
-    supervisor = new PrimarySupervisor(this, context, p, now());
+    PrimarySupervisor started = new PrimarySupervisor(this, context, p, now());
+    supervisor = started;
     logHomeBegun(r);
+    started.start();
     onHomeChanged.run();
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -73,6 +73,7 @@
   private final HomeExclusion exclusion;
   private final ReplicationCheck replicationCheck;
   private final LogReports reports = new LogReports();
+  private final PromotionOrders orders = new PromotionOrders();
   private Step step = Step.STEADY;
   private long stepStartNanos;
 
@@ -110,6 +111,15 @@
     this.exclusion = new HomeExclusion(election, context, this::proceedIfExclusive);
   }
 
+  /** Continues the promotion that an earlier home left pending, if there is one. */
+  void start() {
+    HomeRecord r = election.record();
+    if (r != null && r.promoting() != null) {
+      orders.inherit(r.promoting(), now());
+      startChange(false, "an earlier home was promoting " + r.promoting());
+    }
+  }
+
   /** Returns whether a primary leads the group and no change of it is in progress. */
   boolean isSteady() {
     HomeRecord r = election.record();
@@ -299,6 +309,9 @@
       case EXCLUDING -> {
         exclusion.stopPriorHomes(r);
         exclusion.stopSuccessor(r, stepMillis);
+        if (r.promoting() != null) {
+          queryStatus(r.promoting(), () -> {});
+        }
         proceedIfExclusive();
       }
       case QUIESCING -> continueQuiescing(r, stepMillis);
@@ -328,6 +341,7 @@
       return;
     }
     if (r.promoting() != null) {
+      orders.inherit(r.promoting(), now());
       startChange(false, "the promotion of " + r.promoting() + " is pending");
       return;
     }
@@ -402,7 +416,8 @@
     if (step == Step.ENDED
         || writingRecord
         || r == null
-        || (r.term() == term && serverId.equals(r.primaryId()))) {
+        || (r.term() == term && serverId.equals(r.primaryId()))
+        || !orders.permits(serverId, now())) {
       return;
     }
     election.log("primary").with("server", serverId).with("term", term).with("step", step).write();
@@ -410,6 +425,7 @@
     enter(Step.STEADY);
     pool.setPrimaryHalt(PrimaryHalt.NOTHING);
     pool.setPrimary(serverId, term);
+    orders.onNewPrimary(serverId);
     if (promoted) {
       pool.raiseAcknowledged(promotedLogEnd);
       inheritedBound = promotedLogEnd;
@@ -444,7 +460,7 @@
     enter(Step.EXCLUDING);
     HomeRecord r = election.record();
     if (r != null) {
-      pool.setPrimaryHalt(PrimaryHalt.WRITES);
+      pool.setPrimaryHalt(r.promoting() == null ? PrimaryHalt.WRITES : PrimaryHalt.EVERYTHING);
       refreshPrimaryStatus(r.primaryId());
       exclusion.stopPriorHomes(r);
       exclusion.stopSuccessor(r, 0);
@@ -506,6 +522,7 @@
     if (r == null) {
       return;
     }
+    orders.onSenderExcluded(now());
     long sealTerm = 1 + latestTerm(r);
     reports.start(sealTerm, now());
     for (BackendServer s : election.servers()) {
@@ -578,7 +595,8 @@
             r.primaryId(),
             r.term(),
             inherited == null ? null : inherited.max(acknowledged),
-            acknowledged);
+            acknowledged,
+            orders.state(now()));
     PromotionChoice choice = PromotionChoice.choose(basis);
     logChoice(choice, basis);
     if (choice instanceof PromotionChoice.Leads leads) {
@@ -586,7 +604,13 @@
     } else if (choice instanceof PromotionChoice.Promote promote
         && !promote.server().id().equals(rejectedServerId)) {
       promote(r, promote.server(), promote.received());
+    } else if (choice instanceof PromotionChoice.Repeat repeat) {
+      enter(Step.PROMOTING);
+      election.haltPrimary();
+      orders.onRepeat();
+      requestPromotion(repeat.serverId(), election.revision(), stepGeneration);
     } else {
+      handOverToInstanceReachingOrdered();
       rejectedServerId = null;
       scheduleRetry(
           choice instanceof PromotionChoice.Wait wait
@@ -595,6 +619,23 @@
     }
   }
 
+  /** Asks an instance that reaches the server whose promotion is pending to become the home. */
+  private void handOverToInstanceReachingOrdered() {
+    PromotionOrders.State order = orders.state(now());
+    BackendServer server = order == null ? null : findServer(order.serverId());
+    if (server == null || pool.canReach(server.id())) {
+      return;
+    }
+    requestEvidence(server)
+        .whenDone(
+            findings -> {
+              PeerInstance peer = findings.reachedBy();
+              if (peer != null && step != Step.ENDED && !pool.canReach(server.id())) {
+                context.peerClient().requestTakeover(peer, election.group(), reply -> {});
+              }
+            });
+  }
+
   /** Logs a choice with all that it rests on. */
   private void logChoice(PromotionChoice choice, PromotionChoice.Basis basis) {
     election
@@ -606,6 +647,7 @@
         .with("acknowledged", basis.acknowledged())
         .with("servers", reports.describe(basis.servers(), now()))
         .with("missing", String.join(" ", basis.missing()))
+        .with("order", basis.order())
         .write();
   }
 
@@ -629,7 +671,9 @@
         },
         () -> {
           if (generation == stepGeneration) {
-            pool.setPrimaryHalt(PrimaryHalt.WRITES);
+            if (r.promoting() == null) {
+              pool.setPrimaryHalt(PrimaryHalt.WRITES);
+            }
             scheduleRetry("the record could not be written");
           }
         });
@@ -639,6 +683,7 @@
     if (generation != stepGeneration || step != Step.PROMOTING || !election.mayWork(now())) {
       return;
     }
+    orders.onSent(target, now());
     election.log("promotion-call").with("server", target).with("token", token).write();
     context
         .promoter()
@@ -653,6 +698,7 @@
                   .with("token", token)
                   .with("outcome", outcome)
                   .write();
+              orders.onOutcome(target, outcome, now());
               if (generation != stepGeneration || step != Step.PROMOTING) {
                 return;
               }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -20,6 +20,9 @@
   /** No promotion is needed: a server already leads a later term. */
   record Leads(String serverId, long term) implements PromotionChoice {}
 
+  /** Order the promotion of a server again that does not answer, to learn whether it runs. */
+  record Repeat(String serverId) implements PromotionChoice {}
+
   /** Wait, because no server is known to hold every acknowledged commit. */
   record Wait(String reason) implements PromotionChoice {}
 
@@ -33,6 +36,7 @@
    * @param term the recorded term
    * @param bound a position that no acknowledged commit exceeds, null if none is known
    * @param acknowledged the highest position that is known to be acknowledged; there may be others
+   * @param order the promotion that was ordered before, null if there is none
    */
   record Basis(
       List<BackendServer> servers,
@@ -41,7 +45,8 @@
       @Nullable String primaryId,
       long term,
       @Nullable LogPosition bound,
-      LogPosition acknowledged) {
+      LogPosition acknowledged,
+      PromotionOrders.@Nullable State order) {
 
     boolean isPrimary(BackendServer s) {
       return s.id().equals(primaryId);
@@ -56,10 +61,19 @@
    * Chooses the replica with the longest log. Its log holds every acknowledged commit if it covers
    * the bound of the acknowledged positions, or the primary's log, or if all servers that may have
    * confirmed a commit have reported.
+   *
+   * <p>A server whose promotion was ordered before is chosen again: it held every acknowledged
+   * commit then, and none can have been acknowledged elsewhere since.
    */
   static PromotionChoice choose(Basis basis) {
     Leads leading = findLeading(basis);
-    return leading != null ? leading : chooseReplica(basis);
+    PromotionOrders.State order = basis.order();
+    if (leading != null) {
+      return order == null || order.permits(leading.serverId())
+          ? leading
+          : new Wait("the promotion of " + order.serverId() + " may still take effect");
+    }
+    return order == null ? chooseReplica(basis) : chooseAfterOrder(basis, order);
   }
 
   private static @Nullable Leads findLeading(Basis basis) {
@@ -76,6 +90,35 @@
     return leading;
   }
 
+  private static PromotionChoice chooseAfterOrder(Basis basis, PromotionOrders.State order) {
+    String ordered = order.serverId();
+    for (BackendServer s : basis.servers()) {
+      ServerStatus status = basis.reportOf(s);
+      if (s.id().equals(ordered) && status != null && !status.primary()) {
+        return new Promote(s, status.received());
+      }
+    }
+    if (!order.expired()) {
+      return order.repeatDue()
+          ? new Repeat(ordered)
+          : new Wait("the promotion of " + ordered + " may still take effect");
+    }
+    if (!order.inherited()) {
+      return chooseReplica(basis);
+    }
+    // The ordered server may have led a term of its own. A commit of that term is on another
+    // server, which may be the old primary, so each of them must have reported.
+    List<BackendServer> others =
+        basis.servers().stream().filter(s -> !s.id().equals(ordered)).toList();
+    boolean allReported =
+        basis.missing().stream().allMatch(ordered::equals)
+            && others.stream().allMatch(s -> basis.reportOf(s) != null);
+    BackendServer best = longestLog(basis, others);
+    return best != null && allReported
+        ? promote(basis, best)
+        : new Wait("server " + ordered + " or one that follows it may hold acknowledged commits");
+  }
+
   private static PromotionChoice chooseReplica(Basis basis) {
     List<BackendServer> replicas =
         basis.servers().stream().filter(s -> !basis.isPrimary(s)).toList();
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -0,0 +1,139 @@
+package org.chicorylane.internal.election;
+
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The last server whose promotion was ordered, and whether the order may still take effect. Until
+ * it cannot, no other server may be promoted or used as the primary: the later promotion would roll
+ * back the commits that were acknowledged in the term of the earlier one.
+ *
+ * <p>Confined to the instance's thread.
+ */
+final class PromotionOrders {
+
+  /** Time after which an order that was sent can no longer take effect. */
+  static final Duration LIFETIME = Duration.ofSeconds(8);
+
+  /**
+   * Time after which an order was carried out or has failed, if the platform then answers that the
+   * server does not run.
+   */
+  static final Duration EFFECT_LIMIT = Duration.ofSeconds(3);
+
+  /**
+   * An ordered promotion.
+   *
+   * @param serverId the server that was to be promoted
+   * @param expired whether the order can no longer take effect
+   * @param inherited whether an earlier home sent it, and may have used the server as the primary
+   * @param repeatDue whether the order should be repeated if the server does not answer
+   */
+  record State(String serverId, boolean expired, boolean inherited, boolean repeatDue) {
+
+    /** Returns whether a server may be used as the primary beside this order. */
+    boolean permits(String otherServerId) {
+      return expired || otherServerId.equals(serverId);
+    }
+  }
+
+  private @Nullable String target;
+
+  /** Time of the last order that was not rejected, and of the order before it. */
+  private long lastSentNanos;
+
+  private long previousSentNanos;
+
+  /** Whether an order of the target was answered with success or not at all. */
+  private boolean mayTakeEffect;
+
+  private boolean inherited;
+  private boolean senderExcluded;
+  private boolean rejected;
+  private boolean repeated;
+
+  /** Takes over the order of an earlier home, which may still repeat it. */
+  void inherit(String serverId, long nowNanos) {
+    start(serverId);
+    lastSentNanos = nowNanos;
+    mayTakeEffect = true;
+    inherited = true;
+    senderExcluded = false;
+  }
+
+  /** Records that the earlier home can send no further order. */
+  void onSenderExcluded(long nowNanos) {
+    if (inherited && !senderExcluded) {
+      senderExcluded = true;
+      lastSentNanos = nowNanos;
+    }
+  }
+
+  /** Records that the promotion of a server is being ordered. */
+  void onSent(String serverId, long nowNanos) {
+    if (!serverId.equals(target)) {
+      start(serverId);
+    }
+    previousSentNanos = lastSentNanos;
+    lastSentNanos = nowNanos;
+  }
+
+  /** Records that the order is sent again to a server that does not answer. */
+  void onRepeat() {
+    repeated = true;
+  }
+
+  private void start(String serverId) {
+    target = serverId;
+    mayTakeEffect = false;
+    inherited = false;
+    rejected = false;
+    repeated = false;
+  }
+
+  /**
+   * Records the answer to the last order of a server. A rejection tells that the server does not
+   * run; an earlier order may have been accepted before.
+   */
+  void onOutcome(String serverId, Promoter.Outcome outcome, long nowNanos) {
+    if (!serverId.equals(target)) {
+      return;
+    }
+    if (outcome != Promoter.Outcome.REJECTED) {
+      mayTakeEffect = true;
+      return;
+    }
+    if (!mayTakeEffect) {
+      target = null;
+      return;
+    }
+    lastSentNanos = previousSentNanos;
+    rejected = nowNanos - lastSentNanos > EFFECT_LIMIT.toNanos();
+  }
+
+  /** Records that a server leads a new term: the one that was ordered, or another one. */
+  void onNewPrimary(String serverId) {
+    inherited = false;
+    if (serverId.equals(target)) {
+      target = null;
+    }
+  }
+
+  /** Returns whether a server may be used as the primary beside the orders that were sent. */
+  boolean permits(String serverId, long nowNanos) {
+    State state = state(nowNanos);
+    return state == null || state.permits(serverId);
+  }
+
+  /** Returns the last ordered promotion that was not rejected, null if there is none. */
+  @Nullable State state(long nowNanos) {
+    String serverId = target;
+    if (serverId == null) {
+      return null;
+    }
+    long ageNanos = nowNanos - lastSentNanos;
+    boolean expired = rejected || ageNanos > LIFETIME.toNanos();
+    boolean repeatDue = !repeated && ageNanos > EFFECT_LIMIT.toNanos();
+    return new State(serverId, expired, inherited, repeatDue);
+  }
+}
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -22,6 +22,7 @@
   private final LogReports reports = new LogReports();
   private final Set<String> missing = new HashSet<>();
   private boolean draining;
+  private PromotionOrders.@Nullable State order;
 
   PromotionChoiceTest() {
     reports.start(2, START_NANOS);
@@ -57,7 +58,8 @@
             "a",
             1,
             bound,
-            acknowledged));
+            acknowledged,
+            order));
   }
 
   private static String promotedId(PromotionChoice choice) {
@@ -176,4 +178,52 @@
     setReplicaStatus("c", 2, 110);
     assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
   }
+
+  // Incident 23: two promotions were under way, and the later one rolled back the earlier term.
+  @Test
+  void testOtherServerIsNotPromotedWhileOrderMayTakeEffect() {
+    order = new PromotionOrders.State("b", false, false, false);
+    setReplicaStatus("c", 1, 120);
+    assertThat(choose(new LogPosition(1, 120))).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  // Incident 23: a server was used as the primary while the promotion of another one was pending.
+  @Test
+  void testOtherServerThatLeadsIsNotAdoptedWhileOrderMayTakeEffect() {
+    order = new PromotionOrders.State("b", false, false, false);
+    setPrimaryStatus("c", 2, 120);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  @Test
+  void testOrderOfSilentServerIsRepeatedWhenDue() {
+    order = new PromotionOrders.State("b", false, false, true);
+    setReplicaStatus("c", 1, 120);
+    assertThat(choose(null)).isEqualTo(new PromotionChoice.Repeat("b"));
+  }
+
+  @Test
+  void testOrderedServerIsChosenAgain() {
+    order = new PromotionOrders.State("b", false, false, false);
+    setReplicaStatus("b", 1, 100);
+    setReplicaStatus("c", 1, 120);
+    assertThat(promotedId(choose(null))).isEqualTo("b");
+  }
+
+  @Test
+  void testOtherServerIsPromotedAfterOwnOrderExpired() {
+    order = new PromotionOrders.State("b", true, false, false);
+    setReplicaStatus("c", 1, 120);
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("c");
+  }
+
+  // Incident 23: an earlier home had used the ordered server, and its term's commit was elsewhere.
+  @Test
+  void testAfterInheritedOrderExpiredAllOtherServersMustReport() {
+    order = new PromotionOrders.State("b", true, true, false);
+    setReplicaStatus("c", 1, 120);
+    assertThat(choose(new LogPosition(1, 120))).isInstanceOf(PromotionChoice.Wait.class);
+    setReplicaStatus("a", 2, 130);
+    assertThat(promotedId(choose(null))).isEqualTo("a");
+  }
 }
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
@@ -0,0 +1,80 @@
+package org.chicorylane.internal.election;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests when an ordered promotion can no longer take effect. If another server is used too early,
+ * the order rolls back what that server acknowledges.
+ */
+final class PromotionOrdersTest {
+
+  private final PromotionOrders orders = new PromotionOrders();
+
+  private static long seconds(long seconds) {
+    return Duration.ofSeconds(seconds).toNanos();
+  }
+
+  @Test
+  void testOrderThatWasRejectedAtOnceIsForgotten() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.REJECTED, seconds(1));
+    assertThat(orders.state(seconds(1))).isNull();
+  }
+
+  // Incident 23: an order without an answer took effect after another server had been promoted.
+  @Test
+  void testUnansweredOrderPermitsNoOtherServerUntilItExpires() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.UNKNOWN, seconds(2));
+    assertThat(orders.permits("c", seconds(8))).isFalse();
+    assertThat(orders.permits("b", seconds(8))).isTrue();
+    assertThat(orders.permits("c", seconds(10))).isTrue();
+  }
+
+  @Test
+  void testRejectionRightAfterAcceptedOrderPermitsNoOtherServer() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.ACCEPTED, seconds(1));
+    orders.onSent("b", seconds(2));
+    orders.onOutcome("b", Promoter.Outcome.REJECTED, seconds(2));
+    assertThat(orders.permits("c", seconds(2))).isFalse();
+  }
+
+  @Test
+  void testRejectionAfterEffectLimitPermitsOtherServer() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.ACCEPTED, seconds(1));
+    orders.onSent("b", seconds(5));
+    orders.onOutcome("b", Promoter.Outcome.REJECTED, seconds(5));
+    assertThat(orders.permits("c", seconds(5))).isTrue();
+  }
+
+  @Test
+  void testLifetimeOfInheritedOrderBeginsWhenItsSenderIsExcluded() {
+    orders.inherit("b", seconds(1));
+    orders.onSenderExcluded(seconds(7));
+    orders.onSenderExcluded(seconds(9));
+    assertThat(orders.permits("c", seconds(14))).isFalse();
+    assertThat(orders.permits("c", seconds(16))).isTrue();
+  }
+
+  @Test
+  void testOrderThatTookEffectIsForgotten() {
+    orders.onSent("b", seconds(1));
+    orders.onNewPrimary("b");
+    assertThat(orders.state(seconds(1))).isNull();
+  }
+
+  @Test
+  void testRepeatIsDueOnceAfterEffectLimit() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.ACCEPTED, seconds(1));
+    assertThat(orders.state(seconds(3)).repeatDue()).isFalse();
+    assertThat(orders.state(seconds(5)).repeatDue()).isTrue();
+    orders.onRepeat();
+    assertThat(orders.state(seconds(5)).repeatDue()).isFalse();
+  }
+}
