--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/FleetScenario.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/FleetScenario.java
@@ -8,9 +8,12 @@
 import java.util.function.BooleanSupplier;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.platform.StoreTransaction;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.extension.AfterEachCallback;
+import org.junit.jupiter.api.extension.ExtensionContext;
 
 /** A simulated fleet with clients, for tests that inject faults at chosen moments. */
-final class FleetScenario {
+final class FleetScenario implements AfterEachCallback {
 
   final ModelFleet fleet;
   final ModelClients clients;
@@ -43,12 +46,19 @@
     return fleet.home().orElseThrow(() -> new AssertionError("no instance is the home"));
   }
 
+  /** Returns an instance other than {@code except} that is the home, null if there is none. */
+  @Nullable ModelHost homeOtherThan(ModelHost except) {
+    return fleet.hosts().stream()
+        .filter(h -> h != except && h.instance != null && h.instance.isHomeOf("plans"))
+        .findFirst()
+        .orElse(null);
+  }
+
   /** Advances by 1 ms at a time until the condition holds; fails if it does not in time. */
   void advanceUntil(String condition, long limitMillis, BooleanSupplier holds) {
     long end = fleet.scheduler.millis() + limitMillis;
     while (!holds.getAsBoolean()) {
       if (fleet.scheduler.millis() >= end) {
-        printLog();
         throw new AssertionError(condition + " not reached in " + limitMillis + " ms");
       }
       fleet.advance(1);
@@ -62,9 +72,6 @@
 
   /** Fails if no promotion was accepted. */
   void requirePromotion() {
-    if (fleet.promotions.isEmpty()) {
-      printLog();
-    }
     assertWithMessage("promotions").that(fleet.promotions).isNotEmpty();
   }
 
@@ -119,7 +126,6 @@
     clients.stop();
     fleet.advance(4_000);
     clients.checkLog();
-    printLog();
     assertThat(fleet.violations).isEmpty();
     assertThat(clients.violations).isEmpty();
   }
@@ -129,7 +135,9 @@
     fleet.store.transact(StoreTransaction.builder().delete("servers/" + serverId).build());
   }
 
-  private void printLog() {
+  /** Prints the instances' log lines if {@code -Dfleet.log=true} is set. */
+  @Override
+  public void afterEach(ExtensionContext test) {
     if (Boolean.getBoolean("fleet.log")) {
       fleet.lines.forEach(System.out::println);
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/IncompleteListPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/IncompleteListPromotionTest.java
@@ -4,6 +4,7 @@
 
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /**
  * The entry of the only replica that holds acknowledged commits has lapsed while that replica runs.
@@ -14,7 +15,7 @@
   /** Longer than the time after which an instance removes a server whose entry is missing. */
   private static final long LAPSE_MILLIS = 3_500;
 
-  private final FleetScenario scenario = new FleetScenario(4);
+  @RegisterExtension private final FleetScenario scenario = new FleetScenario(4);
   private final ModelFleet fleet = scenario.fleet;
   private final ModelServer primary = scenario.server("server-a");
   private final ModelServer stalled = scenario.server("server-b");
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/InheritedPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/InheritedPromotionTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -13,7 +14,7 @@
  */
 final class InheritedPromotionTest {
 
-  private final FleetScenario scenario = new FleetScenario(4);
+  @RegisterExtension private final FleetScenario scenario = new FleetScenario(4);
   private final ModelFleet fleet = scenario.fleet;
 
   // Guards against the successor of a home resuming replicas that were stopped for a promotion.
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LateConfirmationTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LateConfirmationTest.java
@@ -2,6 +2,7 @@
 
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /**
  * A commit that was sent before a change of primary is confirmed after the server to promote was
@@ -9,7 +10,7 @@
  */
 final class LateConfirmationTest {
 
-  private final FleetScenario scenario = new FleetScenario(4);
+  @RegisterExtension private final FleetScenario scenario = new FleetScenario(4);
   private final ModelFleet fleet = scenario.fleet;
   private final ModelServer primary = scenario.server("server-a");
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/OverlappingPromotionsTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/OverlappingPromotionsTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /**
  * A promotion takes effect long after its call. Commits that another server, promoted meanwhile,
@@ -9,7 +10,7 @@
  */
 final class OverlappingPromotionsTest {
 
-  private final FleetScenario scenario = new FleetScenario(4);
+  @RegisterExtension private final FleetScenario scenario = new FleetScenario(4);
   private final ModelFleet fleet = scenario.fleet;
 
   /** Cuts off the first server for which a promotion is called, and speeds up later calls. */
