--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.chicorylane.internal.election.Promoter;
@@ -44,6 +47,13 @@
   final String name;
   final Set<String> unreachableServers = new HashSet<>();
   final Set<String> unreachableHosts = new HashSet<>();
+
+  /** Fault: answers of servers arrive later than usual, by server id. */
+  final Map<String, Duration> answerDelays = new HashMap<>();
+
+  /** Called with the server's id and the command when this instance sends a command. */
+  BiConsumer<String, ServerCommand> onCommand = (serverId, command) -> {};
+
   private final List<Runnable> connectionClosers = new ArrayList<>();
   boolean running;
   boolean frozen;
@@ -318,11 +328,21 @@
         if (unreachableServers.contains(serverId)) {
           return;
         }
+        onCommand.accept(serverId, command);
         link.send(
             command,
             new AnswerHandler() {
               @Override
               public void onAnswer(Answer answer) {
+                Duration delay = answerDelays.get(serverId);
+                if (delay == null) {
+                  deliver(answer);
+                } else {
+                  fleet.scheduler.schedule(delay, () -> deliver(answer));
+                }
+              }
+
+              private void deliver(Answer answer) {
                 if (ownIncarnation == incarnation
                     && running
                     && !unreachableServers.contains(serverId)) {
