Report answers that the model host drops as lost when their connection ends

ModelHost dropped commands and answers while a server was unreachable and never called their handlers again, so the pool's count of statements in flight stayed too high, and after several cuts nothing was sent to the server any more. A real link reports them when it closes.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -285,6 +286,7 @@
     private final String serverId;
     private final ServerConnector.Listener listener;
     private final int ownIncarnation = incarnation;
+    private @Nullable HostedLink hostedLink;
 
     HostedListener(String serverId, ServerConnector.Listener listener) {
       this.serverId = serverId;
@@ -297,27 +299,38 @@
         link.close();
         return;
       }
+      HostedLink opened = new HostedLink(link);
+      hostedLink = opened;
       connectionClosers.add(link::close);
-      execute(() -> listener.onOpen(new HostedLink(link), position));
+      execute(() -> listener.onOpen(opened, position));
     }
 
     @Override
     public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
-      if (ownIncarnation == incarnation && running) {
+      if (isAlive()) {
         execute(() -> listener.onFailure(failure, detail));
       }
     }
 
     @Override
     public void onClosed() {
-      if (ownIncarnation == incarnation && running) {
+      if (hostedLink != null) {
+        hostedLink.loseAll();
+      }
+      if (isAlive()) {
         execute(listener::onClosed);
       }
     }
 
+    /** Returns whether the process that opened the connection still runs. */
+    private boolean isAlive() {
+      return ownIncarnation == incarnation && running;
+    }
+
     /** A link to a server whose handlers run in this process. */
     private final class HostedLink implements ServerLink {
       private final ServerLink link;
+      private final Set<PendingAnswer> pending = new LinkedHashSet<>();
 
       HostedLink(ServerLink link) {
         this.link = link;
@@ -325,43 +338,57 @@
 
       @Override
       public void send(ServerCommand command, AnswerHandler handler) {
-        if (unreachableServers.contains(serverId)) {
-          return;
+        PendingAnswer answer = new PendingAnswer(handler);
+        pending.add(answer);
+        if (!unreachableServers.contains(serverId)) {
+          onCommand.accept(serverId, command);
+          link.send(command, answer);
         }
-        onCommand.accept(serverId, command);
-        link.send(
-            command,
-            new AnswerHandler() {
-              @Override
-              public void onAnswer(Answer answer) {
-                Duration delay = answerDelays.get(serverId);
-                if (delay == null) {
-                  deliver(answer);
-                } else {
-                  fleet.scheduler.schedule(delay, () -> deliver(answer));
-                }
-              }
-
-              private void deliver(Answer answer) {
-                if (ownIncarnation == incarnation
-                    && running
-                    && !unreachableServers.contains(serverId)) {
-                  execute(() -> handler.onAnswer(answer));
-                }
-              }
-
-              @Override
-              public void onLost() {
-                if (ownIncarnation == incarnation && running) {
-                  execute(handler::onLost);
-                }
-              }
-            });
       }
 
       @Override
       public void close() {
         link.close();
+        loseAll();
+      }
+
+      /** Reports the answers that are still outstanding as lost, since the connection has ended. */
+      void loseAll() {
+        List.copyOf(pending).forEach(PendingAnswer::onLost);
+      }
+
+      /**
+       * An outstanding answer; one that is sent while the server is unreachable does not arrive.
+       */
+      private final class PendingAnswer implements AnswerHandler {
+        private final AnswerHandler handler;
+
+        PendingAnswer(AnswerHandler handler) {
+          this.handler = handler;
+        }
+
+        @Override
+        public void onAnswer(Answer answer) {
+          Duration delay = answerDelays.get(serverId);
+          if (delay == null) {
+            deliver(answer);
+          } else {
+            fleet.scheduler.schedule(delay, () -> deliver(answer));
+          }
+        }
+
+        private void deliver(Answer answer) {
+          if (isAlive() && !unreachableServers.contains(serverId) && pending.remove(this)) {
+            execute(() -> handler.onAnswer(answer));
+          }
+        }
+
+        @Override
+        public void onLost() {
+          if (pending.remove(this) && isAlive()) {
+            execute(handler::onLost);
+          }
+        }
       }
     }
   }
