Close the gaps of the promotion rule that the model search found

- All replicas have answered is no proof by itself: one answers, restarts, confirms a commit, and the home acknowledges it before the last answer.
No commit is acknowledged from the moment the logs are being read.
- A repeated order outlives its success: the first call promotes a server, another one is promoted next, and the second call takes effect.
An order is forgotten at its effect only if it was the only one and was accepted.
- A server that leads while the record names another target is used only once all others are excluded and the record names it; a later home repeats what the record says.
- An inherited order cannot expire before its sender is excluded.

Evidence: the search's traces; GroupPoolTest and PromotionOrdersTest have a case for the first, second and fourth. The third is covered by the search only.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -359,8 +359,8 @@
   }
 
   /** Holds back work from the primary in all pools, also in those that are closing. */
-  void haltPrimary() {
-    pools().forEach(p -> p.setPrimaryHalt(PrimaryHalt.EVERYTHING));
+  void haltPrimary(PrimaryHalt halt) {
+    pools().forEach(p -> p.setPrimaryHalt(halt));
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -420,8 +420,22 @@
         || !orders.permits(serverId, now())) {
       return;
     }
+    if (r.promoting() == null || r.promoting().equals(serverId)) {
+      use(serverId, term, r);
+      writePrimary(serverId, term, r, () -> {});
+    } else if (exclusion.isExclusive(r)) {
+      // A later home repeats the recorded promotion, so the record has to change first.
+      writePrimary(serverId, term, r, () -> use(serverId, term, r));
+    }
+  }
+
+  /** Uses a server as the primary from now on. */
+  private void use(String serverId, long term, HomeRecord before) {
+    if (step == Step.ENDED) {
+      return;
+    }
     election.log("primary").with("server", serverId).with("term", term).with("step", step).write();
-    final boolean promoted = step == Step.PROMOTING && term > r.term();
+    final boolean promoted = step == Step.PROMOTING && term > before.term();
     enter(Step.STEADY);
     pool.setPrimaryHalt(PrimaryHalt.NOTHING);
     pool.setPrimary(serverId, term);
@@ -433,16 +447,22 @@
     }
     primaryAdoptedNanos = now();
     rejectedServerId = null;
+  }
+
+  private void writePrimary(String serverId, long term, HomeRecord before, Runnable onWritten) {
     writingRecord = true;
-    exclusion.onNewRecord(r);
+    exclusion.onNewRecord(before);
     election.write(
-        r.withPrimary(
+        before.withPrimary(
             serverId,
             term,
-            exclusion.havePriorHomesStopped(r),
+            exclusion.havePriorHomesStopped(before),
             election.members().all(now()),
             context.ids().next()),
-        revision -> writingRecord = false,
+        revision -> {
+          writingRecord = false;
+          onWritten.run();
+        },
         () -> writingRecord = false);
   }
 
@@ -460,7 +480,7 @@
     enter(Step.EXCLUDING);
     HomeRecord r = election.record();
     if (r != null) {
-      pool.setPrimaryHalt(r.promoting() == null ? PrimaryHalt.WRITES : PrimaryHalt.EVERYTHING);
+      pool.setPrimaryHalt(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.WRITES);
       refreshPrimaryStatus(r.primaryId());
       exclusion.stopPriorHomes(r);
       exclusion.stopSuccessor(r, 0);
@@ -523,6 +543,7 @@
       return;
     }
     orders.onSenderExcluded(now());
+    election.haltPrimary(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.COMMITS);
     long sealTerm = 1 + latestTerm(r);
     reports.start(sealTerm, now());
     for (BackendServer s : election.servers()) {
@@ -535,6 +556,14 @@
     }
   }
 
+  /** Returns whether another server than the recorded primary may lead already. */
+  private boolean mayHaveOtherPrimary(HomeRecord r) {
+    PromotionOrders.State order = orders.state(now());
+    boolean mayOrderedLead =
+        order != null && !order.expired() && !order.serverId().equals(r.primaryId());
+    return r.promoting() != null || mayOrderedLead;
+  }
+
   private long latestTerm(HomeRecord r) {
     return statuses.values().stream().mapToLong(ServerStatus::term).reduce(r.term(), Math::max);
   }
@@ -606,7 +635,7 @@
       promote(r, promote.server(), promote.received());
     } else if (choice instanceof PromotionChoice.Repeat repeat) {
       enter(Step.PROMOTING);
-      election.haltPrimary();
+      election.haltPrimary(PrimaryHalt.EVERYTHING);
       orders.onRepeat();
       requestPromotion(repeat.serverId(), election.revision(), stepGeneration);
     } else {
@@ -653,7 +682,7 @@
 
   private void promote(HomeRecord r, BackendServer target, LogPosition received) {
     enter(Step.PROMOTING);
-    election.haltPrimary();
+    election.haltPrimary(PrimaryHalt.EVERYTHING);
     promotedLogEnd = received;
     long generation = stepGeneration;
     election
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -94,7 +94,8 @@
     String ordered = order.serverId();
     for (BackendServer s : basis.servers()) {
       ServerStatus status = basis.reportOf(s);
-      if (s.id().equals(ordered) && status != null && !status.primary()) {
+      boolean isOrdered = s.id().equals(ordered) && !basis.isPrimary(s);
+      if (isOrdered && status != null && !status.primary()) {
         return new Promote(s, status.received());
       }
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -47,6 +47,10 @@
   /** Whether an order of the target was answered with success or not at all. */
   private boolean mayTakeEffect;
 
+  /** Number of orders of the target that were sent, and of those that were accepted. */
+  private int sent;
+
+  private int accepted;
   private boolean inherited;
   private boolean senderExcluded;
   private boolean rejected;
@@ -76,6 +80,7 @@
     }
     previousSentNanos = lastSentNanos;
     lastSentNanos = nowNanos;
+    sent++;
   }
 
   /** Records that the order is sent again to a server that does not answer. */
@@ -85,6 +90,8 @@
 
   private void start(String serverId) {
     target = serverId;
+    sent = 0;
+    accepted = 0;
     mayTakeEffect = false;
     inherited = false;
     rejected = false;
@@ -101,8 +108,10 @@
     }
     if (outcome != Promoter.Outcome.REJECTED) {
       mayTakeEffect = true;
+      accepted += outcome == Promoter.Outcome.ACCEPTED ? 1 : 0;
       return;
     }
+    sent--;
     if (!mayTakeEffect) {
       target = null;
       return;
@@ -111,10 +120,14 @@
     rejected = nowNanos - lastSentNanos > EFFECT_LIMIT.toNanos();
   }
 
-  /** Records that a server leads a new term: the one that was ordered, or another one. */
+  /**
+   * Records that a server leads a new term: the one that was ordered, or another one. A further
+   * order of the same server may still be carried out, after yet another one has been promoted.
+   */
   void onNewPrimary(String serverId) {
+    boolean wasOnlyOrder = !inherited && sent == 1 && accepted == 1;
     inherited = false;
-    if (serverId.equals(target)) {
+    if (serverId.equals(target) && wasOnlyOrder) {
       target = null;
     }
   }
@@ -132,7 +145,8 @@
       return null;
     }
     long ageNanos = nowNanos - lastSentNanos;
-    boolean expired = rejected || ageNanos > LIFETIME.toNanos();
+    boolean mayBeRepeated = inherited && !senderExcluded;
+    boolean expired = !mayBeRepeated && (rejected || ageNanos > LIFETIME.toNanos());
     boolean repeatDue = !repeated && ageNanos > EFFECT_LIMIT.toNanos();
     return new State(serverId, expired, inherited, repeatDue);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PrimaryHalt.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PrimaryHalt.java
@@ -19,6 +19,21 @@
       return work.inTransaction() ? work.readOnly() : !work.isWrite();
     }
   },
+  /**
+   * As {@link #WRITES}, and the success of a commit that is under way is not passed on: the logs
+   * that decide about the next primary are being read, so they need not hold it.
+   */
+  COMMITS {
+    @Override
+    boolean allows(Work work) {
+      return WRITES.allows(work);
+    }
+
+    @Override
+    boolean allowsAcknowledgement() {
+      return false;
+    }
+  },
   /** All work is held back, since another server may become primary at any moment. */
   EVERYTHING {
     @Override
@@ -35,10 +50,7 @@
   /** Returns whether the work may be started on the primary. */
   abstract boolean allows(Work work);
 
-  /**
-   * Returns whether a commit that the primary reports as successful may be acknowledged. Returns
-   * false once the server to promote may have been chosen: its log need not hold the commit.
-   */
+  /** Returns whether a commit that the primary reports as successful may be acknowledged. */
   boolean allowsAcknowledgement() {
     return true;
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
@@ -62,12 +62,31 @@
   }
 
   @Test
-  void testOrderThatTookEffectIsForgotten() {
+  void testOnlyOrderThatTookEffectIsForgotten() {
     orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.ACCEPTED, seconds(1));
     orders.onNewPrimary("b");
     assertThat(orders.state(seconds(1))).isNull();
   }
 
+  // Incident 23: a repeated order was carried out after the promoted server had been replaced.
+  @Test
+  void testRepeatedOrderIsRememberedAfterFirstTookEffect() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.UNKNOWN, seconds(2));
+    orders.onSent("b", seconds(2));
+    orders.onOutcome("b", Promoter.Outcome.ACCEPTED, seconds(2));
+    orders.onNewPrimary("b");
+    assertThat(orders.permits("c", seconds(5))).isFalse();
+    assertThat(orders.permits("c", seconds(11))).isTrue();
+  }
+
+  @Test
+  void testInheritedOrderDoesNotExpireBeforeItsSenderIsExcluded() {
+    orders.inherit("b", seconds(1));
+    assertThat(orders.permits("c", seconds(60))).isFalse();
+  }
+
   @Test
   void testRepeatIsDueOnceAfterEffectLimit() {
     orders.onSent("b", seconds(1));
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -158,6 +158,18 @@
     assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.IN_DOUBT);
   }
 
+  // Incident 23: a replica confirmed a commit after its log had been read for the choice.
+  @Test
+  void testCommitConfirmedWhileLogsAreReadIsInDoubt() {
+    openConnectionToPrimary();
+    fixture.submit(PoolFixture.write("w"));
+    fixture.pool.setPrimaryHalt(PrimaryHalt.COMMITS);
+    fixture.submit(PoolFixture.work("r", WorkKind.READ, Freshness.LATEST).build());
+    fixture.advance(60);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.IN_DOUBT);
+    assertThat(fixture.failureOf("r")).isNull();
+  }
+
   // Incident 23: a commit was acknowledged by an instance whose lease had ended meanwhile.
   @Test
   void testCommitConfirmedAfterLeaseEndedIsInDoubt() {
