Qualify the store's revisions by its era; stand-ins that are restored from a copy

In a drill the users' store comes back from a copy some seconds old. Later changes are gone and their revisions are assigned again; the header Store-Era rises. Nothing read that header: a compare-and-swap could hold on another content, and a watch could continue past changes that it never reported.

MetadataEngine, StandInMetadataStore, KeyValueEngine and InMemoryKeyValueStore can be copied and restored.

--- a/chicorylane/src/main/java/org/chicorylane/internal/platform/ConditionalWriter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/platform/ConditionalWriter.java
@@ -228,7 +228,11 @@
       }
       long revision = entry.get().modRevision();
       if (entry.get().value().contains(writerId)) {
-        return CompletableFuture.completedFuture(new SearchResult(Finding.WRITTEN, revision));
+        // In another era the expected revision may have stood for another content.
+        boolean expectedContent =
+            expectedRevision == 0 || StoreEra.of(revision) == StoreEra.of(expectedRevision);
+        Finding finding = expectedContent ? Finding.WRITTEN : Finding.HISTORY_MISSING;
+        return CompletableFuture.completedFuture(new SearchResult(finding, revision));
       }
       return revision <= Math.max(expectedRevision, 1)
           ? CompletableFuture.completedFuture(new SearchResult(Finding.NOT_WRITTEN, 0))
--- a/chicorylane/src/test/java/org/chicorylane/internal/platform/InMemoryKeyValueStore.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/platform/InMemoryKeyValueStore.java
@@ -19,6 +19,8 @@
   private int answersToLose;
   private int requestsToLose;
   private long calls;
+  private long era;
+  private final List<OpenWatch> openWatches = new ArrayList<>();
 
   /** Makes all reads and writes return {@code Unavailable} while set; open watches continue. */
   public synchronized void setDown(boolean newDown) {
@@ -40,6 +42,25 @@
     return calls;
   }
 
+  /** Returns the store's era, which rises with each restore; 0 before the first one. */
+  public synchronized long era() {
+    return era;
+  }
+
+  /**
+   * Replaces the content by a copy that was taken earlier and raises the era. Open watches report
+   * nothing until {@link #reopenWatches()}.
+   */
+  public synchronized void restore(KeyValueEngine.Copy copy) {
+    engine.restore(copy);
+    era++;
+  }
+
+  /** Continues the watches that a restore has cut, each from the revision that it had reached. */
+  public synchronized void reopenWatches() {
+    List.copyOf(openWatches).forEach(OpenWatch::open);
+  }
+
   public KeyValueEngine engine() {
     return engine;
   }
@@ -68,15 +89,49 @@
   @Override
   public synchronized Watch watch(String prefix, long fromRevision, WatchListener listener) {
     calls++;
-    try {
-      return engine.watch(
-              KeyRange.prefix(prefix),
-              fromRevision,
-              (revision, events) -> listener.onChanges(toChanges(events), revision))
-          ::cancel;
-    } catch (RefusedException e) {
-      listener.onHistoryLost();
-      return () -> {};
+    OpenWatch watch = new OpenWatch(prefix, StoreEra.revisionOf(fromRevision) - 1, listener);
+    watch.open();
+    return watch;
+  }
+
+  /** A watch that continues, as long polling does, after it was cut. */
+  private final class OpenWatch implements Watch {
+    private final String prefix;
+    private final WatchListener listener;
+    private long reached;
+    private KeyValueEngine.Watch engineWatch = () -> {};
+
+    OpenWatch(String prefix, long reached, WatchListener listener) {
+      this.prefix = prefix;
+      this.reached = reached;
+      this.listener = listener;
+    }
+
+    void open() {
+      engineWatch.cancel();
+      openWatches.remove(this);
+      if (reached > engine.revision()) {
+        listener.onHistoryLost();
+        return;
+      }
+      try {
+        openWatches.add(this);
+        engineWatch = engine.watch(KeyRange.prefix(prefix), reached + 1, this::deliver);
+      } catch (RefusedException e) {
+        openWatches.remove(this);
+        listener.onHistoryLost();
+      }
+    }
+
+    private void deliver(long revision, List<KeyValueEngine.Entry> events) {
+      reached = revision;
+      listener.onChanges(toChanges(events), StoreEra.qualify(era, revision));
+    }
+
+    @Override
+    public void close() {
+      engineWatch.cancel();
+      openWatches.remove(this);
     }
   }
 
@@ -90,8 +145,9 @@
     }
     try {
       List<KeyValueEntry> entries =
-          engine.range(keys, revision).stream().map(InMemoryKeyValueStore::toEntry).toList();
-      return CompletableFuture.completedFuture(new ReadResult.Read(entries, engine.revision()));
+          engine.range(keys, StoreEra.revisionOf(revision)).stream().map(this::toEntry).toList();
+      return CompletableFuture.completedFuture(
+          new ReadResult.Read(entries, StoreEra.qualify(era, engine.revision())));
     } catch (RefusedException e) {
       return CompletableFuture.completedFuture(new ReadResult.Refused(e.getMessage()));
     }
@@ -122,7 +178,7 @@
               c.key(),
               KeyValueEngine.Target.MOD,
               KeyValueEngine.Relation.EQUAL,
-              c.expectedModRevision(),
+              StoreEra.revisionOf(c.expectedModRevision()),
               ""));
       reads.add(new KeyValueEngine.Range(KeyRange.single(c.key()), 0));
     }
@@ -131,14 +187,11 @@
     try {
       KeyValueEngine.TransactionResult result = engine.transact(compares, writes, reads);
       if (result.succeeded()) {
-        return new WriteResult.Applied(result.revision());
+        return new WriteResult.Applied(StoreEra.qualify(era, result.revision()));
       }
       List<KeyValueEntry> current =
-          result.results().stream()
-              .flatMap(r -> r.entries().stream())
-              .map(InMemoryKeyValueStore::toEntry)
-              .toList();
-      return new WriteResult.Conflict(current, result.revision());
+          result.results().stream().flatMap(r -> r.entries().stream()).map(this::toEntry).toList();
+      return new WriteResult.Conflict(current, StoreEra.qualify(era, result.revision()));
     } catch (RefusedException e) {
       return new WriteResult.Refused(e.getMessage());
     }
@@ -152,11 +205,11 @@
     return new KeyValueEngine.Delete(KeyRange.single(delete.key()));
   }
 
-  private static List<WatchListener.Change> toChanges(List<KeyValueEngine.Entry> events) {
+  private List<WatchListener.Change> toChanges(List<KeyValueEngine.Entry> events) {
     return events.stream().map(e -> new WatchListener.Change(toEntry(e), e.isDeletion())).toList();
   }
 
-  private static KeyValueEntry toEntry(KeyValueEngine.Entry e) {
-    return new KeyValueEntry(e.key(), e.value(), e.modRevision());
+  private KeyValueEntry toEntry(KeyValueEngine.Entry e) {
+    return new KeyValueEntry(e.key(), e.value(), StoreEra.qualify(era, e.modRevision()));
   }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -21,6 +21,7 @@
 import org.chicorylane.internal.topology.Freshness;
 import org.chicorylane.internal.topology.GroupDeclaration;
 import org.chicorylane.internal.topology.TopologyDecoder;
+import org.chicorylane.standin.platform.KeyValueEngine;
 
 /**
  * A simulated fleet in virtual time: instances, a key-value store, one database group with clients,
@@ -39,6 +40,9 @@
   private static final String GROUP = "plans";
   private static final Duration PROMOTION_DURATION = Duration.ofMillis(300);
 
+  /** Time after which a watch that was cut continues. */
+  private static final Duration WATCH_RETRY_DELAY = Duration.ofMillis(150);
+
   final VirtualScheduler scheduler = new VirtualScheduler();
   final InMemoryKeyValueStore store = new InMemoryKeyValueStore();
   final ModelGroup group = new ModelGroup(scheduler, GROUP, 3);
@@ -54,7 +58,8 @@
   boolean logging;
   private final Map<String, ModelGroup> groupsWithoutClients = new LinkedHashMap<>();
   private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
-  private final Map<String, Boolean> draining = new HashMap<>();
+  private final Map<String, Boolean> draining = new LinkedHashMap<>();
+  private long configurationVersion;
   private long highestFencingToken;
 
   ModelFleet(int instances) {
@@ -114,6 +119,7 @@
   }
 
   void putConfiguration(long version) {
+    configurationVersion = version;
     put("config", Long.toString(version));
   }
 
@@ -125,10 +131,28 @@
   /** Replaces a server of the group by a new one that has its log, as an upgrade does. */
   void replaceServer(String id, String newId) {
     group.replace(id, newId);
+    draining.remove(id);
     store.transact(StoreTransaction.builder().delete("servers/" + id).build());
     putServer(newId, false);
   }
 
+  /**
+   * Makes the store unavailable, brings it back after {@code awayMillis} from a copy that was taken
+   * earlier, and lets the operator and the servers write their entries again.
+   */
+  void restoreStore(KeyValueEngine.Copy copy, long awayMillis) {
+    storeDown = true;
+    scheduler.schedule(
+        Duration.ofMillis(awayMillis),
+        () -> {
+          store.restore(copy);
+          storeDown = false;
+          putConfiguration(configurationVersion);
+          Map.copyOf(draining).forEach(this::putServer);
+        });
+    scheduler.schedule(Duration.ofMillis(awayMillis).plus(WATCH_RETRY_DELAY), store::reopenWatches);
+  }
+
   /** Returns the ids of the group's current servers. */
   List<String> serverIds() {
     return group.entries().stream().map(BackendServer::id).toList();
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -398,13 +398,17 @@
                   @Override
                   public void onChanges(List<Change> changes, long revision) {
                     if (ownIncarnation == incarnation && running && !closed[0]) {
-                      deliver(changes, revision);
+                      deliver(changes, revision, store().era());
                     }
                   }
 
-                  private void deliver(List<Change> changes, long revision) {
+                  private void deliver(List<Change> changes, long revision, long era) {
+                    if (era != store().era()) {
+                      // An answer that was not sent before the store was restored is never sent.
+                      return;
+                    }
                     if (storeUnreachable || fleet.storeDown) {
-                      runAfter(Duration.ofMillis(300), () -> deliver(changes, revision));
+                      runAfter(Duration.ofMillis(300), () -> deliver(changes, revision, era));
                     } else {
                       runAfter(
                           STORE_DELAY,
--- a/standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -25,6 +26,24 @@
    */
   public record Item(String key, @Nullable String value, long revision, long created) {}
 
+  /** The content of the store at one moment. */
+  public static final class Copy {
+    private final TreeMap<String, Item> items;
+    private final List<Item> history;
+    private final long revision;
+    private final long compactedRevision;
+
+    private Copy(MetadataEngine engine) {
+      items = new TreeMap<>(engine.items);
+      history = List.copyOf(engine.history);
+      revision = engine.revision;
+      compactedRevision = engine.compactedRevision;
+    }
+  }
+
+  /** Prefixes of the keys whose writers write them again after a restore. */
+  private static final List<String> REWRITTEN_PREFIXES = List.of("op/", "servers/");
+
   /** The present items by key. */
   private final TreeMap<String, Item> items = new TreeMap<>();
 
@@ -33,12 +52,53 @@
 
   private long revision = 1;
   private long compactedRevision = 1;
+  private long era = 1;
 
   /** Returns the current revision. */
   public synchronized long revision() {
     return revision;
   }
 
+  /** Returns the era, which rises with each restore from a copy. */
+  public synchronized long era() {
+    return era;
+  }
+
+  /** Returns a copy of the content, for {@link #restore}. */
+  public synchronized Copy copy() {
+    return new Copy(this);
+  }
+
+  /**
+   * Replaces the content by an earlier copy and raises the era. Later changes are lost and their
+   * revisions are assigned again, first to what the operator and the servers had written, which
+   * they write again. Waiting calls of {@link #changes} end.
+   */
+  public synchronized void restore(Copy copy) {
+    Map<String, String> rewritten = new LinkedHashMap<>();
+    for (Item item : items.values()) {
+      if (REWRITTEN_PREFIXES.stream().anyMatch(item.key()::startsWith)
+          && !item.equals(copy.items.get(item.key()))) {
+        rewritten.put(item.key(), item.value());
+      }
+    }
+    List<String> removed =
+        copy.items.keySet().stream()
+            .filter(key -> REWRITTEN_PREFIXES.stream().anyMatch(key::startsWith))
+            .filter(key -> !items.containsKey(key))
+            .toList();
+    items.clear();
+    items.putAll(copy.items);
+    history.clear();
+    history.addAll(copy.history);
+    revision = copy.revision;
+    compactedRevision = copy.compactedRevision;
+    era++;
+    rewritten.forEach((key, value) -> transact(Map.of(), Map.of(key, value), List.of()));
+    removed.forEach(key -> transact(Map.of(), Map.of(), List.of(key)));
+    notifyAll();
+  }
+
   /** Returns the item of {@code key}, or null if the key does not exist. */
   public synchronized @Nullable Item get(String key) {
     return items.get(key);
@@ -99,13 +159,17 @@
    * @param after the revision after which changes are returned
    * @param waitMillis the longest wait, in milliseconds
    * @return the changes, oldest first; empty if there was none in time; null if the history was
-   *     compacted beyond {@code after}
+   *     compacted beyond {@code after}, or does not reach it since the store was restored
    */
   public synchronized @Nullable List<Item> changes(String prefix, long after, long waitMillis)
       throws InterruptedException {
     long deadlineNanos = System.nanoTime() + waitMillis * 1_000_000;
+    final long startEra = era;
     while (true) {
-      if (after < compactedRevision) {
+      if (era != startEra) {
+        return null;
+      }
+      if (after < compactedRevision || after > revision) {
         return null;
       }
       List<Item> found =
--- a/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
@@ -16,8 +16,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiPredicate;
 
@@ -28,6 +30,9 @@
  */
 public final class StandInMetadataStore implements AutoCloseable {
 
+  /** Header of all answers with the era, which rises when the store is restored from a copy. */
+  private static final String ERA_HEADER = "Store-Era";
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
@@ -39,6 +44,7 @@
   private final HttpServer server;
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final AtomicInteger answersToLose = new AtomicInteger();
+  private final CountDownLatch watchesStarted = new CountDownLatch(1);
   private volatile boolean down;
 
   /** Performs the promotion of the server with the given group and id. */
@@ -62,6 +68,22 @@
     return engine;
   }
 
+  /** Brings the store back from an earlier copy of its content; ends {@link #setDown an outage}. */
+  public void restore(MetadataEngine.Copy copy) {
+    engine.restore(copy);
+    down = false;
+  }
+
+  /**
+   * Waits until a watch has arrived.
+   *
+   * @param millis the longest wait, in milliseconds
+   * @return whether a watch arrived in time
+   */
+  public boolean awaitWatch(long millis) throws InterruptedException {
+    return watchesStarted.await(millis, TimeUnit.MILLISECONDS);
+  }
+
   /** Sets whether the store answers every call with status 503. */
   public void setDown(boolean newDown) {
     down = newDown;
@@ -94,6 +116,7 @@
   private void handle(HttpExchange exchange) throws IOException {
     try (exchange) {
       byte[] body = exchange.getRequestBody().readAllBytes();
+      exchange.getResponseHeaders().set(ERA_HEADER, Long.toString(engine.era()));
       if (down) {
         exchange.sendResponseHeaders(UNAVAILABLE, -1);
         return;
@@ -133,13 +156,14 @@
   private void watch(HttpExchange exchange, Map<String, String> query)
       throws IOException, InterruptedException {
     long after = Long.parseLong(query.getOrDefault("after", "0"));
+    watchesStarted.countDown();
     List<MetadataEngine.Item> changes =
         engine.changes(
             query.getOrDefault("prefix", ""),
             after,
             Long.parseLong(query.getOrDefault("wait_ms", "0")));
     if (changes == null) {
-      exchange.sendResponseHeaders(GONE, -1);
+      send(exchange, GONE, new JsonObject());
       return;
     }
     JsonObject answer = new JsonObject();
@@ -220,7 +244,12 @@
     return query;
   }
 
-  private static void send(HttpExchange exchange, int status, JsonObject body) throws IOException {
+  /** Sends an answer, or closes the connection if the store was restored since the call came. */
+  private void send(HttpExchange exchange, int status, JsonObject body) throws IOException {
+    String era = exchange.getResponseHeaders().getFirst(ERA_HEADER);
+    if (!era.equals(Long.toString(engine.era()))) {
+      return;
+    }
     byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
     exchange.sendResponseHeaders(status, bytes.length);
--- a/standins/src/main/java/org/chicorylane/standin/platform/KeyValueEngine.java
+++ b/standins/src/main/java/org/chicorylane/standin/platform/KeyValueEngine.java
@@ -161,6 +161,23 @@
     }
   }
 
+  /** The content of a store at one moment. */
+  public static final class Copy {
+    private final TreeMap<String, List<Entry>> histories = new TreeMap<>();
+    private final List<Entry> changeLog;
+    private final TreeMap<Long, Lease> leases;
+    private final long revision;
+    private final long compactedRevision;
+
+    private Copy(KeyValueEngine engine) {
+      engine.histories.forEach((key, history) -> histories.put(key, List.copyOf(history)));
+      changeLog = List.copyOf(engine.changeLog);
+      leases = new TreeMap<>(engine.leases);
+      revision = engine.revision;
+      compactedRevision = engine.compactedRevision;
+    }
+  }
+
   private record Watcher(KeyRange keys, Listener listener) {}
 
   private record Lease(Duration ttl, Instant expiry) {}
@@ -194,6 +211,27 @@
     return compactedRevision;
   }
 
+  /** Returns a copy of the content, for {@link #restore}. */
+  public synchronized Copy copy() {
+    return new Copy(this);
+  }
+
+  /**
+   * Replaces the content by an earlier copy. Later changes are lost and their revisions are
+   * assigned again. All watches end without a notice.
+   */
+  public synchronized void restore(Copy copy) {
+    watchers.clear();
+    histories.clear();
+    copy.histories.forEach((key, history) -> histories.put(key, new ArrayList<>(history)));
+    changeLog.clear();
+    changeLog.addAll(copy.changeLog);
+    leases.clear();
+    leases.putAll(copy.leases);
+    revision = copy.revision;
+    compactedRevision = copy.compactedRevision;
+  }
+
   /**
    * Compacts the history: revisions before {@code upTo}, or before the current revision if that is
    * lower, can no longer be read or watched.
