Keep tokens, leases and primaries safe when the store is restored from a copy

Cause: revisions were compared as if they never fell, and a record that was read counted as everything there is to know.

Change: records, watches and fencing tokens use revisions qualified by the store's era, so they never fall. After a restore each instance lists again, registers again and confirms its homes. An election completes the restored record with what it knew (primary, term, pending promotion, earlier homes), and the home, or the one before the restore, writes that back. No promotion is ordered until the validity of a lease has passed since this instance first saw the era, since the record does not name all who hold one; a record that was written after that wait says so (settledEra), so that an instance which starts later in the same era does not wait again.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -15,8 +15,9 @@
 import org.chicorylane.internal.platform.ConditionalWriteResult;
 import org.chicorylane.internal.platform.ConditionalWriter;
 import org.chicorylane.internal.platform.KeyValueEntry;
-import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.RestorableStore;
+import org.chicorylane.internal.platform.StoreEra;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolListener;
 import org.chicorylane.internal.pool.PoolMetrics;
@@ -53,7 +54,7 @@
    */
   public record Context(
       HomeRecord.Holder self,
-      KeyValueStore store,
+      RestorableStore store,
       BooleanSupplier storeUnavailable,
       ConditionalWriter swaps,
       ServerConnector connector,
@@ -92,6 +93,17 @@
   private @Nullable HomeRecord record;
   private long revision;
 
+  /**
+   * The last record from before the store was restored, until the stored record includes it; null
+   * if the store was not restored since.
+   */
+  private @Nullable HomeRecord recordBeforeRestore;
+
+  private long lastRewriteNanos;
+
+  /** Start of the wait for leases of earlier eras, if later than the first sight of the era. */
+  private long eraWaitStartNanos;
+
   /** Whether the stored record has been read, or the store has been found to have none. */
   private boolean recordKnown;
 
@@ -129,6 +141,7 @@
     this.group = group;
     this.context = context;
     this.onHomeChanged = onHomeChanged;
+    this.eraWaitStartNanos = context.store().eraSeenNanos();
   }
 
   /** Returns the last record that was read or written, null if there is none yet. */
@@ -209,7 +222,11 @@
   /** Applies the record as stored; {@code entry} is null if the store has no record. */
   public void onRecord(@Nullable KeyValueEntry entry) {
     recordKnown = true;
-    if (entry == null || entry.modRevision() <= revision) {
+    if (entry == null) {
+      onRecordMissing();
+      return;
+    }
+    if (entry.modRevision() <= revision) {
       return;
     }
     Optional<HomeRecord> decoded =
@@ -224,7 +241,7 @@
       return;
     }
     HomeRecord before = record;
-    adopt(decoded.get(), entry.modRevision());
+    adopt(completed(decoded.get()), entry.modRevision());
     if (before == null || !before.home().equals(decoded.get().home())) {
       lostSinceNanos = 0;
       log("home")
@@ -239,6 +256,89 @@
     }
   }
 
+  /**
+   * Keeps the record if the store was restored from a copy without it, so that the next write
+   * creates it again.
+   */
+  private void onRecordMissing() {
+    long era = context.store().era();
+    if (record != null && StoreEra.of(revision) < era) {
+      revision = StoreEra.qualify(era, 0);
+      log("record-missing").with("era", era).write();
+    }
+  }
+
+  /**
+   * Returns a record that was read, completed by what this instance knows from before the store was
+   * restored.
+   */
+  private HomeRecord completed(HomeRecord stored) {
+    if (stored.home().equals(context.self()) && !areEarlierErasOver()) {
+      // A write of an earlier era may have taken effect late and replaced another home.
+      eraWaitStartNanos = now();
+    }
+    HomeRecord known = recordBeforeRestore;
+    if (known == null) {
+      return stored;
+    }
+    HomeRecord completed = stored.completedBy(known);
+    if (completed.equals(stored)) {
+      recordBeforeRestore = null;
+    }
+    return completed;
+  }
+
+  /**
+   * Notifies the election that the store was restored from a copy: later changes of the record may
+   * be gone, and instances that it does not name may hold leases. This instance's own lease keeps
+   * its end, because other instances wait for it before a promotion.
+   */
+  public void onStoreRestored() {
+    eraWaitStartNanos = now();
+    if (record != null) {
+      recordBeforeRestore = record;
+    }
+  }
+
+  /**
+   * Returns whether every lease from before the last restore of the store has ended. The restored
+   * record does not name all instances that held one.
+   */
+  boolean areEarlierErasOver() {
+    long era = context.store().era();
+    HomeRecord r = record;
+    if (era == 0 || (r != null && r.settledEra() == era)) {
+      return true;
+    }
+    long seen = Math.max(context.store().eraSeenNanos(), eraWaitStartNanos);
+    return now() - seen > context.timings().validity().toNanos();
+  }
+
+  /**
+   * Writes the record again if the stored one is missing, lacks what is known from before the store
+   * was restored, or does not tell that earlier eras are over. Besides the home, the instance that
+   * was the home before does so.
+   */
+  private void rewriteIfOutdated(HomeRecord r) {
+    long era = context.store().era();
+    HomeRecord known = recordBeforeRestore;
+    boolean isHomeHere = supervisor != null && r.home().equals(context.self());
+    boolean wasHome = known != null && known.home().equals(context.self());
+    boolean missing = StoreEra.of(revision) == era && StoreEra.revisionOf(revision) == 0;
+    boolean unsettled = r.settledEra() != era && areEarlierErasOver();
+    boolean due =
+        StoreEra.of(revision) == era
+            && ((isHomeHere && (missing || known != null || unsettled)) || wasHome);
+    if (!due
+        || claimInProgress
+        || now() - lastRewriteNanos < context.timings().confirmInterval().toNanos()) {
+      return;
+    }
+    lastRewriteNanos = now();
+    log("record-rewriting").with("era", era).with("missing", missing).write();
+    write(r.rewritten(r.settledEra(), context.ids().next()), applied -> {}, () -> {});
+  }
+
   /**
    * Applies the result of a linearizable read that was sent at {@code sentNanos}. The lease is
    * renewed if the read shows the latest known revision and this instance is its home or successor.
@@ -393,6 +493,7 @@
     if (isRecordedHome && !isHome()) {
       claimHome("was the home before it stopped or restarted");
     }
+    rewriteIfOutdated(r);
     PrimarySupervisor currentSupervisor = supervisor;
     if (currentSupervisor != null) {
       currentSupervisor.tick();
@@ -461,16 +562,20 @@
    * @param onApplied called with the new revision
    * @param onFailed called if the write failed, after a conflicting record was applied
    */
-  void write(HomeRecord next, LongConsumer onApplied, Runnable onFailed) {
+  void write(HomeRecord proposed, LongConsumer onApplied, Runnable onFailed) {
     long sent = now();
+    HomeRecord next =
+        proposed.rewritten(areEarlierErasOver() ? context.store().era() : 0, proposed.writer());
+    long expectedRevision = StoreEra.revisionOf(revision) == 0 ? 0 : revision;
     context
         .swaps()
-        .swap(HomeRecord.keyOf(group), revision, next.encode(), next.writer())
+        .swap(HomeRecord.keyOf(group), expectedRevision, next.encode(), next.writer())
         .thenAccept(
             result -> {
               if (result instanceof ConditionalWriteResult.Applied applied) {
                 if (applied.revision() >= revision) {
                   adopt(next, applied.revision());
+                  recordBeforeRestore = null;
                 }
                 confirmedNanos = Math.max(confirmedNanos, sent);
                 onApplied.accept(applied.revision());
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -51,9 +51,14 @@
     this.startNanos = context.scheduler().nanoTime();
   }
 
-  /** Returns whether neither an earlier home nor the successor can still use the primary. */
+  /**
+   * Returns whether neither an earlier home nor the successor can still use the primary, nor an
+   * instance whose lease is older than the store's last restore.
+   */
   boolean isExclusive(HomeRecord r) {
-    return havePriorHomesStopped(r) && (r.successor() == null || stopped.contains(r.successor()));
+    return election.areEarlierErasOver()
+        && havePriorHomesStopped(r)
+        && (r.successor() == null || stopped.contains(r.successor()));
   }
 
   /** Returns whether each earlier home has stopped or its lease has expired. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -26,6 +26,8 @@
  *     home is lost and the store cannot record a new one; null if there is none
  * @param priorHomes earlier homes that may not have learned that they were replaced
  * @param writer the unique id of the write
+ * @param settledEra the era of the store in which all leases of earlier eras were known to have
+ *     ended when this record was written, 0 if that was not known
  */
 public record HomeRecord(
     long epoch,
@@ -35,7 +37,8 @@
     @Nullable String promoting,
     @Nullable Holder successor,
     List<Holder> priorHomes,
-    String writer) {
+    String writer,
+    long settledEra) {
 
   /** Prefix of the keys under which records are stored. */
   public static final String KEY_PREFIX = "lane/groups/";
@@ -72,6 +75,19 @@
     priorHomes = List.copyOf(priorHomes);
   }
 
+  /** Creates a record of which it is not known whether leases of earlier eras have ended. */
+  HomeRecord(
+      long epoch,
+      Holder home,
+      @Nullable String primaryId,
+      long term,
+      @Nullable String promoting,
+      @Nullable Holder successor,
+      List<Holder> priorHomes,
+      String writer) {
+    this(epoch, home, primaryId, term, promoting, successor, priorHomes, writer, 0);
+  }
+
   /**
    * Returns the first record of a group.
    *
@@ -137,6 +153,45 @@
     return new HomeRecord(epoch, home, primaryId, term, promoting, null, prior, newWriter);
   }
 
+  /** Returns this record as it is written by {@code newWriter}, with the era that is settled. */
+  HomeRecord rewritten(long newSettledEra, String newWriter) {
+    return new HomeRecord(
+        epoch, home, primaryId, term, promoting, successor, priorHomes, newWriter, newSettledEra);
+  }
+
+  /**
+   * Returns this record, which the store was restored with, completed by what is known from before:
+   * the primary of the highest term, a promotion that may still take effect, and the instances that
+   * were homes or successors then. Its home and successor are kept.
+   */
+  HomeRecord completedBy(HomeRecord known) {
+    boolean knownIsLater = known.primaryId != null && known.term >= term;
+    String laterPromoting = knownIsLater ? known.promoting : promoting;
+    boolean keepsOwnPromotion = laterPromoting == null && known.term == term;
+    return new HomeRecord(
+        Math.max(epoch, known.epoch),
+        home,
+        knownIsLater ? known.primaryId : primaryId,
+        Math.max(term, known.term),
+        keepsOwnPromotion ? promoting : laterPromoting,
+        successor,
+        priorHomesWith(known),
+        writer,
+        settledEra);
+  }
+
+  private List<Holder> priorHomesWith(HomeRecord known) {
+    List<Holder> prior = new ArrayList<>(priorHomes);
+    prior.addAll(known.priorHomes);
+    if (known.successor != null) {
+      prior.add(known.successor);
+    }
+    prior.add(known.home);
+    prior.removeIf(h -> h.name().equals(home.name()) || h.equals(successor));
+    List<Holder> distinct = prior.stream().distinct().toList();
+    return distinct.subList(Math.max(0, distinct.size() - MAX_PRIOR_HOMES), distinct.size());
+  }
+
   /** Returns the key of a group's record. */
   public static String keyOf(String group) {
     return KEY_PREFIX + group;
@@ -157,6 +212,7 @@
     priorHomes.forEach(h -> prior.add(encodeHolder(h)));
     o.add("prior", prior);
     o.addProperty("writer", writer);
+    o.addProperty("settledEra", settledEra);
     return o.toString();
   }
 
@@ -179,7 +235,8 @@
         readText(o, "promoting"),
         o.has("successor") ? readHolder(o.get("successor")) : null,
         prior,
-        o.get("writer").getAsString());
+        o.get("writer").getAsString(),
+        o.has("settledEra") ? o.get("settledEra").getAsLong() : 0);
   }
 
   private static @Nullable String readText(JsonObject o, String name) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -100,7 +100,8 @@
     this.replicationCheck = new ReplicationCheck(context.scheduler(), statuses, this::queryStatus);
     this.exclusion = new HomeExclusion(election, context, this::proceedIfExclusive);
     HomeRecord r = election.record();
-    this.acknowledgedKnown = r != null && r.priorHomes().isEmpty() && r.epoch() == 1;
+    this.acknowledgedKnown =
+        r != null && r.priorHomes().isEmpty() && r.epoch() == 1 && election.areEarlierErasOver();
   }
 
   /** Returns whether a primary leads the group and no change of it is in progress. */
@@ -384,6 +385,10 @@
     if (step != Step.STEADY && step != Step.ASKING) {
       return;
     }
+    if (isPlanned && !election.areEarlierErasOver()) {
+      // The primary works, and its writes would be held back for the whole wait.
+      return;
+    }
     election.log("primary-change").with("planned", isPlanned).with("reason", reason).write();
     plannedChange = isPlanned;
     pool.setPrimaryHalt(PrimaryHalt.WRITES);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -72,6 +72,15 @@
     store.transact(StoreTransaction.builder().delete(KEY_PREFIX + self.name()).build());
   }
 
+  /** Writes or deletes this instance's entry again, as the store may have lost the change. */
+  void onStoreRestored() {
+    if (leaving) {
+      leave();
+    } else {
+      register();
+    }
+  }
+
   /** Applies a change of an entry under {@link #KEY_PREFIX}. */
   void onEntry(KeyValueEntry entry, boolean deleted) {
     String name = entry.key().substring(KEY_PREFIX.length());
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -25,6 +25,7 @@
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.RestorableStore;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolMetrics;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -100,7 +101,7 @@
   private final HomeRouter router;
   private final SessionRegistry sessions;
   private final MeshService service;
-  private final PeerFallbackStore store;
+  private final RestorableStore store;
   private final HomeElection.Context context;
   private final MetricRegistry metrics = new MetricRegistry();
   private boolean coordinationLoaded;
@@ -119,8 +120,15 @@
     this.servers = new ServerDirectory(scheduler, this::updateElections);
     this.registry = new InstanceRegistry(ports.store(), scheduler, ports.log(), self);
     this.store =
-        new PeerFallbackStore(
-            ports.store(), ports.storeUnavailable(), registry::instances, this::link, self.name());
+        new RestorableStore(
+            new PeerFallbackStore(
+                ports.store(),
+                ports.storeUnavailable(),
+                registry::instances,
+                this::link,
+                self.name()),
+            scheduler::nanoTime,
+            this::onStoreRestored);
     this.router = new HomeRouter(scheduler, ports.log(), elections::get, this::link, self.name());
     this.sessions = new SessionRegistry(configuration::current, router);
     this.service =
@@ -239,6 +247,25 @@
     servers.onStoreReturned();
   }
 
+  /** Notifies the instance of the store's era in any answer of the store. */
+  public void onStoreEra(long era) {
+    store.onEra(era);
+  }
+
+  /** Replaces what this instance has read from, or written to, the store before its restore. */
+  private void onStoreRestored() {
+    ports
+        .log()
+        .event(DecisionLog.Priority.BELIEF, "store-restored")
+        .with("era", store.era())
+        .write();
+    servers.onStoreReturned();
+    registry.onStoreRestored();
+    elections.values().forEach(HomeElection::onStoreRestored);
+    confirming = false;
+    confirmRecords();
+  }
+
   /**
    * Drains the instance: hands its groups over and closes sessions as they become idle.
    *
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.chicorylane.internal.passthrough.ModelServer;
+import org.chicorylane.standin.platform.KeyValueEngine;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -35,16 +36,22 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void testGuaranteesHoldUnderFaults(long seed) {
-    runScenario(seed, false);
+    runScenario(seed, false, false);
   }
 
   @ParameterizedTest
   @MethodSource("seeds")
   void testGuaranteesHoldWhileServersAreReplaced(long seed) {
-    runScenario(seed, true);
+    runScenario(seed, true, false);
   }
 
-  private static void runScenario(long seed, boolean replacesServers) {
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void testGuaranteesHoldWhileStoreIsRestored(long seed) {
+    runScenario(seed, false, true);
+  }
+
+  private static void runScenario(long seed, boolean replacesServers, boolean restoresStore) {
     Random random = new Random(seed);
     ModelFleet fleet = new ModelFleet(3 + random.nextInt(3));
     fleet.logging = Boolean.getBoolean("fleet.log");
@@ -60,6 +67,9 @@
           fleet.replaceServer(old, "server-" + i);
         }
       }
+      if (restoresStore && random.nextInt(2) == 0) {
+        restoreStore(fleet, random);
+      }
       inject(fleet, random);
       fleet.advance(random.nextInt(4) == 0 ? 50 : 2_500);
     }
@@ -79,6 +89,13 @@
         .isGreaterThan(300);
   }
 
+  /** Copies the store now, and later brings it back from that copy after a short absence. */
+  private static void restoreStore(ModelFleet fleet, Random random) {
+    KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    long awayMillis = 500 + random.nextInt(2_500);
+    runAfter(fleet, 200 + random.nextInt(6_000), () -> fleet.restoreStore(copy, awayMillis));
+  }
+
   /** Starts a random fault and schedules its end. */
   private static void inject(ModelFleet fleet, Random random) {
     ModelHost host = fleet.hosts().get(random.nextInt(fleet.hosts().size()));
