--- a/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
@@ -40,10 +40,19 @@
   private static final int PRECONDITION_FAILED = 412;
   private static final int UNAVAILABLE = 503;
 
+  /**
+   * A promotion call that the store has received.
+   *
+   * @param serverId the server to promote
+   * @param fencingToken the fencing token that guards the call
+   */
+  public record PromotionCall(String serverId, long fencingToken) {}
+
   private final MetadataEngine engine = new MetadataEngine();
   private final HttpServer server;
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final AtomicInteger answersToLose = new AtomicInteger();
+  private final List<PromotionCall> promotionCalls = new ArrayList<>();
   private final CountDownLatch watchesStarted = new CountDownLatch(1);
   private volatile boolean down;
 
@@ -204,7 +213,32 @@
     send(exchange, PRECONDITION_FAILED, answer);
   }
 
+  /**
+   * Waits for promotion calls.
+   *
+   * @param count the number of calls to wait for, counted from the start of the store
+   * @param millis the longest wait, in milliseconds
+   * @return all calls so far, in order of arrival
+   */
+  public List<PromotionCall> awaitPromotionCalls(int count, long millis)
+      throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    synchronized (promotionCalls) {
+      long left = millis;
+      while (promotionCalls.size() < count && left > 0) {
+        promotionCalls.wait(left);
+        left = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+      }
+      return List.copyOf(promotionCalls);
+    }
+  }
+
   private void promote(HttpExchange exchange, JsonObject call) throws IOException {
+    String token = exchange.getRequestHeaders().getFirst("Fencing-Token");
+    synchronized (promotionCalls) {
+      promotionCalls.add(new PromotionCall(call.get("id").getAsString(), Long.parseLong(token)));
+      promotionCalls.notifyAll();
+    }
     boolean promoted =
         promotion.test(call.get("service").getAsString(), call.get("id").getAsString());
     send(exchange, promoted ? OK : CONFLICT, new JsonObject());
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
@@ -13,6 +13,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -67,9 +68,12 @@
         servers.add(new StandInWireServer(group, id, i == 0, commits));
       }
     }
+    Map<String, AtomicLong> terms = new ConcurrentHashMap<>();
     store.onPromotion(
         (service, id) -> {
-          servers.stream().filter(s -> s.id().equals(id)).forEach(s -> s.promote(2));
+          long term = terms.computeIfAbsent(service, s -> new AtomicLong(1)).incrementAndGet();
+          servers.stream().filter(s -> s.id().equals(id)).forEach(s -> s.promote(term));
+          servers.stream().filter(s -> s.service().equals(service)).forEach(s -> s.follow(term));
           promoted.countDown();
           return true;
         });
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
@@ -116,6 +116,13 @@
     primary = true;
   }
 
+  /** Makes this server, if it is a replica, follow the primary of {@code newTerm}. */
+  public void follow(long newTerm) {
+    if (!primary) {
+      term = newTerm;
+    }
+  }
+
   /**
    * Makes the server close the connection when it receives the next client statement, which it
    * records in {@link #received} but neither runs nor answers. A client statement is one whose
