--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -316,20 +316,16 @@
 
   /**
    * Writes the record again if the stored one is missing, lacks what is known from before the store
-   * was restored, or does not tell that earlier eras are over. Besides the home, the instance that
-   * was the home before does so.
+   * was restored, or does not tell that earlier eras are over.
    */
   private void rewriteIfOutdated(HomeRecord r) {
     long era = context.store().era();
-    HomeRecord known = recordBeforeRestore;
     boolean isHomeHere = supervisor != null && r.home().equals(context.self());
-    boolean wasHome = known != null && known.home().equals(context.self());
-    boolean missing = StoreEra.of(revision) == era && StoreEra.revisionOf(revision) == 0;
+    boolean missing = StoreEra.revisionOf(revision) == 0;
     boolean unsettled = r.settledEra() != era && areEarlierErasOver();
-    boolean due =
-        StoreEra.of(revision) == era
-            && ((isHomeHere && (missing || known != null || unsettled)) || wasHome);
+    boolean due = (isHomeHere && (missing || unsettled)) || completesRecord(isHomeHere);
     if (!due
+        || StoreEra.of(revision) != era
         || claimInProgress
         || now() - lastRewriteNanos < context.timings().confirmInterval().toNanos()) {
       return;
@@ -339,6 +335,21 @@
     write(r.rewritten(r.settledEra(), context.ids().next()), applied -> {}, () -> {});
   }
 
+  /**
+   * Returns whether this instance completes the stored record: the home or the one before the
+   * restore at once, other instances one after the other, in case both are lost.
+   */
+  private boolean completesRecord(boolean isHomeHere) {
+    HomeRecord known = recordBeforeRestore;
+    if (known == null) {
+      return false;
+    }
+    Duration delay = context.timings().confirmInterval().multipliedBy(1 + rankOfSelf(""));
+    return isHomeHere
+        || known.home().equals(context.self())
+        || now() - eraWaitStartNanos > delay.toNanos();
+  }
+
   /**
    * Applies the result of a linearizable read that was sent at {@code sentNanos}. The lease is
    * renewed if the read shows the latest known revision and this instance is its home or successor.
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.jspecify.annotations.Nullable;
@@ -181,15 +182,14 @@
   }
 
   private List<Holder> priorHomesWith(HomeRecord known) {
-    List<Holder> prior = new ArrayList<>(priorHomes);
-    prior.addAll(known.priorHomes);
+    List<Holder> added = new ArrayList<>(known.priorHomes);
     if (known.successor != null) {
-      prior.add(known.successor);
+      added.add(known.successor);
     }
-    prior.add(known.home);
-    prior.removeIf(h -> h.name().equals(home.name()) || h.equals(successor));
-    List<Holder> distinct = prior.stream().distinct().toList();
-    return distinct.subList(Math.max(0, distinct.size() - MAX_PRIOR_HOMES), distinct.size());
+    added.add(known.home);
+    added.removeIf(h -> h.name().equals(home.name()) || h.equals(successor));
+    List<Holder> prior = Stream.concat(priorHomes.stream(), added.stream()).distinct().toList();
+    return prior.subList(Math.max(0, prior.size() - MAX_PRIOR_HOMES), prior.size());
   }
 
   /** Returns the key of a group's record. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerFallbackStore.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerFallbackStore.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -42,6 +43,11 @@
   private final Function<String, PeerLink> links;
   private final String selfName;
 
+  /**
+   * Seeded by the instance's name: instances choose differently, and a simulation is repeatable.
+   */
+  private final Random random;
+
   /**
    * Creates a client.
    *
@@ -62,6 +68,7 @@
     this.peers = peers;
     this.links = links;
     this.selfName = selfName;
+    this.random = new Random(selfName.hashCode());
   }
 
   @Override
@@ -156,7 +163,7 @@
   private List<PeerInstance> choosePeers() {
     List<PeerInstance> others = new ArrayList<>(peers.get());
     others.removeIf(p -> p.name().equals(selfName));
-    Collections.shuffle(others);
+    Collections.shuffle(others, random);
     return others.subList(0, Math.min(MAXIMUM_PEERS_ASKED, others.size()));
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -47,6 +47,10 @@
   boolean frozen;
   boolean storeUnreachable;
   boolean losesStoreAnswers;
+
+  /** Delay after which writes to the store take effect, without an answer; null if they do not. */
+  @Nullable Duration storeWriteDelay;
+
   int storeCalls;
   private boolean lastCallFailed;
   private int incarnation;
@@ -380,8 +384,14 @@
 
   @Override
   public CompletableFuture<WriteResult> transact(StoreTransaction transaction) {
-    return call(
-        () -> store().transact(transaction), new WriteResult.Unavailable("no answer", true));
+    WriteResult failed = new WriteResult.Unavailable("no answer", true);
+    if (storeWriteDelay != null && !storeUnreachable && !fleet.storeDown) {
+      fleet.scheduler.schedule(storeWriteDelay, () -> store().transact(transaction));
+      CompletableFuture<WriteResult> result = new CompletableFuture<>();
+      runAfter(STORE_TIMEOUT, () -> result.complete(failed));
+      return result;
+    }
+    return call(() -> store().transact(transaction), failed);
   }
 
   @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -93,6 +93,12 @@
   private static void restoreStore(ModelFleet fleet, Random random) {
     KeyValueEngine.Copy copy = fleet.store.engine().copy();
     long awayMillis = 500 + random.nextInt(2_500);
+    if (random.nextInt(3) == 0) {
+      // Writes that were sent before the store went away take effect after its restore.
+      ModelHost host = fleet.hosts().get(random.nextInt(fleet.hosts().size()));
+      host.storeWriteDelay = Duration.ofMillis(1_000 + random.nextInt(5_000));
+      runAfter(fleet, 4_000, () -> host.storeWriteDelay = null);
+    }
     runAfter(fleet, 200 + random.nextInt(6_000), () -> fleet.restoreStore(copy, awayMillis));
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/RestoredStoreTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/RestoredStoreTest.java
@@ -138,6 +138,59 @@
     finish();
   }
 
+  /** No instance of the restored record is left to tell which server was promoted. */
+  @Test
+  void testPromotedPrimaryIsNotForgottenWhenItsHomeIsLost() {
+    begin();
+    KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    ModelHost home = fleet.home().orElseThrow();
+    fleet.group.server("server-a").crash();
+    fleet.advance(3_000);
+    fleet.group.server("server-a").restart();
+    fleet.advance(2_000);
+    home.kill();
+    restore(copy);
+    fleet.advance(4_000);
+    assertThat(storedRecord().primaryId()).isEqualTo(fleet.promotions.get(0));
+    assertThat(storedRecord().home().name()).isNotEqualTo(home.name);
+    home.start();
+    finish();
+  }
+
+  /** A settled record spares an instance that starts later the wait for earlier eras. */
+  @Test
+  void testInstanceThatStartsInASettledEraPromotesWithoutWait() {
+    begin();
+    restore(fleet.store.engine().copy());
+    fleet.advance(PROMOTION_WAIT_MILLIS);
+    fleet.hosts().forEach(ModelHost::kill);
+    fleet.hosts().forEach(ModelHost::start);
+    fleet.advance(2_000);
+    fleet.group.server("server-a").crash();
+    fleet.advance(3_000);
+    assertThat(fleet.promotions).hasSize(1);
+    fleet.group.server("server-a").restart();
+    finish();
+  }
+
+  @Test
+  void testInstanceThatStartsAfterARestoreWaitsBeforeAPromotion() {
+    begin();
+    KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    fleet.hosts().forEach(ModelHost::kill);
+    fleet.restoreStore(copy, 100);
+    fleet.advance(500);
+    fleet.hosts().forEach(ModelHost::start);
+    fleet.advance(2_000);
+    fleet.group.server("server-a").crash();
+    fleet.advance(5_000);
+    assertThat(fleet.promotions).isEmpty();
+    fleet.advance(PROMOTION_WAIT_MILLIS);
+    assertThat(fleet.promotions).hasSize(1);
+    fleet.group.server("server-a").restart();
+    finish();
+  }
+
   @Test
   void testRecordThatTheCopyLacksIsWrittenAgain() {
     KeyValueEngine.Copy empty = fleet.store.engine().copy();
