--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -63,12 +63,16 @@
     return havePriorHomesStopped(r) && (r.successor() == null || stopped.contains(r.successor()));
   }
 
-  /** Returns whether each earlier home has stopped or its lease has expired. */
+  /**
+   * Returns whether each earlier home has stopped or its lease has expired, also that of a home
+   * which a restored store has forgotten.
+   */
   boolean havePriorHomesStopped(HomeRecord r) {
     long validity = context.timings().validity().toNanos();
     long now = context.scheduler().nanoTime();
     boolean omittedExpired = !r.hasOmittedPriorHomes() || now - startNanos > validity;
     return omittedExpired
+        && election.areEarlierErasOver()
         && r.priorHomes().stream()
             .allMatch(
                 h ->
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.jspecify.annotations.Nullable;
@@ -32,6 +33,8 @@
  * @param hasOmittedPriorHomes whether there are further such homes that the record does not list
  * @param members the ids of the servers that may have confirmed commits of the primary
  * @param writer the unique id of the write
+ * @param settledEra the era of the store in which all leases of earlier eras were known to have
+ *     ended when this record was written, 0 if that was not known
  */
 public record HomeRecord(
     long epoch,
@@ -43,7 +46,8 @@
     List<Holder> priorHomes,
     boolean hasOmittedPriorHomes,
     Set<String> members,
-    String writer) {
+    String writer,
+    long settledEra) {
 
   /** Prefix of the keys under which records are stored. */
   public static final String KEY_PREFIX = "lane/groups/";
@@ -87,7 +91,7 @@
    * @param writer the unique id of the write
    */
   static HomeRecord first(Holder home, @Nullable Holder successor, String writer) {
-    return new HomeRecord(1, home, null, 0, null, successor, List.of(), false, Set.of(), writer);
+    return new Builder(1, home, writer).successor(successor).build();
   }
 
   /**
@@ -101,29 +105,12 @@
       prior.add(successor);
     }
     prior.removeIf(h -> h.name().equals(newHome.name()));
-    List<Holder> latest = latestOfEachName(prior);
-    int firstKept = Math.max(0, latest.size() - MAX_PRIOR_HOMES);
-    return new HomeRecord(
-        epoch + 1,
-        newHome,
-        primaryId,
-        term,
-        promoting,
-        newSuccessor,
-        latest.subList(firstKept, latest.size()),
-        hasOmittedPriorHomes || firstKept > 0,
-        members,
-        newWriter);
-  }
-
-  /** Drops processes that were followed by another one of the same name, since they have ended. */
-  private static List<Holder> latestOfEachName(List<Holder> holders) {
-    Map<String, Holder> byName = new LinkedHashMap<>();
-    for (Holder h : holders) {
-      byName.remove(h.name());
-      byName.put(h.name(), h);
-    }
-    return List.copyOf(byName.values());
+    return copy(newWriter)
+        .epoch(epoch + 1)
+        .home(newHome)
+        .successor(newSuccessor)
+        .limitedPriorHomes(prior)
+        .build();
   }
 
   /**
@@ -138,38 +125,19 @@
       boolean priorHomesStopped,
       Set<String> newMembers,
       String newWriter) {
-    return new HomeRecord(
-        epoch,
-        home,
-        newPrimaryId,
-        newTerm,
-        null,
-        successor,
-        priorHomesStopped ? List.of() : priorHomes,
-        !priorHomesStopped && hasOmittedPriorHomes,
-        newMembers,
-        newWriter);
+    Builder copy =
+        copy(newWriter).primary(newPrimaryId, newTerm).promoting(null).members(newMembers);
+    return priorHomesStopped ? copy.noPriorHomes().build() : copy.build();
   }
 
   /** Returns this record with other members. */
   HomeRecord withMembers(Set<String> newMembers, String newWriter) {
-    return new HomeRecord(
-        epoch,
-        home,
-        primaryId,
-        term,
-        promoting,
-        successor,
-        priorHomes,
-        hasOmittedPriorHomes,
-        newMembers,
-        newWriter);
+    return copy(newWriter).members(newMembers).build();
   }
 
   /** Returns this record with a pending promotion, for use after all earlier homes have stopped. */
   HomeRecord withPromotion(String serverId, String newWriter) {
-    return new HomeRecord(
-        epoch, home, primaryId, term, serverId, successor, List.of(), false, members, newWriter);
+    return copy(newWriter).promoting(serverId).noPriorHomes().build();
   }
 
   /** Returns this record without the successor, which becomes an earlier home. */
@@ -178,17 +146,158 @@
     if (successor != null) {
       prior.add(successor);
     }
-    return new HomeRecord(
-        epoch,
-        home,
-        primaryId,
-        term,
-        promoting,
-        null,
-        prior,
-        hasOmittedPriorHomes,
-        members,
-        newWriter);
+    return copy(newWriter).successor(null).limitedPriorHomes(prior).build();
+  }
+
+  /** Returns this record as it is written by {@code newWriter}, with the era that is settled. */
+  HomeRecord rewritten(long newSettledEra, String newWriter) {
+    return copy(newWriter).settledEra(newSettledEra).build();
+  }
+
+  /**
+   * Returns this record, which the store was restored with, completed by what is known from before:
+   * the primary of the highest term, a promotion that may still take effect, the instances that
+   * were homes or successors then, and the members. Its home and successor are kept.
+   */
+  HomeRecord completedBy(HomeRecord known) {
+    boolean knownIsLater = known.primaryId != null && known.term >= term;
+    String laterPromoting = knownIsLater ? known.promoting : promoting;
+    boolean keepsOwnPromotion = laterPromoting == null && known.term == term;
+    Set<String> allMembers = new HashSet<>(members);
+    allMembers.addAll(known.members);
+    Builder copy =
+        copy(writer)
+            .epoch(Math.max(epoch, known.epoch))
+            .promoting(keepsOwnPromotion ? promoting : laterPromoting)
+            .members(allMembers)
+            .limitedPriorHomes(priorHomesWith(known));
+    if (knownIsLater) {
+      copy.primary(known.primaryId, known.term);
+    }
+    return copy.build();
+  }
+
+  private List<Holder> priorHomesWith(HomeRecord known) {
+    List<Holder> added = new ArrayList<>(known.priorHomes);
+    if (known.successor != null) {
+      added.add(known.successor);
+    }
+    added.add(known.home);
+    added.removeIf(h -> h.name().equals(home.name()) || h.equals(successor));
+    return Stream.concat(priorHomes.stream(), added.stream()).distinct().toList();
+  }
+
+  private Builder copy(String newWriter) {
+    Builder copy = new Builder(epoch, home, newWriter);
+    copy.primaryId = primaryId;
+    copy.term = term;
+    copy.promoting = promoting;
+    copy.successor = successor;
+    copy.priorHomes = priorHomes;
+    copy.hasOmittedPriorHomes = hasOmittedPriorHomes;
+    copy.members = members;
+    copy.settledEra = settledEra;
+    return copy;
+  }
+
+  /** Builds a record; all that is not set is empty. */
+  static final class Builder {
+    private long epoch;
+    private Holder home;
+    private final String writer;
+    private @Nullable String primaryId;
+    private long term;
+    private @Nullable String promoting;
+    private @Nullable Holder successor;
+    private List<Holder> priorHomes = List.of();
+    private boolean hasOmittedPriorHomes;
+    private Set<String> members = Set.of();
+    private long settledEra;
+
+    Builder(long epoch, Holder home, String writer) {
+      this.epoch = epoch;
+      this.home = home;
+      this.writer = writer;
+    }
+
+    Builder epoch(long newEpoch) {
+      epoch = newEpoch;
+      return this;
+    }
+
+    Builder home(Holder newHome) {
+      home = newHome;
+      return this;
+    }
+
+    Builder primary(@Nullable String serverId, long newTerm) {
+      primaryId = serverId;
+      term = newTerm;
+      return this;
+    }
+
+    Builder promoting(@Nullable String serverId) {
+      promoting = serverId;
+      return this;
+    }
+
+    Builder successor(@Nullable Holder newSuccessor) {
+      successor = newSuccessor;
+      return this;
+    }
+
+    Builder noPriorHomes() {
+      priorHomes = List.of();
+      hasOmittedPriorHomes = false;
+      return this;
+    }
+
+    /**
+     * Sets the prior homes, without processes that were followed by another one of the same name,
+     * since these have ended, and without the oldest if there are too many.
+     */
+    Builder limitedPriorHomes(List<Holder> holders) {
+      Map<String, Holder> byName = new LinkedHashMap<>();
+      for (Holder h : holders) {
+        byName.remove(h.name());
+        byName.put(h.name(), h);
+      }
+      List<Holder> latest = List.copyOf(byName.values());
+      int firstKept = Math.max(0, latest.size() - MAX_PRIOR_HOMES);
+      priorHomes = latest.subList(firstKept, latest.size());
+      hasOmittedPriorHomes = hasOmittedPriorHomes || firstKept > 0;
+      return this;
+    }
+
+    Builder omittedPriorHomes() {
+      hasOmittedPriorHomes = true;
+      return this;
+    }
+
+    Builder members(Set<String> newMembers) {
+      members = newMembers;
+      return this;
+    }
+
+    Builder settledEra(long era) {
+      settledEra = era;
+      return this;
+    }
+
+    HomeRecord build() {
+      return new HomeRecord(
+          epoch,
+          home,
+          primaryId,
+          term,
+          promoting,
+          successor,
+          priorHomes,
+          hasOmittedPriorHomes,
+          members,
+          writer,
+          settledEra);
+    }
   }
 
   /** Returns the key of a group's record. */
@@ -215,6 +324,7 @@
     members.stream().sorted().forEach(memberIds::add);
     o.add("members", memberIds);
     o.addProperty("writer", writer);
+    o.addProperty("settled_era", settledEra);
     return o.toString();
   }
 
@@ -233,17 +343,19 @@
     if (o.has("members")) {
       o.getAsJsonArray("members").forEach(e -> members.add(e.getAsString()));
     }
-    return new HomeRecord(
-        o.get("epoch").getAsLong(),
-        readHolder(o.get("home")),
-        readText(o, "primary"),
-        o.get("term").getAsLong(),
-        readText(o, "promoting"),
-        o.has("successor") ? readHolder(o.get("successor")) : null,
-        prior,
-        o.has("prior_omitted") && o.get("prior_omitted").getAsBoolean(),
-        members,
-        o.get("writer").getAsString());
+    Builder record =
+        new Builder(
+                o.get("epoch").getAsLong(),
+                readHolder(o.get("home")),
+                o.get("writer").getAsString())
+            .primary(readText(o, "primary"), o.get("term").getAsLong())
+            .promoting(readText(o, "promoting"))
+            .successor(o.has("successor") ? readHolder(o.get("successor")) : null)
+            .limitedPriorHomes(prior)
+            .members(members)
+            .settledEra(o.has("settled_era") ? o.get("settled_era").getAsLong() : 0);
+    boolean omitted = o.has("prior_omitted") && o.get("prior_omitted").getAsBoolean();
+    return omitted ? record.omittedPriorHomes().build() : record.build();
   }
 
   private static @Nullable String readText(JsonObject o, String name) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -91,6 +91,9 @@
   /** Time at which all earlier homes were found excluded; 0 before that. */
   private long excludedNanos;
 
+  /** Era of the store in which that was found. */
+  private long boundEra;
+
   private LogPosition promotedLogEnd = LogPosition.ZERO;
   private long primaryAdoptedNanos;
   private boolean writingRecord;
@@ -107,6 +110,7 @@
     this.context = context;
     this.pool = pool;
     this.startNanos = nowNanos;
+    this.boundEra = context.store().era();
     this.replicationCheck = new ReplicationCheck(context.scheduler(), statuses, this::queryStatus);
     this.exclusion = new HomeExclusion(election, context, this::proceedIfExclusive);
   }
@@ -192,6 +196,16 @@
     }
   }
 
+  /** Forgets the bound after a restore of the store, which may have forgotten a later home. */
+  private void forgetBoundOfEarlierEra() {
+    long era = context.store().era();
+    if (era != boundEra) {
+      boundEra = era;
+      inheritedBound = null;
+      excludedNanos = 0;
+    }
+  }
+
   /** Requests the end of the primary's log once all earlier homes are excluded. */
   private void queryInheritedBound(HomeRecord r, String primary) {
     if (inheritedBound == null && excludedNanos == 0 && exclusion.havePriorHomesStopped(r)) {
@@ -297,6 +311,7 @@
     if (r == null) {
       return;
     }
+    forgetBoundOfEarlierEra();
     exclusion.endPriorHomes(r);
     long stepMillis = (now() - stepStartNanos) / 1_000_000;
     switch (step) {
@@ -475,6 +490,10 @@
     if (step != Step.STEADY && step != Step.ASKING) {
       return;
     }
+    if (isPlanned && !election.areEarlierErasOver()) {
+      // The primary works, and its writes would be held back for the whole wait.
+      return;
+    }
     election.log("primary-change").with("planned", isPlanned).with("reason", reason).write();
     plannedChange = isPlanned;
     enter(Step.EXCLUDING);
@@ -614,6 +633,7 @@
     if (r == null || r.epoch() != before.epoch()) {
       return;
     }
+    forgetBoundOfEarlierEra();
     LogPosition acknowledged = election.acknowledged().max(exclusion.acknowledged());
     LogPosition inherited = exclusion.isSuccessorAccounted(r) ? inheritedBound : null;
     PromotionChoice.Basis basis =
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
@@ -34,14 +34,15 @@
             List.of(new HomeRecord.Holder("i3", "i3-a", "10.0.0.3:1")),
             true,
             Set.of("server-a", "server-c"),
-            "w1");
+            "w1",
+            5);
     assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
   @Test
   void testNullFieldsStayNullAfterDecoding() {
     HomeRecord record =
-        new HomeRecord(1, HOME, null, 0, null, null, List.of(), false, Set.of(), "w1");
+        new HomeRecord(1, HOME, null, 0, null, null, List.of(), false, Set.of(), "w1", 0);
     assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -60,6 +60,10 @@
   boolean frozen;
   boolean storeUnreachable;
   boolean losesStoreAnswers;
+
+  /** Delay after which writes to the store take effect, without an answer; null if they do not. */
+  @Nullable Duration storeWriteDelay;
+
   int storeCalls;
   private boolean lastCallFailed;
   private int incarnation;
@@ -444,8 +448,14 @@
 
   @Override
   public CompletableFuture<WriteResult> transact(StoreTransaction transaction) {
-    return call(
-        () -> store().transact(transaction), new WriteResult.Unavailable("no answer", true));
+    WriteResult failed = new WriteResult.Unavailable("no answer", true);
+    if (storeWriteDelay != null && !storeUnreachable && !fleet.storeDown) {
+      fleet.scheduler.schedule(storeWriteDelay, () -> store().transact(transaction));
+      CompletableFuture<WriteResult> result = new CompletableFuture<>();
+      runAfter(STORE_TIMEOUT, () -> result.complete(failed));
+      return result;
+    }
+    return call(() -> store().transact(transaction), failed);
   }
 
   @Override
@@ -462,13 +472,17 @@
                   @Override
                   public void onChanges(List<Change> changes, long revision) {
                     if (ownIncarnation == incarnation && running && !closed[0]) {
-                      deliver(changes, revision);
+                      deliver(changes, revision, store().era());
                     }
                   }
 
-                  private void deliver(List<Change> changes, long revision) {
+                  private void deliver(List<Change> changes, long revision, long era) {
+                    if (era != store().era()) {
+                      // An answer that was not sent before the store was restored is never sent.
+                      return;
+                    }
                     if (storeUnreachable || fleet.storeDown) {
-                      runAfter(Duration.ofMillis(300), () -> deliver(changes, revision));
+                      runAfter(Duration.ofMillis(300), () -> deliver(changes, revision, era));
                     } else {
                       runAfter(
                           STORE_DELAY,
