--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -4,8 +4,12 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.chicorylane.internal.json.UntrustedJson;
@@ -26,6 +30,8 @@
  * @param successor the instance that may serve on the same primary in place of the home, while the
  *     home is lost and the store cannot record a new one; null if there is none
  * @param priorHomes earlier homes that may not have learned that they were replaced
+ * @param hasOmittedPriorHomes whether there are further such homes that the record does not list
+ * @param members the ids of the servers that may have confirmed commits of the primary
  * @param writer the unique id of the write
  * @param settledEra the era of the store in which all leases of earlier eras were known to have
  *     ended when this record was written, 0 if that was not known
@@ -38,14 +44,16 @@
     @Nullable String promoting,
     @Nullable Holder successor,
     List<Holder> priorHomes,
+    boolean hasOmittedPriorHomes,
+    Set<String> members,
     String writer,
     long settledEra) {
 
   /** Prefix of the keys under which records are stored. */
   public static final String KEY_PREFIX = "lane/groups/";
 
-  /** Maximum number of earlier homes kept; more changes within one lease are not expected. */
-  private static final int MAX_PRIOR_HOMES = 6;
+  /** Maximum number of earlier homes that a record lists. */
+  private static final int MAX_PRIOR_HOMES = 16;
 
   /**
    * An instance that is or was a home.
@@ -71,9 +79,10 @@
     }
   }
 
-  /** Creates a record with a copy of the list. */
+  /** Creates a record with copies of the collections. */
   public HomeRecord {
     priorHomes = List.copyOf(priorHomes);
+    members = Set.copyOf(members);
   }
 
   /** Creates a record of which it is not known whether leases of earlier eras have ended. */
@@ -85,8 +94,21 @@
       @Nullable String promoting,
       @Nullable Holder successor,
       List<Holder> priorHomes,
+      boolean hasOmittedPriorHomes,
+      Set<String> members,
       String writer) {
-    this(epoch, home, primaryId, term, promoting, successor, priorHomes, writer, 0);
+    this(
+        epoch,
+        home,
+        primaryId,
+        term,
+        promoting,
+        successor,
+        priorHomes,
+        hasOmittedPriorHomes,
+        members,
+        writer,
+        0);
   }
 
   /**
@@ -95,7 +117,7 @@
    * @param writer the unique id of the write
    */
   static HomeRecord first(Holder home, @Nullable Holder successor, String writer) {
-    return new HomeRecord(1, home, null, 0, null, successor, List.of(), writer);
+    return new HomeRecord(1, home, null, 0, null, successor, List.of(), false, Set.of(), writer);
   }
 
   /**
@@ -109,7 +131,8 @@
       prior.add(successor);
     }
     prior.removeIf(h -> h.name().equals(newHome.name()));
-    int firstKept = Math.max(0, prior.size() - MAX_PRIOR_HOMES);
+    List<Holder> latest = latestOfEachName(prior);
+    int firstKept = Math.max(0, latest.size() - MAX_PRIOR_HOMES);
     return new HomeRecord(
         epoch + 1,
         newHome,
@@ -117,10 +140,22 @@
         term,
         promoting,
         newSuccessor,
-        prior.subList(firstKept, prior.size()),
+        latest.subList(firstKept, latest.size()),
+        hasOmittedPriorHomes || firstKept > 0,
+        members,
         newWriter);
   }
 
+  /** Drops processes that were followed by another one of the same name, since they have ended. */
+  private static List<Holder> latestOfEachName(List<Holder> holders) {
+    Map<String, Holder> byName = new LinkedHashMap<>();
+    for (Holder h : holders) {
+      byName.remove(h.name());
+      byName.put(h.name(), h);
+    }
+    return List.copyOf(byName.values());
+  }
+
   /**
    * Returns this record with a primary that leads its term and without a pending promotion.
    *
@@ -128,7 +163,11 @@
    *     the record
    */
   HomeRecord withPrimary(
-      String newPrimaryId, long newTerm, boolean priorHomesStopped, String newWriter) {
+      String newPrimaryId,
+      long newTerm,
+      boolean priorHomesStopped,
+      Set<String> newMembers,
+      String newWriter) {
     return new HomeRecord(
         epoch,
         home,
@@ -137,12 +176,30 @@
         null,
         successor,
         priorHomesStopped ? List.of() : priorHomes,
+        !priorHomesStopped && hasOmittedPriorHomes,
+        newMembers,
+        newWriter);
+  }
+
+  /** Returns this record with other members. */
+  HomeRecord withMembers(Set<String> newMembers, String newWriter) {
+    return new HomeRecord(
+        epoch,
+        home,
+        primaryId,
+        term,
+        promoting,
+        successor,
+        priorHomes,
+        hasOmittedPriorHomes,
+        newMembers,
         newWriter);
   }
 
   /** Returns this record with a pending promotion, for use after all earlier homes have stopped. */
   HomeRecord withPromotion(String serverId, String newWriter) {
-    return new HomeRecord(epoch, home, primaryId, term, serverId, successor, List.of(), newWriter);
+    return new HomeRecord(
+        epoch, home, primaryId, term, serverId, successor, List.of(), false, members, newWriter);
   }
 
   /** Returns this record without the successor, which becomes an earlier home. */
@@ -151,13 +208,33 @@
     if (successor != null) {
       prior.add(successor);
     }
-    return new HomeRecord(epoch, home, primaryId, term, promoting, null, prior, newWriter);
+    return new HomeRecord(
+        epoch,
+        home,
+        primaryId,
+        term,
+        promoting,
+        null,
+        prior,
+        hasOmittedPriorHomes,
+        members,
+        newWriter);
   }
 
   /** Returns this record as it is written by {@code newWriter}, with the era that is settled. */
   HomeRecord rewritten(long newSettledEra, String newWriter) {
     return new HomeRecord(
-        epoch, home, primaryId, term, promoting, successor, priorHomes, newWriter, newSettledEra);
+        epoch,
+        home,
+        primaryId,
+        term,
+        promoting,
+        successor,
+        priorHomes,
+        hasOmittedPriorHomes,
+        members,
+        newWriter,
+        newSettledEra);
   }
 
   /**
@@ -169,6 +246,10 @@
     boolean knownIsLater = known.primaryId != null && known.term >= term;
     String laterPromoting = knownIsLater ? known.promoting : promoting;
     boolean keepsOwnPromotion = laterPromoting == null && known.term == term;
+    List<Holder> prior = priorHomesWith(known);
+    int firstKept = Math.max(0, prior.size() - MAX_PRIOR_HOMES);
+    Set<String> allMembers = new HashSet<>(members);
+    allMembers.addAll(known.members);
     return new HomeRecord(
         Math.max(epoch, known.epoch),
         home,
@@ -176,7 +257,9 @@
         Math.max(term, known.term),
         keepsOwnPromotion ? promoting : laterPromoting,
         successor,
-        priorHomesWith(known),
+        prior.subList(firstKept, prior.size()),
+        hasOmittedPriorHomes || known.hasOmittedPriorHomes || firstKept > 0,
+        allMembers,
         writer,
         settledEra);
   }
@@ -188,8 +271,7 @@
     }
     added.add(known.home);
     added.removeIf(h -> h.name().equals(home.name()) || h.equals(successor));
-    List<Holder> prior = Stream.concat(priorHomes.stream(), added.stream()).distinct().toList();
-    return prior.subList(Math.max(0, prior.size() - MAX_PRIOR_HOMES), prior.size());
+    return Stream.concat(priorHomes.stream(), added.stream()).distinct().toList();
   }
 
   /** Returns the key of a group's record. */
@@ -211,8 +293,12 @@
     JsonArray prior = new JsonArray();
     priorHomes.forEach(h -> prior.add(encodeHolder(h)));
     o.add("prior", prior);
+    o.addProperty("prior_omitted", hasOmittedPriorHomes);
+    JsonArray memberIds = new JsonArray();
+    members.stream().sorted().forEach(memberIds::add);
+    o.add("members", memberIds);
     o.addProperty("writer", writer);
-    o.addProperty("settledEra", settledEra);
+    o.addProperty("settled_era", settledEra);
     return o.toString();
   }
 
@@ -227,6 +313,10 @@
   private static HomeRecord readRecord(JsonObject o) {
     List<Holder> prior = new ArrayList<>();
     o.getAsJsonArray("prior").forEach(e -> prior.add(readHolder(e)));
+    Set<String> members = new HashSet<>();
+    if (o.has("members")) {
+      o.getAsJsonArray("members").forEach(e -> members.add(e.getAsString()));
+    }
     return new HomeRecord(
         o.get("epoch").getAsLong(),
         readHolder(o.get("home")),
@@ -235,8 +325,10 @@
         readText(o, "promoting"),
         o.has("successor") ? readHolder(o.get("successor")) : null,
         prior,
+        o.has("prior_omitted") && o.get("prior_omitted").getAsBoolean(),
+        members,
         o.get("writer").getAsString(),
-        o.has("settledEra") ? o.get("settledEra").getAsLong() : 0);
+        o.has("settled_era") ? o.get("settled_era").getAsLong() : 0);
   }
 
   private static @Nullable String readText(JsonObject o, String name) {
