Count a removed successor's lease from when the record lists it

Cause: the time of the removal was kept only when the write was answered. If the answer was lost and the home learned of its write by the watch, the successor counted as an earlier home from the home's own start, so its lease counted as ended at once for a home older than the validity. What it had acknowledged counted as known, too.

Change: HomeExclusion notes when the record first lists an earlier home.

No restore of the store is needed for this fault.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -42,7 +42,12 @@
 
   private final Set<HomeRecord.Holder> pendingImmediateStops = new HashSet<>();
   private final Map<HomeRecord.Holder, Long> lastEndRequestNanos = new HashMap<>();
-  private final Map<HomeRecord.Holder, Long> successorRemovedNanos = new HashMap<>();
+
+  /**
+   * Time since which the record has listed each earlier home, whose lease ends a validity later.
+   */
+  private final Map<HomeRecord.Holder, Long> listedNanos = new HashMap<>();
+
   private LogPosition acknowledged = LogPosition.ZERO;
   private boolean removingSuccessor;
 
@@ -56,6 +61,10 @@
     this.context = context;
     this.onStopped = onStopped;
     this.startNanos = context.scheduler().nanoTime();
+    HomeRecord r = election.record();
+    if (r != null) {
+      r.priorHomes().forEach(h -> listedNanos.put(h, startNanos));
+    }
   }
 
   /**
@@ -72,13 +81,24 @@
   boolean havePriorHomesStopped(HomeRecord r) {
     long validity = context.timings().validity().toNanos();
     long now = context.scheduler().nanoTime();
+    updateListed(r);
     boolean omittedExpired = !r.hasOmittedPriorHomes() || now - startNanos > validity;
     return omittedExpired
         && r.priorHomes().stream()
             .allMatch(
-                h ->
-                    stopped.contains(h)
-                        || now - successorRemovedNanos.getOrDefault(h, startNanos) > validity);
+                h -> stopped.contains(h) || now - listedNanos.getOrDefault(h, now) > validity);
+  }
+
+  /**
+   * Notes the earlier homes that the record lists anew: a successor that was removed, or what is
+   * known from before the store was restored. The record tells, as the write's answer may be lost.
+   */
+  private void updateListed(HomeRecord r) {
+    listedNanos.keySet().retainAll(r.priorHomes());
+    for (HomeRecord.Holder h : r.priorHomes()) {
+      boolean isNew = listedNanos.putIfAbsent(h, context.scheduler().nanoTime()) == null;
+      unaccountedSuccessor |= isNew && !accounted.contains(h);
+    }
   }
 
   /** Returns the highest position that the stopped instances reported as acknowledged. */
@@ -101,6 +121,7 @@
 
   /** Asks earlier homes that have not stopped, at intervals, to stop once their work has ended. */
   void endPriorHomes(HomeRecord r) {
+    updateListed(r);
     long now = context.scheduler().nanoTime();
     for (HomeRecord.Holder home : r.priorHomes()) {
       long last = lastEndRequestNanos.getOrDefault(home, startNanos);
@@ -132,11 +153,7 @@
       removingSuccessor = true;
       election.write(
           r.withoutSuccessor(context.ids().next()),
-          revision -> {
-            removingSuccessor = false;
-            unaccountedSuccessor = true;
-            successorRemovedNanos.put(successor, context.scheduler().nanoTime());
-          },
+          revision -> removingSuccessor = false,
           () -> removingSuccessor = false);
     }
   }
