Report lost commands of a simulated host when their connection closes

A command that a simulated host sent to an unreachable server, or whose answer was dropped, never ended, also when its connection closed. A real connection reports each as lost then.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -280,6 +280,9 @@
     private final ServerConnector.Listener listener;
     private final int ownIncarnation = incarnation;
 
+    /** Handlers whose command or answer was lost; they learn it when the connection closes. */
+    private final List<ServerLink.AnswerHandler> unanswered = new ArrayList<>();
+
     HostedListener(String serverId, ServerConnector.Listener listener) {
       this.serverId = serverId;
       this.listener = listener;
@@ -304,11 +307,20 @@
 
     @Override
     public void onClosed() {
+      reportUnanswered();
       if (ownIncarnation == incarnation && running) {
         execute(listener::onClosed);
       }
     }
 
+    private void reportUnanswered() {
+      List<ServerLink.AnswerHandler> lost = List.copyOf(unanswered);
+      unanswered.clear();
+      if (ownIncarnation == incarnation && running) {
+        lost.forEach(handler -> execute(handler::onLost));
+      }
+    }
+
     /** A link to a server whose handlers run in this process. */
     private final class HostedLink implements ServerLink {
       private final ServerLink link;
@@ -320,6 +332,7 @@
       @Override
       public void send(ServerCommand command, AnswerHandler handler) {
         if (unreachableServers.contains(serverId)) {
+          unanswered.add(handler);
           return;
         }
         link.send(
@@ -327,9 +340,9 @@
             new AnswerHandler() {
               @Override
               public void onAnswer(Answer answer) {
-                if (ownIncarnation == incarnation
-                    && running
-                    && !unreachableServers.contains(serverId)) {
+                if (unreachableServers.contains(serverId)) {
+                  unanswered.add(handler);
+                } else if (ownIncarnation == incarnation && running) {
                   execute(() -> handler.onAnswer(answer));
                 }
               }
@@ -346,6 +359,7 @@
       @Override
       public void close() {
         link.close();
+        runAfter(Duration.ZERO, HostedListener.this::reportUnanswered);
       }
     }
   }
