Keep what a demoted primary of the model has applied

A primary that became a replica while the new primary was not reachable showed an empty state, because only replicas tracked what they applied.

--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -143,6 +143,7 @@
 
   /** Becomes a replica of a later term and takes over the log of that term's primary. */
   void becomeReplica(long newTerm) {
+    applied = applied();
     primary = false;
     term = newTerm;
     sealedTerm = 0;
