--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -58,6 +58,11 @@
     count("servers.lost");
   }
 
+  /** Records a commit that succeeded too late to be acknowledged. */
+  void recordUnacknowledgedCommit() {
+    count("commits.confirmed_late");
+  }
+
   private void count(String name) {
     counters.computeIfAbsent(name, registry::counter).inc();
   }
