Inject faults during promotions at random: kills, late orders, lapses

ProxyFleetRandomisedTest#testGuaranteesHoldUnderFaultsDuringPromotions combines, in each of eight rounds, a fault that causes a promotion with one that disturbs it: the sender of an order is killed, a call is executed or takes effect seconds late, answers are lost, a server's entry lapses while it runs, a replica restarts or misses log, instances lose a server, the home pauses, the store is down. The other two methods are unchanged.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -26,6 +26,8 @@
    */
   private static final List<Long> REGRESSION_SEEDS = List.of(1102L);
 
+  private static final int ROUNDS = 8;
+
   static LongStream seeds() {
     long first = Long.getLong("fleet.firstSeed", 1);
     LongStream requested = LongStream.range(first, first + Long.getLong("fleet.seeds", 30));
@@ -35,48 +37,89 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void testGuaranteesHoldUnderFaults(long seed) {
-    runScenario(seed, false);
+    Scenario scenario = new Scenario(seed);
+    for (int i = 0; i < ROUNDS; i++) {
+      inject(scenario.fleet, scenario.random);
+      scenario.advanceRound();
+    }
+    scenario.finish();
   }
 
   @ParameterizedTest
   @MethodSource("seeds")
   void testGuaranteesHoldWhileServersAreReplaced(long seed) {
-    runScenario(seed, true);
+    Scenario scenario = new Scenario(seed);
+    for (int i = 0; i < ROUNDS; i++) {
+      scenario.replaceServerAtTimes("server-" + i);
+      inject(scenario.fleet, scenario.random);
+      scenario.advanceRound();
+    }
+    scenario.finish();
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void testGuaranteesHoldUnderFaultsDuringPromotions(long seed) {
+    Scenario scenario = new Scenario(seed);
+    PromotionFaults faults = new PromotionFaults(scenario.fleet, scenario.random);
+    for (int i = 0; i < ROUNDS; i++) {
+      faults.injectDisturbance();
+      faults.injectCause();
+      scenario.advanceRound();
+    }
+    faults.end();
+    scenario.finish();
   }
 
-  private static void runScenario(long seed, boolean replacesServers) {
-    Random random = new Random(seed);
-    ModelFleet fleet = new ModelFleet(3 + random.nextInt(3));
-    fleet.logging = Boolean.getBoolean("fleet.log");
-    ModelClients clients = new ModelClients(fleet, random);
-    fleet.start();
-    clients.begin(9);
-    fleet.advance(1_000);
-    for (int i = 0; i < 8; i++) {
-      if (replacesServers && random.nextInt(3) == 0) {
+  /** A fleet with clients under faults; created after the fleet has settled. */
+  private static final class Scenario {
+    private final long seed;
+    final Random random;
+    final ModelFleet fleet;
+    private final ModelClients clients;
+
+    Scenario(long seed) {
+      this.seed = seed;
+      random = new Random(seed);
+      fleet = new ModelFleet(3 + random.nextInt(3));
+      fleet.logging = Boolean.getBoolean("fleet.log");
+      clients = new ModelClients(fleet, random);
+      fleet.start();
+      clients.begin(9);
+      fleet.advance(1_000);
+    }
+
+    void replaceServerAtTimes(String newId) {
+      if (random.nextInt(3) == 0) {
         List<String> ids = fleet.serverIds();
         String old = ids.get(random.nextInt(ids.size()));
         if (fleet.group.server(old).running) {
-          fleet.replaceServer(old, "server-" + i);
+          fleet.replaceServer(old, newId);
         }
       }
-      inject(fleet, random);
+    }
+
+    void advanceRound() {
       fleet.advance(random.nextInt(4) == 0 ? 50 : 2_500);
     }
-    fleet.advance(12_000);
-    final int before = clients.succeeded;
-    fleet.advance(12_000);
-    clients.stop();
-    fleet.advance(4_000);
-    clients.checkLog();
-    if (fleet.logging) {
-      fleet.lines.forEach(System.out::println);
+
+    /** Waits until the faults have ended and checks the guarantees. */
+    void finish() {
+      fleet.advance(12_000);
+      final int before = clients.succeeded;
+      fleet.advance(12_000);
+      clients.stop();
+      fleet.advance(4_000);
+      clients.checkLog();
+      if (fleet.logging) {
+        fleet.lines.forEach(System.out::println);
+      }
+      assertWithMessage("seed %s", seed).that(fleet.violations).isEmpty();
+      assertWithMessage("seed %s", seed).that(clients.violations).isEmpty();
+      assertWithMessage("seed %s: served after the faults", seed)
+          .that(clients.succeeded - before)
+          .isGreaterThan(300);
     }
-    assertWithMessage("seed %s", seed).that(clients.violations).isEmpty();
-    assertWithMessage("seed %s", seed).that(fleet.violations).isEmpty();
-    assertWithMessage("seed %s: served after the faults", seed)
-        .that(clients.succeeded - before)
-        .isGreaterThan(300);
   }
 
   /** Starts a random fault and schedules its end. */
