--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelPromotionService.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelPromotionService.java
@@ -14,8 +14,9 @@
  * The simulated platform service that promotes servers: executes a call after a delay, answers it,
  * and makes the server the primary some time later, with the log that it has then.
  *
- * <p>By default it rejects a call whose fencing token is lower than one that it has executed. It
- * records a violation if a caller sends a token lower than one that was sent before.
+ * <p>A call for the present primary is accepted and changes nothing. By default it rejects a call
+ * whose fencing token is lower than one that it has executed. It records a violation if a caller
+ * sends a token lower than one that was sent before.
  */
 final class ModelPromotionService {
 
@@ -108,6 +109,9 @@
       return Promoter.Outcome.REJECTED;
     }
     highestExecutedToken = Math.max(highestExecutedToken, token);
+    if (server == group.primary()) {
+      return Promoter.Outcome.ACCEPTED;
+    }
     accepted.add(serverId);
     scheduler.schedule(
         untilLeads,
