Reproduce a repeated promotion call that is executed after a later one

The first call is not answered, its repetition is carried out, and the next promotion orders another server; the first call is executed after that, by a platform that does not check tokens.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/OverlappingPromotionsTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/OverlappingPromotionsTest.java
@@ -10,6 +10,9 @@
  */
 final class OverlappingPromotionsTest {
 
+  /** Time after the first call in which the platform is slow; its answer is awaited longer. */
+  private static final Duration FIRST_CALL = Duration.ofMillis(100);
+
   @RegisterExtension private final FleetScenario scenario = new FleetScenario(4);
   private final ModelFleet fleet = scenario.fleet;
 
@@ -53,4 +56,25 @@
     fleet.promotionService.untilExecuted = Duration.ofSeconds(6);
     drainPrimaryAndFinish();
   }
+
+  // Guards against a repeated call whose first sending is executed after a later promotion.
+  @Test
+  void testRepeatedCallExecutedAfterLaterPromotionLosesNoCommits() {
+    scenario.begin();
+    fleet.promotionService.checksTokens = false;
+    fleet.promotionService.untilExecuted = Duration.ofSeconds(6);
+    fleet.promotionService.onOrder =
+        first -> fleet.scheduler.schedule(FIRST_CALL, fleet.promotionService::resetDelays);
+    fleet.putServer("server-a", true);
+    scenario.advanceUntilLogged("outcome=ACCEPTED", 4_000);
+    fleet.advance(1_000);
+    String first = fleet.promotions.get(0);
+    fleet.putServer("server-a", false);
+    fleet.putServer(first, true);
+    scenario.advanceUntil("a second promotion", 10_000, () -> fleet.promotions.size() > 1);
+    scenario.server(first).isolatedFromServers = true;
+    fleet.advance(8_000);
+    scenario.recover();
+    scenario.finish();
+  }
 }
