--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -40,6 +40,9 @@
   /** Time after which a watch that was cut continues. */
   private static final Duration WATCH_RETRY_DELAY = Duration.ofMillis(150);
 
+  /** Time between the report that a server drains and its end. */
+  private static final Duration DRAIN_DURATION = Duration.ofMillis(1_500);
+
   final VirtualScheduler scheduler = new VirtualScheduler();
   final InMemoryKeyValueStore store = new InMemoryKeyValueStore();
   final ModelGroup group = new ModelGroup(scheduler, GROUP, 3);
@@ -125,7 +128,7 @@
     put("servers/" + id, isDraining ? "draining" : "ready");
   }
 
-  /** Replaces a server of the group by a new one that has its log, as an upgrade does. */
+  /** Replaces a server of the group at once by a new one that has its log and its address. */
   void replaceServer(String id, String newId) {
     group.replace(id, newId);
     draining.remove(id);
@@ -150,6 +153,16 @@
     scheduler.schedule(Duration.ofMillis(awayMillis).plus(WATCH_RETRY_DELAY), store::reopenWatches);
   }
 
+  /** Replaces a server as an upgrade does: it reports that it drains, and ends some time later. */
+  void upgradeServer(String id, String newId) {
+    putServer(id, true);
+    scheduler.schedule(DRAIN_DURATION, () -> replaceServer(id, newId));
+  }
+
+  boolean isDraining(String id) {
+    return draining.getOrDefault(id, false);
+  }
+
   /** Returns the ids of the group's current servers. */
   List<String> serverIds() {
     return group.entries().stream().map(BackendServer::id).toList();
