Search the rule by which a home may promote

An explicit-state search of homes, successor, record, primary, two replicas and orders that may take effect late or repeatedly. Each condition of the rule can be left out.

--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
@@ -0,0 +1,49 @@
+package org.chicorylane.internal.election.model;
+
+/** The conditions of the promotion rule. The search leaves out one at a time. */
+enum Condition {
+  /** A home that inherits a promotion serves nothing at the old primary until it has ended. */
+  WAIT_FOR_INHERITED_PROMOTION,
+
+  /** From the choice on, an answered commit is reported as in doubt. */
+  NO_SUCCESS_AFTER_CHOICE,
+
+  /** After a later primary was adopted, a commit of an earlier term is reported as in doubt. */
+  NO_SUCCESS_OF_EARLIER_TERM,
+
+  /** Without a valid lease, an answered commit is reported as in doubt. */
+  NO_SUCCESS_WITHOUT_LEASE,
+
+  /** A replica that is not registered counts as silent, not as absent. */
+  REMEMBER_MEMBERS,
+
+  /**
+   * While a promotion is recorded, another primary than its target is adopted only after the
+   * exclusion and the end of the orders.
+   */
+  ADOPT_RECORDED_TARGET_ONLY,
+
+  /** Another primary than the recorded target is served only after the record names it. */
+  RECORD_OTHER_PRIMARY_FIRST,
+
+  /** Only a replica's answer to a stop that was sent after the exclusion counts. */
+  COUNT_STOPPED_ANSWERS_ONLY,
+
+  /** The bound on acknowledged commits does not outlive the exclusion of an unknown holder. */
+  LEARN_BOUND_AFTER_EXCLUSION,
+
+  /** No server is ordered while an order for another one can still take effect. */
+  ONE_TARGET,
+
+  /** A home resumes a replica only with a valid lease and without a recorded promotion. */
+  RESUME_WITH_LEASE_ONLY,
+
+  /** The home's own acknowledged commits must be covered even if all replicas have answered. */
+  COVER_OWN_SUCCESSES,
+
+  /** Orders still count after the promoted server leads, since a repeated call may be late. */
+  REMEMBER_REPEATED_ORDERS,
+
+  /** Work of a retired pool keeps its own lease, and a later pool's halt applies to it as well. */
+  HALT_RETIRED_WORK
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/HomeStep.java
@@ -0,0 +1,506 @@
+package org.chicorylane.internal.election.model;
+
+import static org.chicorylane.internal.election.model.ModelState.CHANGING;
+import static org.chicorylane.internal.election.model.ModelState.EVERYTHING;
+import static org.chicorylane.internal.election.model.ModelState.IDLE;
+import static org.chicorylane.internal.election.model.ModelState.IS_HOME;
+import static org.chicorylane.internal.election.model.ModelState.NEW_WRITES;
+import static org.chicorylane.internal.election.model.ModelState.NONE;
+import static org.chicorylane.internal.election.model.ModelState.PROMOTING;
+import static org.chicorylane.internal.election.model.ModelState.SERVERS;
+import static org.chicorylane.internal.election.model.ModelState.STANDS_IN;
+import static org.chicorylane.internal.election.model.ModelState.STEADY;
+import static org.chicorylane.internal.election.model.ModelState.bit;
+
+import org.chicorylane.internal.election.model.ModelState.Group;
+import org.chicorylane.internal.election.model.ModelState.Instance;
+import org.chicorylane.internal.election.model.ModelState.Server;
+
+/** Steps of the instances and their record. Some hold only as conditions of the rule say. */
+enum HomeStep implements Step {
+  /** The successor reads the record, which renews its lease. */
+  RENEW_LEASE(
+      Range.INSTANCE, Range.NOTHING, "{a} reads as successor that it may stand in, or not") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.get(Group.SUCCESSOR) == i
+          && (s.get(Instance.LEASE, i) == 0
+              || s.get(Instance.EPOCH, i) != s.get(Group.EPOCH)
+              || (s.get(Instance.ROLE, i) == IDLE
+                  && s.get(Instance.TERM, i) != termToStandIn(s, i)));
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      boolean isOutdated = s.get(Instance.EPOCH, i) != s.get(Group.EPOCH);
+      if (s.get(Instance.ROLE, i) != IDLE && isOutdated) {
+        retire(s, rules, i);
+      }
+      s.set(Instance.LEASE, i, 1);
+      if (s.get(Instance.ROLE, i) == IDLE) {
+        s.set(Instance.TERM, i, termToStandIn(s, i));
+        s.set(Instance.EPOCH, i, s.get(Group.EPOCH));
+      }
+    }
+
+    private int termToStandIn(ModelState s, int i) {
+      boolean mayStandIn = s.get(Group.PROMOTING) == NONE && s.get(Instance.BARRED, i) == 0;
+      return mayStandIn ? s.get(Group.RECORD_TERM) : 0;
+    }
+  },
+
+  RESTART_INSTANCE(Range.INSTANCE, Range.NOTHING, "{a} is killed and starts again") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.get(Group.INSTANCE_RESTARTS) < rules.bounds().instanceRestarts();
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Group.INSTANCE_RESTARTS, s.get(Group.INSTANCE_RESTARTS) + 1);
+      s.closePool(i, true);
+      s.set(Instance.BOUND, i, 0);
+      s.set(Instance.FORGOT, i, 1);
+    }
+  },
+
+  STAND_IN(Range.INSTANCE, Range.NOTHING, "{a} stands in for the home") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.get(Instance.ROLE, i) == IDLE
+          && s.get(Instance.LEASE, i) == 1
+          && s.get(Instance.TERM, i) > 0;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.openPool(i, STANDS_IN, s.get(Instance.TERM, i));
+    }
+  },
+
+  CLAIM(Range.INSTANCE, Range.INSTANCE_OR_NONE, "{a} becomes the home, with {b} as successor") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int choice) {
+      boolean hasCandidate = s.get(Group.HOME) == i || rules.bounds().instances() > 2;
+      int successor = choice - 1;
+      boolean isCandidate =
+          successor == NONE ? !hasCandidate : successor != i && successor != s.get(Group.HOME);
+      return isCandidate && !s.isRecordedHome(i) && s.get(Group.EPOCH) < rules.bounds().epochs();
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int choice) {
+      boolean isOutdated = s.get(Instance.EPOCH, i) != s.get(Group.EPOCH);
+      boolean keepsPool = s.get(Instance.ROLE, i) == STANDS_IN && !isOutdated;
+      if (s.get(Instance.ROLE, i) != IDLE && !keepsPool) {
+        retire(s, rules, i);
+      }
+      int prior = (s.instancesToExclude() | bit(s.get(Group.HOME))) & ~bit(i);
+      s.set(Group.PRIOR_HOMES, prior);
+      s.set(Group.EPOCH, s.get(Group.EPOCH) + 1);
+      s.set(Group.HOME, i);
+      s.set(Group.SUCCESSOR, choice - 1);
+      s.onRecordWritten();
+      beginAsHome(s, rules, i, keepsPool);
+    }
+
+    private void beginAsHome(ModelState s, ModelRules rules, int i, boolean keepsPool) {
+      if (!keepsPool && !rules.keeps(Condition.HALT_RETIRED_WORK)) {
+        s.set(Instance.BOUND, i, 0);
+      }
+      s.openPool(i, IS_HOME, s.get(Group.RECORD_TERM));
+      s.set(Instance.LEASE, i, 1);
+      s.set(Instance.EPOCH, i, s.get(Group.EPOCH));
+      if (s.get(Group.PROMOTING) != NONE && rules.keeps(Condition.WAIT_FOR_INHERITED_PROMOTION)) {
+        s.set(Instance.SERVED, i, keepsPool ? 1 : 0);
+        s.set(Instance.PHASE, i, CHANGING);
+        s.set(Instance.HALT, i, EVERYTHING);
+      }
+    }
+  },
+
+  START_CHANGE(Range.INSTANCE, Range.NOTHING, "{a} starts to replace the primary") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.isRecordedHome(i)
+          && s.get(Instance.PHASE, i) == STEADY
+          && s.get(Instance.TERM, i) == s.get(Group.RECORD_TERM);
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Instance.PHASE, i, CHANGING);
+      s.set(Instance.HALT, i, Math.max(NEW_WRITES, s.get(Instance.HALT, i)));
+      s.clearAttempt(i);
+    }
+  },
+
+  RETURN_TO_PRIMARY(Range.INSTANCE, Range.NOTHING, "{a} keeps the primary after all") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.isRecordedHome(i)
+          && s.get(Instance.PHASE, i) == CHANGING
+          && s.get(Group.PROMOTING) == NONE;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Instance.PHASE, i, STEADY);
+      s.set(Instance.HALT, i, 0);
+      s.clearAttempt(i);
+    }
+  },
+
+  EXCLUDE_BY_ANSWER(Range.INSTANCE, Range.INSTANCE, "{a} hears that {b} has stopped") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int other) {
+      return isChanging(s, i) && isToBeExcluded(s, i, other);
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int other) {
+      s.closePool(other, true);
+      s.set(Instance.BARRED, other, 1);
+      s.set(Instance.EXCLUDED, i, s.get(Instance.EXCLUDED, i) | bit(other));
+      s.raiseBound(i, s.get(Instance.BOUND, other));
+      if (s.get(Instance.FORGOT, other) == 1
+          && rules.keeps(Condition.LEARN_BOUND_AFTER_EXCLUSION)) {
+        s.set(Instance.BOUND_KNOWN, i, 0);
+      }
+    }
+  },
+
+  /** The lease of another instance ends, at the latest when a home regards it as ended. */
+  EXCLUDE_BY_TIME(Range.INSTANCE, Range.INSTANCE, "for {a}, the lease of {b} has surely ended") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int other) {
+      return isChanging(s, i) && isToBeExcluded(s, i, other) && s.get(Group.SUCCESSOR) != other;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int other) {
+      s.set(Instance.LEASE, other, 0);
+      s.set(Instance.RETIRED_LEASE, other, 0);
+      s.set(Instance.EXCLUDED, i, s.get(Instance.EXCLUDED, i) | bit(other));
+      if (rules.keeps(Condition.LEARN_BOUND_AFTER_EXCLUSION)) {
+        s.set(Instance.BOUND_KNOWN, i, 0);
+      }
+    }
+  },
+
+  REMOVE_SUCCESSOR(Range.INSTANCE, Range.NOTHING, "{a} removes the successor from the record") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return isChanging(s, i)
+          && s.get(Group.SUCCESSOR) != NONE
+          && isToBeExcluded(s, i, s.get(Group.SUCCESSOR));
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Group.PRIOR_HOMES, s.instancesToExclude());
+      s.set(Group.SUCCESSOR, NONE);
+      s.set(Instance.LEASE, i, 1);
+      s.onRecordWritten();
+    }
+  },
+
+  /** The home learns the end of the primary's log, which bounds all acknowledged commits. */
+  READ_PRIMARY(Range.INSTANCE, Range.NOTHING, "{a} reads the end of the primary's log") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return isChanging(s, i)
+          && s.isLed(s.get(Instance.TERM, i))
+          && (s.hasExcludedAll(i) || !rules.keeps(Condition.LEARN_BOUND_AFTER_EXCLUSION));
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.raiseBound(i, s.logEnd(s.primaryOf(i)));
+      s.set(Instance.BOUND_KNOWN, i, 1);
+    }
+  },
+
+  STOP_REPLICA(Range.INSTANCE, Range.SERVER, "{a} stops {b} and reads the end of its log") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
+      return isChanging(s, i)
+          && s.hasExcludedAll(i)
+          && s.get(Server.TERM, server) <= s.get(Instance.TERM, i)
+          && s.primaryOf(i) != server;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int server) {
+      s.set(Server.STOPPED, server, 1);
+      s.setAnswer(i, server, s.logEnd(server));
+    }
+  },
+
+  /** The answer to a plain question, which does not stop the replica. */
+  READ_REPLICA(Range.INSTANCE, Range.SERVER, "{a} reads the end of the log of {b}, not stopped") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
+      return !rules.keeps(Condition.COUNT_STOPPED_ANSWERS_ONLY)
+          && isChanging(s, i)
+          && s.get(Server.TERM, server) <= s.get(Instance.TERM, i)
+          && s.primaryOf(i) != server;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int server) {
+      s.setAnswer(i, server, s.logEnd(server));
+    }
+  },
+
+  CHOOSE(Range.INSTANCE, Range.SERVER, "{a} chooses {b} and records the promotion") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int target) {
+      return isChanging(s, i)
+          && s.hasExcludedAll(i)
+          && s.primaryOf(i) != target
+          && s.answer(i, target) != NONE
+          && holdsAllAcknowledged(s, rules, i, target);
+    }
+
+    private boolean holdsAllAcknowledged(ModelState s, ModelRules rules, int i, int target) {
+      int end = s.answer(i, target);
+      boolean coversBound = s.covers(end, s.get(Instance.BOUND, i));
+      int other = SERVERS - target - s.primaryOf(i);
+      int otherEnd = s.answer(i, other);
+      if (otherEnd == NONE || !rules.keeps(Condition.REMEMBER_MEMBERS)) {
+        boolean isComplete = !rules.keeps(Condition.REMEMBER_MEMBERS);
+        return isComplete || (coversBound && s.get(Instance.BOUND_KNOWN, i) == 1);
+      }
+      return s.covers(end, otherEnd)
+          && (coversBound || !rules.keeps(Condition.COVER_OWN_SUCCESSES));
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int target) {
+      boolean remembers =
+          s.get(Group.PROMOTING) != NONE || rules.keeps(Condition.REMEMBER_REPEATED_ORDERS);
+      if (remembers && rules.keeps(Condition.ONE_TARGET)) {
+        awaitEndOfOtherOrders(s, rules, target);
+      }
+      s.set(Group.PROMOTING, target);
+      s.clearPriorHomes();
+      s.onRecordWritten();
+      s.set(Instance.LEASE, i, 1);
+      s.set(Instance.PHASE, i, PROMOTING);
+      s.set(Instance.HALT, i, EVERYTHING);
+      for (int server = 0; server < SERVERS; server++) {
+        s.setAnswer(i, server, server == target ? s.answer(i, target) : NONE);
+      }
+      s.set(Instance.TARGET, i, target);
+    }
+  },
+
+  /** A home that inherited a promotion orders the same server, under its own token. */
+  REPEAT_PROMOTION(Range.INSTANCE, Range.NOTHING, "{a} goes on with the recorded promotion") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return rules.keeps(Condition.WAIT_FOR_INHERITED_PROMOTION)
+          && isChanging(s, i)
+          && s.hasExcludedAll(i)
+          && s.get(Group.PROMOTING) != NONE;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Instance.PHASE, i, PROMOTING);
+      s.clearAttempt(i);
+      s.set(Instance.TARGET, i, s.get(Group.PROMOTING));
+    }
+  },
+
+  ORDER(Range.INSTANCE, Range.NOTHING, "{a} orders the promotion of its target") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.get(Instance.ROLE, i) == IS_HOME
+          && s.get(Instance.PHASE, i) == PROMOTING
+          && s.get(Instance.LEASE, i) == 1
+          && (s.get(Server.ORDERED, s.get(Instance.TARGET, i)) == 0
+              || s.get(Instance.EPOCH, i) != s.get(Group.LAST_ORDER_EPOCH));
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      int target = s.get(Instance.TARGET, i);
+      int epoch = s.get(Instance.EPOCH, i);
+      s.set(Server.ORDERED, target, 1);
+      boolean conflicts = epoch < s.get(Group.LAST_ORDER_EPOCH);
+      for (int other = 0; other < rules.bounds().instances(); other++) {
+        boolean serves = other != i && s.mayRead(other);
+        conflicts |= serves && s.primaryOf(other) != target;
+      }
+      s.set(Group.ORDER_CONFLICT, conflicts ? 1 : 0);
+      s.set(Group.LAST_ORDER_EPOCH, Math.max(epoch, s.get(Group.LAST_ORDER_EPOCH)));
+    }
+  },
+
+  RETRY_CHANGE(Range.INSTANCE, Range.NOTHING, "{a} starts the change again") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.isRecordedHome(i) && s.get(Instance.PHASE, i) == PROMOTING;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Instance.PHASE, i, CHANGING);
+      s.clearAttempt(i);
+    }
+  },
+
+  /** A home sees that another server leads a later term. */
+  ADOPT_PRIMARY(Range.INSTANCE, Range.NOTHING, "{a} adopts the newest primary") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.get(Instance.ROLE, i) == IS_HOME
+          && s.get(Instance.TERM, i) < s.newestTerm()
+          && (mayAdopt(s, i, s.leader(s.newestTerm()))
+              || !rules.keeps(Condition.ADOPT_RECORDED_TARGET_ONLY));
+    }
+
+    private boolean mayAdopt(ModelState s, int i, int primary) {
+      if (!s.isRecordedHome(i)) {
+        return s.get(Instance.PHASE, i) == STEADY || s.get(Instance.TARGET, i) == primary;
+      }
+      int promoting = s.get(Group.PROMOTING);
+      return promoting == NONE || promoting == primary || s.hasExcludedAll(i);
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      int primary = s.leader(s.newestTerm());
+      boolean replacesPromotion =
+          s.isRecordedHome(i)
+              && s.get(Group.PROMOTING) != NONE
+              && s.get(Group.PROMOTING) != primary;
+      if (replacesPromotion && rules.keeps(Condition.ADOPT_RECORDED_TARGET_ONLY)) {
+        awaitEndOfOtherOrders(s, rules, primary);
+      }
+      int promotedEnd = s.answer(i, primary);
+      boolean isOwnPromotion =
+          s.get(Instance.PHASE, i) == PROMOTING
+              && s.get(Instance.TARGET, i) == primary
+              && s.get(Instance.TERM, i) + 1 == s.newestTerm()
+              && promotedEnd != NONE;
+      if (isOwnPromotion) {
+        s.raiseBound(i, promotedEnd);
+      }
+      boolean isKnown =
+          isOwnPromotion
+              || (s.get(Instance.BOUND_KNOWN, i) == 1
+                  && !rules.keeps(Condition.LEARN_BOUND_AFTER_EXCLUSION));
+      s.set(Instance.BOUND_KNOWN, i, isKnown ? 1 : 0);
+      if (rules.keeps(Condition.NO_SUCCESS_OF_EARLIER_TERM)) {
+        s.endEarlierWork(i);
+      }
+      s.set(Instance.TERM, i, s.newestTerm());
+      s.set(Instance.SERVED, i, 1);
+      s.set(Instance.PHASE, i, STEADY);
+      s.set(Instance.HALT, i, 0);
+      s.clearAttempt(i);
+      if (replacesPromotion && rules.keeps(Condition.RECORD_OTHER_PRIMARY_FIRST)) {
+        RECORD_PRIMARY.apply(s, rules, i, 0);
+      }
+    }
+  },
+
+  RECORD_PRIMARY(Range.INSTANCE, Range.NOTHING, "{a} records its primary") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
+      return s.isRecordedHome(i) && s.get(Instance.TERM, i) > s.get(Group.RECORD_TERM);
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int unused) {
+      s.set(Group.RECORD_TERM, s.get(Instance.TERM, i));
+      s.set(Group.PROMOTING, NONE);
+      if ((s.get(Group.PRIOR_HOMES) & ~s.get(Instance.EXCLUDED, i)) == 0) {
+        s.clearPriorHomes();
+      }
+      int successor = s.get(Group.SUCCESSOR);
+      if (successor != NONE) {
+        s.set(Instance.EXCLUDED, i, s.get(Instance.EXCLUDED, i) & ~bit(successor));
+      }
+      s.set(Instance.LEASE, i, 1);
+      s.onRecordWritten();
+    }
+  },
+
+  RESUME(Range.INSTANCE, Range.SERVER, "{a} lets {b} receive again") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
+      boolean isAllowed =
+          !rules.keeps(Condition.RESUME_WITH_LEASE_ONLY)
+              || (s.get(Instance.LEASE, i) == 1
+                  && s.isRecordedHome(i)
+                  && s.get(Group.PROMOTING) == NONE);
+      return isAllowed
+          && s.get(Instance.ROLE, i) == IS_HOME
+          && s.get(Instance.PHASE, i) == STEADY
+          && s.get(Server.STOPPED, server) == 1;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int server) {
+      s.set(Server.STOPPED, server, 0);
+    }
+  };
+
+  private final Range first;
+  private final Range second;
+  private final String text;
+
+  HomeStep(Range first, Range second, String text) {
+    this.first = first;
+    this.second = second;
+    this.text = text;
+  }
+
+  @Override
+  public Range first() {
+    return first;
+  }
+
+  @Override
+  public Range second() {
+    return second;
+  }
+
+  @Override
+  public String text() {
+    return text;
+  }
+
+  private static boolean isChanging(ModelState s, int i) {
+    return s.isRecordedHome(i) && s.get(Instance.PHASE, i) == CHANGING;
+  }
+
+  private static boolean isToBeExcluded(ModelState s, int home, int other) {
+    return home != other
+        && (s.instancesToExclude() & bit(other)) != 0
+        && (s.get(Instance.EXCLUDED, home) & bit(other)) == 0;
+  }
+
+  /**
+   * Waits until no order for another server can take effect. If the platform sets no bound, the
+   * home waits in vain.
+   */
+  private static void awaitEndOfOtherOrders(ModelState s, ModelRules rules, int target) {
+    for (int server = 0; server < SERVERS; server++) {
+      if (server != target && rules.ordersEnd()) {
+        s.set(Server.ORDERED, server, 0);
+      }
+    }
+  }
+
+  /** Retires the pool; if success was held back in it, its commits end in doubt. */
+  private static void retire(ModelState s, ModelRules rules, int i) {
+    boolean endsWork =
+        s.get(Instance.HALT, i) == EVERYTHING && rules.keeps(Condition.NO_SUCCESS_AFTER_CHOICE);
+    s.closePool(i, endsWork);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/ModelRules.java
@@ -0,0 +1,36 @@
+package org.chicorylane.internal.election.model;
+
+import java.util.EnumSet;
+
+/**
+ * The rule to be searched and the bounds of the search.
+ *
+ * @param conditions the conditions that the homes keep
+ * @param bounds how often each limited event may happen
+ * @param ordersEnd whether a home can tell that an order can no longer take effect; false if the
+ *     platform may carry an order out after any time
+ */
+record ModelRules(EnumSet<Condition> conditions, Bounds bounds, boolean ordersEnd) {
+
+  /**
+   * Bounds of a search; within them it is complete.
+   *
+   * @param instances number of instances, 2 or 3
+   * @param commits number of commits, up to 3
+   * @param terms highest term, up to 4; each promotion begins one
+   * @param epochs highest epoch; each change of home begins one
+   * @param instanceRestarts how often an instance may be killed and started again
+   * @param replicaRestarts how often a stopped replica may restart
+   */
+  record Bounds(
+      int instances,
+      int commits,
+      int terms,
+      int epochs,
+      int instanceRestarts,
+      int replicaRestarts) {}
+
+  boolean keeps(Condition condition) {
+    return conditions.contains(condition);
+  }
+}
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/StateSearch.java
@@ -0,0 +1,150 @@
+package org.chicorylane.internal.election.model;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Queue;
+import java.util.stream.Stream;
+
+/**
+ * Breadth-first search of all states of the model. States are recognized by a hash of 64 bits, so
+ * that two states are confused with a negligible probability.
+ */
+final class StateSearch {
+
+  /**
+   * Result of a search.
+   *
+   * @param violation the violation that was found, or an empty text
+   * @param trace the shortest run to the violation, in plain words
+   * @param states number of different states that were found
+   * @param depth number of steps of the longest run that was searched
+   * @param isComplete whether all states within the bounds were searched
+   */
+  record Result(String violation, List<String> trace, int states, int depth, boolean isComplete) {}
+
+  private static final Step[] STEPS =
+      Stream.of(GroupStep.values(), HomeStep.values()).flatMap(Arrays::stream).toArray(Step[]::new);
+  private static final Violation[] VIOLATIONS = Violation.values();
+  private static final int INITIAL_CAPACITY = 1 << 16;
+
+  private final ModelRules rules;
+  private final int maximumStates;
+  private final Queue<ModelState> pending = new ArrayDeque<>();
+
+  /** Open-addressed set of hashes; 0 marks a free place. */
+  private long[] known = new long[2 * INITIAL_CAPACITY];
+
+  /** By state, in the order in which they were found: the state before, and the encoded step. */
+  private int[] parents = new int[INITIAL_CAPACITY];
+
+  private short[] moves = new short[INITIAL_CAPACITY];
+  private int count;
+
+  /**
+   * Creates a search.
+   *
+   * @param maximumStates number of states after which the search ends incomplete
+   */
+  StateSearch(ModelRules rules, int maximumStates) {
+    this.rules = rules;
+    this.maximumStates = maximumStates;
+  }
+
+  /** Searches until a violation is found, all states were searched, or there are too many. */
+  Result run() {
+    int depth = 0;
+    int endOfDepth = 1;
+    add(ModelState.initial(rules), -1, 0);
+    for (int id = 0; !pending.isEmpty(); id++) {
+      if (id == endOfDepth) {
+        depth++;
+        endOfDepth = count;
+      }
+      ModelState s = pending.remove();
+      for (Violation v : VIOLATIONS) {
+        if (v.isIn(s, rules.bounds().instances())) {
+          return new Result(v.name(), trace(id), count, depth, false);
+        }
+      }
+      if (count >= maximumStates) {
+        return new Result("", List.of(), count, depth, false);
+      }
+      expand(s, id);
+    }
+    return new Result("", List.of(), count, depth, true);
+  }
+
+  private void expand(ModelState s, int id) {
+    for (int n = 0; n < STEPS.length; n++) {
+      Step step = STEPS[n];
+      int firstSize = step.first().size(rules);
+      int secondSize = step.second().size(rules);
+      for (int a = 0; a < firstSize; a++) {
+        for (int b = 0; b < secondSize; b++) {
+          if (step.isEnabled(s, rules, a, b)) {
+            ModelState next = s.copy();
+            step.apply(next, rules, a, b);
+            add(next, id, n << 4 | a << 2 | b);
+          }
+        }
+      }
+    }
+  }
+
+  private void add(ModelState s, int parent, int move) {
+    if (!addHash(Symmetry.hash(s))) {
+      return;
+    }
+    if (count == parents.length) {
+      parents = Arrays.copyOf(parents, 2 * count);
+      moves = Arrays.copyOf(moves, 2 * count);
+    }
+    parents[count] = parent;
+    moves[count] = (short) move;
+    count++;
+    pending.add(s);
+  }
+
+  private boolean addHash(long hash) {
+    if (2 * count >= known.length) {
+      long[] old = known;
+      known = new long[2 * old.length];
+      for (long each : old) {
+        if (each != 0) {
+          known[placeOf(each)] = each;
+        }
+      }
+    }
+    long stored = hash == 0 ? 1 : hash;
+    int place = placeOf(stored);
+    boolean isNew = known[place] == 0;
+    known[place] = stored;
+    return isNew;
+  }
+
+  /** Returns the place of a hash, or the free place for it. */
+  private int placeOf(long hash) {
+    int mask = known.length - 1;
+    int place = (int) (hash >>> 7) & mask;
+    while (known[place] != 0 && known[place] != hash) {
+      place = (place + 1) & mask;
+    }
+    return place;
+  }
+
+  private List<String> trace(int id) {
+    List<String> steps = new ArrayList<>();
+    for (int each = id; parents[each] >= 0; each = parents[each]) {
+      steps.add(describe(moves[each]));
+    }
+    Collections.reverse(steps);
+    return steps;
+  }
+
+  private static String describe(int move) {
+    return STEPS[move >> 4].describe(move >> 2 & 3, move & 3);
+  }
+}
