--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
@@ -26,6 +26,12 @@
   /** Another primary than the recorded target is served only after the record names it. */
   RECORD_OTHER_PRIMARY_FIRST,
 
+  /**
+   * After an unanswered write of a promotion, the home serves again only after another write, which
+   * makes the first one fail.
+   */
+  OVERWRITE_UNANSWERED_PROMOTION,
+
   /** Only a replica's answer to a stop that was sent after the exclusion counts. */
   COUNT_STOPPED_ANSWERS_ONLY,
 
