--- a/chicorylane/src/main/java/org/chicorylane/internal/election/GroupMembers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/GroupMembers.java
@@ -1,9 +1,7 @@
 package org.chicorylane.internal.election;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,42 +21,51 @@
   private final Map<String, BackendServer> listed = new HashMap<>();
   private final Map<String, Missing> missing = new HashMap<>();
 
-  private record Missing(long sinceNanos, String drainedAddress) {}
+  private record Missing(long sinceNanos, String address) {}
 
   /** Applies the servers that have an entry now. */
   void update(List<BackendServer> servers, long nowNanos) {
     Map<String, BackendServer> before = new HashMap<>(listed);
     listed.clear();
     servers.forEach(s -> listed.put(s.id(), s));
-    before.forEach(
-        (id, server) ->
-            missing.put(id, new Missing(nowNanos, server.draining() ? server.address() : "")));
+    before.forEach((id, server) -> missing.put(id, new Missing(nowNanos, server.address())));
+    removeReplaced();
+  }
+
+  /**
+   * Adds members that another instance has recorded.
+   *
+   * @param addresses the members' addresses by server id
+   */
+  void add(Map<String, String> addresses, long nowNanos) {
+    addresses.forEach((id, address) -> missing.putIfAbsent(id, new Missing(nowNanos, address)));
+    removeReplaced();
+  }
+
+  /** Forgets missing servers that have an entry, or whose address another server has now. */
+  private void removeReplaced() {
     missing.keySet().removeAll(listed.keySet());
-    // The log of a drained server is transferred to the new server at its address.
     missing
         .values()
-        .removeIf(m -> servers.stream().anyMatch(s -> s.address().equals(m.drainedAddress())));
+        .removeIf(m -> listed.values().stream().anyMatch(s -> s.address().equals(m.address())));
   }
 
-  /** Adds members that another instance has recorded. */
-  void add(Collection<String> serverIds, long nowNanos) {
-    for (String id : serverIds) {
-      if (!listed.containsKey(id)) {
-        missing.putIfAbsent(id, new Missing(nowNanos, ""));
-      }
-    }
+  private void forgetExpired(long nowNanos) {
+    missing.values().removeIf(m -> nowNanos - m.sinceNanos() > MISSING_LIMIT.toNanos());
   }
 
   /** Returns the members that have no entry at present. */
   Set<String> missing(long nowNanos) {
-    missing.values().removeIf(m -> nowNanos - m.sinceNanos() > MISSING_LIMIT.toNanos());
+    forgetExpired(nowNanos);
     return Set.copyOf(missing.keySet());
   }
 
-  /** Returns the ids of all members. */
-  Set<String> all(long nowNanos) {
-    Set<String> all = new HashSet<>(missing(nowNanos));
-    all.addAll(listed.keySet());
+  /** Returns the addresses of all members by server id. */
+  Map<String, String> all(long nowNanos) {
+    Map<String, String> all = new HashMap<>();
+    forgetExpired(nowNanos);
+    missing.forEach((id, m) -> all.put(id, m.address()));
+    listed.forEach((id, server) -> all.put(id, server.address()));
     return all;
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -37,8 +37,8 @@
   /** The instances that stopped and told what they had acknowledged. */
   private final Set<HomeRecord.Holder> accounted = new HashSet<>();
 
-  /** Whether a successor was excluded without telling what it had acknowledged. */
-  private boolean unaccountedSuccessor;
+  /** The successors that were removed from the record, and may have stood in before. */
+  private final Set<HomeRecord.Holder> removedSuccessors = new HashSet<>();
 
   private final Set<HomeRecord.Holder> pendingImmediateStops = new HashSet<>();
   private final Map<HomeRecord.Holder, Long> lastEndRequestNanos = new HashMap<>();
@@ -48,6 +48,9 @@
    */
   private final Map<HomeRecord.Holder, Long> listedNanos = new HashMap<>();
 
+  /** Revision of the record up to which the successor does not stand in. */
+  private long successorStoppedAt = -1;
+
   private LogPosition acknowledged = LogPosition.ZERO;
   private boolean removingSuccessor;
 
@@ -69,7 +72,14 @@
 
   /** Returns whether neither an earlier home nor the successor can still use the primary. */
   boolean isExclusive(HomeRecord r) {
-    return havePriorHomesStopped(r) && (r.successor() == null || stopped.contains(r.successor()));
+    return havePriorHomesStopped(r) && (r.successor() == null || hasSuccessorStopped(r));
+  }
+
+  /** Returns whether the successor has stopped, and may not start again under this record. */
+  private boolean hasSuccessorStopped(HomeRecord r) {
+    return r.successor() != null
+        && stopped.contains(r.successor())
+        && successorStoppedAt >= election.revision();
   }
 
   /**
@@ -96,7 +106,12 @@
     listedNanos.keySet().retainAll(r.priorHomes());
     for (HomeRecord.Holder h : r.priorHomes()) {
       boolean isNew = listedNanos.putIfAbsent(h, context.scheduler().nanoTime()) == null;
-      unaccountedSuccessor |= isNew && !accounted.contains(h);
+      if (isNew) {
+        // It may have stood in again since it stopped last.
+        stopped.remove(h);
+        accounted.remove(h);
+        removedSuccessors.add(h);
+      }
     }
   }
 
@@ -110,12 +125,13 @@
    * home started or {@link #onPrimaryChanged} was called.
    */
   boolean isSuccessorAccounted(HomeRecord r) {
-    return !unaccountedSuccessor && (r.successor() == null || accounted.contains(r.successor()));
+    return accounted.containsAll(removedSuccessors)
+        && (r.successor() == null || (hasSuccessorStopped(r) && accounted.contains(r.successor())));
   }
 
   /** Forgets what was acknowledged on the earlier primary, whose log the present one holds. */
   void onPrimaryChanged() {
-    unaccountedSuccessor = false;
+    removedSuccessors.clear();
   }
 
   /** Asks earlier homes that have not stopped, at intervals, to stop once their work has ended. */
@@ -144,7 +160,7 @@
    */
   void stopSuccessor(HomeRecord r, long waitedMillis) {
     HomeRecord.Holder successor = r.successor();
-    if (successor == null || stopped.contains(successor)) {
+    if (successor == null || hasSuccessorStopped(r)) {
       return;
     }
     requestImmediateStop(successor);
@@ -170,19 +186,25 @@
   }
 
   private void requestImmediateStop(HomeRecord.Holder other) {
-    if (stopped.contains(other) || !pendingImmediateStops.add(other)) {
+    HomeRecord r = election.record();
+    boolean hasStopped =
+        (r != null && other.equals(r.successor()))
+            ? hasSuccessorStopped(r)
+            : stopped.contains(other);
+    if (hasStopped || !pendingImmediateStops.add(other)) {
       return;
     }
     requestStop(other, true);
   }
 
   private void requestStop(HomeRecord.Holder other, boolean immediately) {
+    long atRevision = election.revision();
     context
         .peerClient()
         .requestStop(
             election.group(),
             other,
-            election.revision(),
+            atRevision,
             immediately,
             reply -> {
               if (immediately) {
@@ -192,6 +214,10 @@
               }
               if (reply.stopped()) {
                 stopped.add(other);
+                HomeRecord r = election.record();
+                if (r != null && other.equals(r.successor())) {
+                  successorStoppedAt = Math.max(successorStoppedAt, atRevision);
+                }
                 LogPosition reported = reply.acknowledged();
                 if (reported != null) {
                   accounted.add(other);
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -4,12 +4,12 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.chicorylane.internal.json.UntrustedJson;
@@ -31,7 +31,8 @@
  *     home is lost and the store cannot record a new one; null if there is none
  * @param priorHomes earlier homes that may not have learned that they were replaced
  * @param hasOmittedPriorHomes whether there are further such homes that the record does not list
- * @param members the ids of the servers that may have confirmed commits of the primary
+ * @param members the addresses, by server id, of the servers that may have confirmed commits of the
+ *     primary
  * @param writer the unique id of the write
  * @param settledEra the era of the store in which all leases of earlier eras were known to have
  *     ended when this record was written, 0 if that was not known
@@ -45,7 +46,7 @@
     @Nullable Holder successor,
     List<Holder> priorHomes,
     boolean hasOmittedPriorHomes,
-    Set<String> members,
+    Map<String, String> members,
     String writer,
     long settledEra) {
 
@@ -82,7 +83,7 @@
   /** Creates a record with copies of the collections. */
   public HomeRecord {
     priorHomes = List.copyOf(priorHomes);
-    members = Set.copyOf(members);
+    members = Map.copyOf(members);
   }
 
   /**
@@ -123,7 +124,7 @@
       String newPrimaryId,
       long newTerm,
       boolean priorHomesStopped,
-      Set<String> newMembers,
+      Map<String, String> newMembers,
       String newWriter) {
     Builder copy =
         copy(newWriter).primary(newPrimaryId, newTerm).promoting(null).members(newMembers);
@@ -131,7 +132,7 @@
   }
 
   /** Returns this record with other members. */
-  HomeRecord withMembers(Set<String> newMembers, String newWriter) {
+  HomeRecord withMembers(Map<String, String> newMembers, String newWriter) {
     return copy(newWriter).members(newMembers).build();
   }
 
@@ -163,8 +164,8 @@
     boolean knownIsLater = known.primaryId != null && known.term >= term;
     String laterPromoting = knownIsLater ? known.promoting : promoting;
     boolean keepsOwnPromotion = laterPromoting == null && known.term == term;
-    Set<String> allMembers = new HashSet<>(members);
-    allMembers.addAll(known.members);
+    Map<String, String> allMembers = new HashMap<>(members);
+    allMembers.putAll(known.members);
     Builder copy =
         copy(writer)
             .epoch(Math.max(epoch, known.epoch))
@@ -211,7 +212,7 @@
     private @Nullable Holder successor;
     private List<Holder> priorHomes = List.of();
     private boolean hasOmittedPriorHomes;
-    private Set<String> members = Set.of();
+    private Map<String, String> members = Map.of();
     private long settledEra;
 
     Builder(long epoch, Holder home, String writer) {
@@ -274,7 +275,7 @@
       return this;
     }
 
-    Builder members(Set<String> newMembers) {
+    Builder members(Map<String, String> newMembers) {
       members = newMembers;
       return this;
     }
@@ -320,9 +321,9 @@
     priorHomes.forEach(h -> prior.add(encodeHolder(h)));
     o.add("prior", prior);
     o.addProperty("prior_omitted", hasOmittedPriorHomes);
-    JsonArray memberIds = new JsonArray();
-    members.stream().sorted().forEach(memberIds::add);
-    o.add("members", memberIds);
+    JsonObject addresses = new JsonObject();
+    new TreeMap<>(members).forEach(addresses::addProperty);
+    o.add("members", addresses);
     o.addProperty("writer", writer);
     o.addProperty("settled_era", settledEra);
     return o.toString();
@@ -339,9 +340,11 @@
   private static HomeRecord readRecord(JsonObject o) {
     List<Holder> prior = new ArrayList<>();
     o.getAsJsonArray("prior").forEach(e -> prior.add(readHolder(e)));
-    Set<String> members = new HashSet<>();
+    Map<String, String> members = new HashMap<>();
     if (o.has("members")) {
-      o.getAsJsonArray("members").forEach(e -> members.add(e.getAsString()));
+      o.getAsJsonObject("members")
+          .asMap()
+          .forEach((id, address) -> members.put(id, address.getAsString()));
     }
     Builder record =
         new Builder(
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -95,10 +94,14 @@
   private long boundEra;
 
   private LogPosition promotedLogEnd = LogPosition.ZERO;
+  private @Nullable String promotedServerId;
   private long primaryAdoptedNanos;
   private boolean writingRecord;
   private boolean writingMembers;
 
+  /** Whether a write that names a server to promote may still be applied to the record. */
+  private boolean promotionUnsettled;
+
   /** The server whose last promotion was rejected; it is passed over once. */
   private @Nullable String rejectedServerId;
 
@@ -166,7 +169,7 @@
       adopt(serverId, status.term());
     } else if (status.primary() && !recorded && status.term() < r.term()) {
       pool.sendCommand(serverId, new ServerCommand.StepDown(r.term()), ignoreAnswer());
-    } else if (recorded && !status.primary() && step == Step.STEADY) {
+    } else if (recorded && !status.primary() && step == Step.STEADY && !writingRecord) {
       election.log("primary-denies").with("server", serverId).with("term", status.term()).write();
       startChange(false, "server " + serverId + " is a replica now");
     } else if (status.sealedTerm() > 0 && !status.primary() && mayResumeReplicas(r)) {
@@ -240,7 +243,7 @@
     statuses.remove(serverId);
     reports.remove(serverId);
     HomeRecord r = election.record();
-    if (r == null || step != Step.STEADY || !serverId.equals(r.primaryId())) {
+    if (r == null || writingRecord || step != Step.STEADY || !serverId.equals(r.primaryId())) {
       return;
     }
     BackendServer server = findServer(serverId);
@@ -394,8 +397,10 @@
 
   /** Records servers that joined, so that a later home knows of them even without an entry. */
   private void recordMembers(HomeRecord r) {
-    Set<String> members = election.members().all(now());
-    if (!writingMembers && !r.members().containsAll(members) && election.isRecentlyConfirmed()) {
+    Map<String, String> members = election.members().all(now());
+    if (!writingMembers
+        && !r.members().keySet().containsAll(members.keySet())
+        && election.isRecentlyConfirmed()) {
       writingMembers = true;
       election.write(
           r.withMembers(members, context.ids().next()),
@@ -432,10 +437,12 @@
         || writingRecord
         || r == null
         || (r.term() == term && serverId.equals(r.primaryId()))
-        || !orders.permits(serverId, now())) {
+        || !orders.permits(serverId, now())
+        || (step == Step.PROMOTING && !serverId.equals(promotedServerId))) {
       return;
     }
-    if (r.promoting() == null || r.promoting().equals(serverId)) {
+    boolean otherIsRecorded = r.promoting() != null && !r.promoting().equals(serverId);
+    if (!otherIsRecorded && !promotionUnsettled) {
       use(serverId, term, r);
       writePrimary(serverId, term, r, () -> {});
     } else if (exclusion.isExclusive(r)) {
@@ -476,6 +483,7 @@
             context.ids().next()),
         revision -> {
           writingRecord = false;
+          promotionUnsettled = false;
           onWritten.run();
         },
         () -> writingRecord = false);
@@ -655,6 +663,7 @@
       promote(r, promote.server(), promote.received());
     } else if (choice instanceof PromotionChoice.Repeat repeat) {
       enter(Step.PROMOTING);
+      promotedServerId = repeat.serverId();
       election.haltPrimary(PrimaryHalt.EVERYTHING);
       orders.onRepeat();
       requestPromotion(repeat.serverId(), election.revision(), stepGeneration);
@@ -704,6 +713,8 @@
     enter(Step.PROMOTING);
     election.haltPrimary(PrimaryHalt.EVERYTHING);
     promotedLogEnd = received;
+    promotedServerId = target.id();
+    promotionUnsettled = true;
     long generation = stepGeneration;
     election
         .log("promoting")
@@ -714,6 +725,7 @@
     election.write(
         r.withPromotion(target.id(), context.ids().next()),
         revision -> {
+          promotionUnsettled = false;
           if (generation == stepGeneration && step == Step.PROMOTING) {
             requestPromotion(target.id(), revision, generation);
           }
@@ -794,15 +806,44 @@
               BackendServer server = primary == null ? null : findServer(primary);
               boolean leads = status != null && status.primary() && status.term() == r.term();
               if (leads && server != null && !server.draining() && r.promoting() == null) {
-                election.log("primary-returned").with("server", primary).write();
-                enter(Step.STEADY);
-                pool.setPrimaryHalt(PrimaryHalt.NOTHING);
+                returnToPrimary(r);
               } else {
                 enter(Step.EXCLUDING);
               }
             });
   }
 
+  /**
+   * Uses the recorded primary again. After a write of a promotion without an answer the record is
+   * written once more first, so that the earlier write can no longer be applied.
+   */
+  private void returnToPrimary(HomeRecord r) {
+    long generation = stepGeneration;
+    Runnable resume =
+        () -> {
+          if (generation == stepGeneration) {
+            election.log("primary-returned").with("server", r.primaryId()).write();
+            enter(Step.STEADY);
+            pool.setPrimaryHalt(PrimaryHalt.NOTHING);
+          }
+        };
+    if (!promotionUnsettled) {
+      resume.run();
+      return;
+    }
+    election.write(
+        r.withMembers(election.members().all(now()), context.ids().next()),
+        revision -> {
+          promotionUnsettled = false;
+          resume.run();
+        },
+        () -> {
+          if (generation == stepGeneration) {
+            enter(Step.EXCLUDING);
+          }
+        });
+  }
+
   /**
    * Discards the primary's status and queries it again, since the old status dates from before its
    * writes were held back.
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -100,7 +100,7 @@
 
   /**
    * Records the answer to the last order of a server. A rejection tells that the server does not
-   * run; an earlier order may have been accepted before.
+   * run; an earlier order may have been accepted before, or be under way without an answer.
    */
   void onOutcome(String serverId, Promoter.Outcome outcome, long nowNanos) {
     if (!serverId.equals(target)) {
@@ -117,7 +117,8 @@
       return;
     }
     lastSentNanos = previousSentNanos;
-    rejected = nowNanos - lastSentNanos > EFFECT_LIMIT.toNanos();
+    boolean allAnswered = !inherited && sent == accepted;
+    rejected = allAnswered && nowNanos - lastSentNanos > EFFECT_LIMIT.toNanos();
   }
 
   /**
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
@@ -52,6 +52,17 @@
     assertThat(orders.permits("c", seconds(5))).isTrue();
   }
 
+  // Incident 23: an unanswered order may still be carried out after a later one was rejected.
+  @Test
+  void testRejectionDoesNotEndEarlierOrderWithoutAnswer() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.UNKNOWN, seconds(2));
+    orders.onSent("b", seconds(5));
+    orders.onOutcome("b", Promoter.Outcome.REJECTED, seconds(5));
+    assertThat(orders.permits("c", seconds(8))).isFalse();
+    assertThat(orders.permits("c", seconds(10))).isTrue();
+  }
+
   @Test
   void testLifetimeOfInheritedOrderBeginsWhenItsSenderIsExcluded() {
     orders.inherit("b", seconds(1));
