--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LateConfirmationTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LateConfirmationTest.java
@@ -32,4 +32,31 @@
     scenario.recover();
     scenario.finish();
   }
+
+  // Guards against passing on a success that a replica has confirmed after its stop was ended by a
+  // restart.
+  @Test
+  void testCommitConfirmedAfterTheChoiceByRestartedReplicaIsNotLost() {
+    scenario.begin();
+    scenario.stopClients();
+    ModelHost home = scenario.home();
+    primary.isolatedFromServers = true;
+    scenario.clients.writeOnce(home);
+    fleet.advance(780);
+    scenario.clients.writeOnce(home);
+    fleet.promotionService.onOrder =
+        order -> {
+          restart(order.serverId().equals("server-b") ? "server-c" : "server-b");
+          primary.isolatedFromServers = false;
+        };
+    fleet.advance(5_000);
+    scenario.requirePromotion();
+    scenario.recover();
+    scenario.finish();
+  }
+
+  private void restart(String serverId) {
+    scenario.server(serverId).crash();
+    scenario.server(serverId).restart();
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -9,6 +9,7 @@
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Injects random faults into a whole fleet and checks its guarantees at each statement and at the
@@ -37,6 +38,17 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void testGuaranteesHoldUnderFaults(long seed) {
+    runUnderFaults(seed);
+  }
+
+  // Guards against using a primary beside a later one that no instance reaches: 206.
+  @ParameterizedTest
+  @ValueSource(longs = 206)
+  void testGuaranteesHoldUnderFaultsWithSeedsThatFailed(long seed) {
+    runUnderFaults(seed);
+  }
+
+  private static void runUnderFaults(long seed) {
     Scenario scenario = new Scenario(seed);
     for (int i = 0; i < ROUNDS; i++) {
       inject(scenario.fleet, scenario.random);
@@ -60,6 +72,18 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void testGuaranteesHoldUnderFaultsDuringPromotions(long seed) {
+    runDuringPromotions(seed);
+  }
+
+  // Guards against an order that takes effect after a later one (88), and against a promotion that
+  // is recorded after the home gave it up (240, 243).
+  @ParameterizedTest
+  @ValueSource(longs = {88, 240, 243})
+  void testGuaranteesHoldDuringPromotionsWithSeedsThatFailed(long seed) {
+    runDuringPromotions(seed);
+  }
+
+  private static void runDuringPromotions(long seed) {
     Scenario scenario = new Scenario(seed);
     PromotionFaults faults = new PromotionFaults(scenario.fleet, scenario.random);
     for (int i = 0; i < ROUNDS; i++) {
