--- a/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.chicorylane.internal.platform.KeyValueEntry;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -50,4 +51,53 @@
   void testInvalidTextDecodesToEmpty(String text) {
     assertThat(HomeRecord.decode(entry(text), p -> {})).isEmpty();
   }
+
+  private static HomeRecord.Holder holder(String name) {
+    return new HomeRecord.Holder(name, name + "-a", "10.0.0.9:1");
+  }
+
+  private static HomeRecord record(
+      HomeRecord.Holder home, String primary, long term, @Nullable String promoting) {
+    return new HomeRecord(
+        3,
+        home,
+        primary,
+        term,
+        promoting,
+        null,
+        List.of(holder("i7")),
+        false,
+        Set.of(primary),
+        "w1",
+        2);
+  }
+
+  /** A restored record that is used as it is names a server that no longer leads the group. */
+  @Test
+  void testRestoredRecordIsCompletedByLaterPrimary() {
+    HomeRecord restored = record(holder("i1"), "server-a", 1, "server-b");
+    HomeRecord completed = restored.completedBy(record(holder("i2"), "server-b", 2, null));
+    assertThat(completed.home()).isEqualTo(holder("i1"));
+    assertThat(completed.primaryId()).isEqualTo("server-b");
+    assertThat(completed.term()).isEqualTo(2);
+    assertThat(completed.promoting()).isNull();
+    assertThat(completed.members()).containsExactly("server-a", "server-b");
+    assertThat(completed.priorHomes()).containsExactly(holder("i7"), holder("i2")).inOrder();
+  }
+
+  /** An order that was sent before the restore may still take effect. */
+  @Test
+  void testRestoredRecordIsCompletedByPendingPromotion() {
+    HomeRecord restored = record(holder("i1"), "server-a", 1, null);
+    HomeRecord known = record(holder("i1"), "server-a", 1, "server-b");
+    assertThat(restored.completedBy(known).promoting()).isEqualTo("server-b");
+    assertThat(known.completedBy(restored).promoting()).isEqualTo("server-b");
+  }
+
+  @Test
+  void testCompletedRecordIsNotChangedBySameKnowledge() {
+    HomeRecord known = record(holder("i2"), "server-b", 2, null);
+    HomeRecord completed = record(holder("i1"), "server-a", 1, null).completedBy(known);
+    assertThat(completed.completedBy(known)).isEqualTo(completed);
+  }
 }
--- a/standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java
@@ -82,7 +82,7 @@
         rewritten.put(item.key(), item.value());
       }
     }
-    List<String> removed =
+    final List<String> removed =
         copy.items.keySet().stream()
             .filter(key -> REWRITTEN_PREFIXES.stream().anyMatch(key::startsWith))
             .filter(key -> !items.containsKey(key))
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
@@ -35,6 +35,10 @@
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private volatile boolean primary;
   private volatile long term = 1;
+
+  /** The term with which a replica was stopped from receiving; 0 if it receives. */
+  private volatile long pausedTerm;
+
   private volatile boolean loseNextAnswer;
 
   /**
@@ -114,6 +118,7 @@
   public void promote(long newTerm) {
     term = newTerm;
     primary = true;
+    pausedTerm = 0;
   }
 
   /** Makes this server, if it is a replica, follow the primary of {@code newTerm}. */
@@ -204,7 +209,15 @@
 
     private String statement(String requestId, String[] words, int verbIndex) {
       return switch (words[verbIndex]) {
-        case "STATUS", "PAUSE", "RESUME", "STEPDOWN" -> status();
+        case "PAUSE" -> {
+          pausedTerm = primary ? 0 : Long.parseLong(words[verbIndex + 1]);
+          yield status();
+        }
+        case "RESUME" -> {
+          pausedTerm = 0;
+          yield status();
+        }
+        case "STATUS", "STEPDOWN" -> status();
         case "BEGIN" -> begin(words.length > verbIndex + 1);
         case "COMMIT" -> commit(requestId);
         case "ROLLBACK" -> rollback();
@@ -266,7 +279,9 @@
           + term
           + "."
           + commits.get()
-          + " 0 0 0 1\r\n"
+          + " "
+          + pausedTerm
+          + " 0 0 1\r\n"
           + done("-");
     }
 
--- a/standins/src/test/java/org/chicorylane/standin/metadata/StandInMetadataStoreTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/metadata/StandInMetadataStoreTest.java
@@ -53,7 +53,7 @@
   }
 
   @Test
-  void testAllAnswersTellTheEraWhichRisesWithARestore() throws Exception {
+  void testAllAnswersTellTheEraWhichRisesWithRestore() throws Exception {
     put("a", "MQ==");
     assertThat(era(get("/-/kv-key?key=a"))).isEqualTo("1");
     assertThat(era(get("/-/kv-key?key=none"))).isEqualTo("1");
@@ -76,7 +76,7 @@
   @Test
   void testOperatorAndServersWriteTheirEntriesAgain() {
     put("servers/s1", "MQ==");
-    MetadataEngine.Copy copy = store.engine().copy();
+    final MetadataEngine.Copy copy = store.engine().copy();
     put("op/config", "Mg==");
     put("lane/x", "Mg==");
     store.engine().transact(Map.of(), Map.of(), List.of("servers/s1"));
@@ -97,7 +97,7 @@
   @Test
   void testWatchFromRevisionThatWasAssignedAgainContinues() throws Exception {
     MetadataEngine.Copy copy = store.engine().copy();
-    long after = put("a", "MQ==");
+    final long after = put("a", "MQ==");
     store.restore(copy);
     put("a", "Mg==");
     put("a", "Mw==");
