--- a/chicorylane/src/test/java/org/chicorylane/internal/platform/RestorableStoreTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/platform/RestorableStoreTest.java
@@ -72,7 +72,7 @@
   @Test
   void testWriteThatExpectsRevisionOfEarlierEraIsNotSent() {
     KeyValueEngine.Copy copy = inner.engine().copy();
-    long seen = put("a");
+    final long seen = put("a");
     store.get(KEY).join();
     restore(copy);
     put("other");
@@ -87,7 +87,7 @@
   @Test
   void testWriteThatHeldOnContentOfNewEraIsNotReportedAsApplied() {
     KeyValueEngine.Copy copy = inner.engine().copy();
-    long seen = put("a");
+    final long seen = put("a");
     store.get(KEY).join();
     restore(copy);
     put("other");
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/RestoredStoreTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/RestoredStoreTest.java
@@ -82,7 +82,7 @@
   @Test
   void testFencingTokenDoesNotFallAfterRestore() {
     begin();
-    KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    final KeyValueEngine.Copy copy = fleet.store.engine().copy();
     fleet.group.server("server-a").crash();
     fleet.advance(3_000);
     assertThat(fleet.promotions).hasSize(1);
@@ -99,7 +99,7 @@
   @Test
   void testPromotedPrimaryIsNotForgottenAfterRestore() {
     begin();
-    KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    final KeyValueEngine.Copy copy = fleet.store.engine().copy();
     fleet.group.server("server-a").crash();
     fleet.advance(3_000);
     fleet.group.server("server-a").restart();
@@ -114,7 +114,7 @@
   @Test
   void testHomeThatTheRestoredRecordDoesNotNameStopsBeforePromotion() {
     begin();
-    KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    final KeyValueEngine.Copy copy = fleet.store.engine().copy();
     ModelHost first = fleet.home().orElseThrow();
     first.kill();
     fleet.advance(3_000);
@@ -142,8 +142,8 @@
   @Test
   void testPromotedPrimaryIsNotForgottenWhenItsHomeIsLost() {
     begin();
-    KeyValueEngine.Copy copy = fleet.store.engine().copy();
-    ModelHost home = fleet.home().orElseThrow();
+    final KeyValueEngine.Copy copy = fleet.store.engine().copy();
+    final ModelHost home = fleet.home().orElseThrow();
     fleet.group.server("server-a").crash();
     fleet.advance(3_000);
     fleet.group.server("server-a").restart();
@@ -159,7 +159,7 @@
 
   /** A settled record spares an instance that starts later the wait for earlier eras. */
   @Test
-  void testInstanceThatStartsInASettledEraPromotesWithoutWait() {
+  void testInstanceThatStartsInSettledEraPromotesWithoutWait() {
     begin();
     restore(fleet.store.engine().copy());
     fleet.advance(PROMOTION_WAIT_MILLIS);
@@ -174,7 +174,7 @@
   }
 
   @Test
-  void testInstanceThatStartsAfterARestoreWaitsBeforeAPromotion() {
+  void testInstanceThatStartsAfterRestoreWaitsBeforePromotion() {
     begin();
     KeyValueEngine.Copy copy = fleet.store.engine().copy();
     fleet.hosts().forEach(ModelHost::kill);
