--- /dev/null
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroupListener.java
@@ -0,0 +1,34 @@
+package org.chicorylane.standin.wire;
+
+/**
+ * Receives what happens in a {@link ReplicatedGroup}. Each method is called while the lock of the
+ * group is held, and must return at once.
+ */
+public interface ReplicatedGroupListener {
+
+  /**
+   * A call for a promotion.
+   *
+   * @param group the name of the database group
+   * @param serverId the id of the server to promote
+   * @param holder the name of the instance that called
+   * @param token the fencing token of the call
+   */
+  record PromotionCall(String group, String serverId, String holder, long token) {}
+
+  /** A server runs a read on its log as it is now. */
+  void onRead(ReplicatedServer server, String requestId);
+
+  /** A primary has appended a commit, which no replica has received yet. */
+  void onCommit(ReplicatedServer server, LogEntry entry);
+
+  /**
+   * A promotion was called for.
+   *
+   * @param accepted whether the server runs, so that the promotion takes effect later
+   */
+  void onPromotionCalled(ReplicatedGroup group, PromotionCall call, boolean accepted);
+
+  /** A promotion takes effect; the logs are still as they were before it. */
+  void onPromotion(ReplicatedServer server, PromotionCall call);
+}
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
@@ -3,9 +3,6 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -44,8 +41,7 @@
   private final List<StandInWireServer> servers = new ArrayList<>();
   private final CountDownLatch promoted = new CountDownLatch(1);
 
-  /** Sockets that are bound, but do not listen, to the ports of instances' settings. */
-  private final List<Socket> reservations = new ArrayList<>();
+  private final LoopbackPorts ports = new LoopbackPorts();
 
   /** Starts the store and one database group. */
   public StandInSystem() throws IOException {
@@ -161,7 +157,7 @@
     put("op/config", configuration.toString());
   }
 
-  private static JsonObject route(String database, String kind, String group) {
+  static JsonObject route(String database, String kind, String group) {
     JsonObject route = new JsonObject();
     route.addProperty("name", "route-" + database);
     route.addProperty("host", database);
@@ -193,43 +189,15 @@
    * @return host and port for the instance's clients
    */
   public String writeSettings(Path file, String instance) throws IOException {
-    int[] ports = new int[4];
-    for (int i = 0; i < ports.length; i++) {
-      ports[i] = reservePort();
-    }
-    JsonArray instancePorts = new JsonArray();
-    instancePorts.add(ports[2]);
-    instancePorts.add(ports[3]);
-    JsonObject settings = new JsonObject();
-    settings.addProperty("instance", instance);
-    settings.addProperty("availabilityZone", "zone-a");
-    settings.addProperty("address", "127.0.0.1");
-    settings.addProperty("clientAddress", "127.0.0.1:" + ports[0]);
-    settings.addProperty("readinessAddress", "127.0.0.1:" + ports[1]);
-    settings.add("instancePorts", instancePorts);
-    settings.addProperty("storeAddress", store.address());
-    settings.addProperty("promotionAddress", store.address());
-    settings.addProperty("processorShare", 1);
-    settings.addProperty("processorSpeed", 1);
-    settings.addProperty("linkMegabits", 1000);
-    settings.addProperty("stopSeconds", 4);
-    Files.writeString(file, settings.toString());
-    return "127.0.0.1:" + ports[0];
-  }
-
-  private int reservePort() throws IOException {
-    Socket socket = new Socket();
-    reservations.add(socket);
-    socket.setReuseAddress(true);
-    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    return socket.getLocalPort();
+    InstanceSettings settings =
+        new InstanceSettings(instance, "zone-a", ports, store.address(), store.address());
+    Files.writeString(file, settings.toJson());
+    return settings.clientAddress();
   }
 
   @Override
   public void close() throws IOException {
-    for (Socket reservation : reservations) {
-      reservation.close();
-    }
+    ports.close();
     store.close();
     for (StandInWireServer server : servers) {
       server.close();
