Add a soak over instance processes with faults drawn from a seed

chicorylane soak starts instances as processes over replicating stand-in groups, kills, pauses and restarts them, breaks servers and links, mostly around promotions, and compares what clients were told with the logs.

--- a/bench/src/main/java/org/chicorylane/bench/Main.java
+++ b/bench/src/main/java/org/chicorylane/bench/Main.java
@@ -7,6 +7,7 @@
 import org.chicorylane.bench.demo.DemoCommand;
 import org.chicorylane.bench.fleet.StandInsCommand;
 import org.chicorylane.bench.load.BenchCommand;
+import org.chicorylane.bench.soak.SoakCommand;
 import org.chicorylane.internal.command.ApplyCommand;
 import org.chicorylane.internal.command.CheckCommand;
 import org.chicorylane.internal.command.Command;
@@ -37,7 +38,8 @@
           new ServerStateCommand(ServerStateCommand.Action.JOIN),
           new StatusCommand(),
           new ReportCommand(),
-          new BenchCommand());
+          new BenchCommand(),
+          new SoakCommand());
 
   private Main() {}
 
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
@@ -107,6 +107,13 @@
     }
   }
 
+  /** Returns whether the log of the server holds an entry. */
+  public boolean holds(LogEntry entry) {
+    synchronized (group) {
+      return entry.number() <= log.size() && log.get((int) entry.number() - 1) == entry;
+    }
+  }
+
   /** Returns whether reads on the server see the commit that holds a request id. */
   public boolean sees(String requestId) {
     synchronized (group) {
@@ -304,10 +311,6 @@
     return entry;
   }
 
-  boolean holds(LogEntry entry) {
-    return entry.number() <= log.size() && log.get((int) entry.number() - 1) == entry;
-  }
-
   private void add(LogEntry entry) {
     log.add(entry);
     entry.requestIds().forEach(r -> lengthByRequestId.put(r, log.size()));
