--- a/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
@@ -7,7 +7,7 @@
 import org.chicorylane.standin.wire.ReplicatedServer;
 
 /** The faults and changes of a soak. Each undoes itself after a time that it draws. */
-enum Fault {
+public enum Fault {
   /** An instance is killed. */
   KILL_INSTANCE(false, 3) {
     @Override
@@ -94,11 +94,11 @@
     }
   },
   /** A server is replaced as planned: it drains, ends, and a new one starts with its log. */
-  REPLACE_SERVER(true, 4) {
+  REPLACE_SERVER(true, 6) {
     @Override
     void inject(SoakFleet fleet, ReplicatedGroup group, Random random) {
       ReplicatedServer server =
-          random.nextBoolean() ? group.primary() : choose(group.servers(), random);
+          random.nextInt(4) > 0 ? group.primary() : choose(group.servers(), random);
       fleet.event("drains: " + server.describe());
       fleet.system().setDraining(server, true);
       fleet.after(
--- a/bench/src/main/java/org/chicorylane/bench/soak/FaultInjector.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/FaultInjector.java
@@ -15,12 +15,15 @@
  */
 final class FaultInjector {
 
-  private static final int MIN_INTERVAL_MILLIS = 200;
-  private static final int INTERVAL_RANGE_MILLIS = 1_800;
+  private static final int MIN_INTERVAL_MILLIS = 150;
+  private static final int INTERVAL_RANGE_MILLIS = 1_350;
 
   /** Time within which a promotion mostly takes effect. */
   private static final int EFFECT_MILLIS = 400;
 
+  /** Time within which half of the faults around a promotion begin, so that others react to it. */
+  private static final int EARLY_MILLIS = 60;
+
   private static final double HOLDER_FAULT_SHARE = 0.75;
   private static final double REPLICA_FAULT_SHARE = 0.6;
 
@@ -36,10 +39,7 @@
     this.timeline = timeline;
     this.independent = new Random(options.seed());
     this.aroundPromotions = new Random(~options.seed());
-    this.faults =
-        Stream.of(Fault.values())
-            .filter(f -> f.isPlanned() || !options.isPlannedWorkOnly())
-            .toList();
+    this.faults = Stream.of(Fault.values()).filter(options::allows).toList();
   }
 
   /** Injects faults for a time, or until a rule is broken. */
@@ -76,7 +76,7 @@
       InstanceProcess holder = fleet.instance(call.holder());
       Random drawn = new Random(aroundPromotions.nextLong());
       fleet.after(
-          aroundPromotions.nextInt(EFFECT_MILLIS),
+          drawDelay(),
           () -> {
             if (kind < 5) {
               holder.signal("KILL");
@@ -92,6 +92,10 @@
     }
   }
 
+  private long drawDelay() {
+    return aroundPromotions.nextInt(aroundPromotions.nextBoolean() ? EARLY_MILLIS : EFFECT_MILLIS);
+  }
+
   private void injectAtReplica(ReplicatedGroup group, PromotionCall call) {
     ReplicatedServer primary = group.primary();
     List<ReplicatedServer> others =
@@ -102,15 +106,22 @@
       return;
     }
     ReplicatedServer other = Fault.choose(others, aroundPromotions);
-    int kind = aroundPromotions.nextInt(3);
+    List<Fault> kinds =
+        Stream.of(Fault.FREEZE_REPLICA, Fault.LAPSE_SERVER, Fault.SILENCE_SERVER)
+            .filter(faults::contains)
+            .toList();
+    if (kinds.isEmpty()) {
+      return;
+    }
+    Fault kind = Fault.choose(kinds, aroundPromotions);
     int millis = 300 + aroundPromotions.nextInt(4_000);
     Random drawn = new Random(aroundPromotions.nextLong());
     fleet.after(
-        aroundPromotions.nextInt(EFFECT_MILLIS),
+        drawDelay(),
         () -> {
           switch (kind) {
-            case 0 -> Fault.freeze(fleet, other, millis);
-            case 1 -> Fault.lapse(fleet, other, millis);
+            case FREEZE_REPLICA -> Fault.freeze(fleet, other, millis);
+            case LAPSE_SERVER -> Fault.lapse(fleet, other, millis);
             default -> {
               timeline.event("connections go silent: " + other.describe());
               fleet.linkTo(other).silence(1, drawn);
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakCommand.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakCommand.java
@@ -6,6 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -23,6 +26,7 @@
         --instances N    how many processes, 4 by default
         --groups N       how many database groups, 2 by default
         --sessions N     how many for each route, 2 by default
+        --without FAULTS names of faults that are not injected, separated by commas
         --jar FILE       the instances' program, target/chicorylane-platform.jar by default
         --logs DIRECTORY for logs and settings, target/soak/seed-N by default
       example: chicorylane soak --seed 7 --seconds 60
@@ -55,7 +59,7 @@
   @Override
   public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
     Options options = new Options();
-    List.of("seed", "seconds", "instances", "groups", "sessions", "jar", "logs")
+    List.of("seed", "seconds", "instances", "groups", "sessions", "without", "jar", "logs")
         .forEach(o -> options.addOption(Option.builder().longOpt(o).hasArg().get()));
     Optional<CommandLine> line = OptionReader.read(options, arguments, err);
     if (line.isEmpty()) {
@@ -94,10 +98,19 @@
         OptionReader.number(line, "instances", DEFAULT_INSTANCES, 1, MAX_INSTANCES),
         OptionReader.number(line, "groups", DEFAULT_GROUPS, 1, MAX_GROUPS),
         OptionReader.number(line, "sessions", DEFAULT_SESSIONS, 1, MAX_SESSIONS),
+        readFaults(line.getOptionValue("without", "")),
         command,
         Path.of(line.getOptionValue("logs", "target/soak/seed-" + seed)));
   }
 
+  /** Reads names of faults; an unknown one is an {@code IllegalArgumentException}. */
+  private static Set<Fault> readFaults(String names) {
+    return Stream.of(names.split(",", -1))
+        .filter(n -> !n.isEmpty())
+        .map(Fault::valueOf)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   private static ExitCode print(SoakOptions options, SoakRun.Result result, PrintStream out) {
     if (!result.violations().isEmpty()) {
       result.timeline().forEach(out::println);
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakOptions.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakOptions.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The options of a soak.
@@ -11,6 +12,7 @@
  * @param instances the number of instance processes
  * @param groups the number of database groups
  * @param sessions the number of client sessions for each route
+ * @param without the faults that are not injected
  * @param command the program of an instance and its arguments
  * @param logs the folder for the logs and settings of the instances
  */
@@ -20,6 +22,7 @@
     int instances,
     int groups,
     int sessions,
+    Set<Fault> without,
     List<String> command,
     Path logs) {
 
@@ -35,6 +38,11 @@
           "-Dio.netty.allocator.type=unpooled",
           "-Dio.netty.eventLoopThreads=1");
 
+  /** Returns whether a fault may be injected. */
+  boolean allows(Fault fault) {
+    return !without.contains(fault) && (fault.isPlanned() || !isPlannedWorkOnly());
+  }
+
   /** Returns whether only planned work is done: no kill, pause, crash or broken link. */
   boolean isPlannedWorkOnly() {
     return seed % 5 == 4;
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakRun.java
@@ -23,6 +23,9 @@
   /** The longest fault that is drawn ends in this time. */
   private static final long LONGEST_FAULT_SECONDS = 12;
 
+  /** The longest planned work that is drawn ends in this time. */
+  private static final long LONGEST_PLANNED_WORK_SECONDS = 6;
+
   private static final long POLL_MILLIS = 50;
 
   /** How long after a pause an instance may call with a token that has been replaced. */
@@ -117,7 +120,8 @@
       return;
     }
     timeline.event("no more faults are injected");
-    TimeUnit.SECONDS.sleep(LONGEST_FAULT_SECONDS);
+    TimeUnit.SECONDS.sleep(
+        options.isPlannedWorkOnly() ? LONGEST_PLANNED_WORK_SECONDS : LONGEST_FAULT_SECONDS);
     for (ReplicatedGroup group : fleet.system().groups()) {
       long before = checker.acknowledgedCount(group);
       if (!await(RECOVERY_MILLIS, () -> checker.acknowledgedCount(group) > before)) {
