--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
@@ -1,6 +1,7 @@
 package org.chicorylane.standin.wire;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -39,6 +40,10 @@
   private final Map<String, Integer> lengthByRequestId = new HashMap<>();
 
   private @Nullable ServerSocket listener;
+
+  /** Whether a thread may still hold the previous listener, and with it the port. */
+  private boolean accepting;
+
   private String id;
   private boolean primary;
   private long term = 1;
@@ -188,6 +193,7 @@
       if (listener != null) {
         return;
       }
+      awaitPort();
       id = newId;
       frozen = false;
       sealedTerm = 0;
@@ -202,11 +208,23 @@
     crash();
   }
 
+  private void awaitPort() throws IOException {
+    try {
+      while (accepting) {
+        group.wait();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new InterruptedIOException("interrupted while " + id + " waited for its port " + port);
+    }
+  }
+
   private void listen() throws IOException {
     ServerSocket opened = new ServerSocket();
     opened.setReuseAddress(true);
     opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
     listener = opened;
+    accepting = true;
     group.execute(() -> accept(opened));
   }
 
@@ -226,6 +244,11 @@
     } catch (IOException e) {
       // crash() closed the listener, so no connection follows.
       return;
+    } finally {
+      synchronized (group) {
+        accepting = false;
+        group.notifyAll();
+      }
     }
   }
 
