Draw more promotions and mass kills in the soak

Replicas now differ in how fast they receive commits, most instances may be killed at once, and the primary often fails again after a promotion. A process that is being started holds a copy of the previous listener, so a restart now tries again for 10 s.

--- a/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
@@ -15,6 +15,21 @@
       choose(fleet.instances(), random).signal("KILL");
     }
   },
+  /** Most instances are killed at once, half of the times beside a crash of a primary. */
+  KILL_MOST_INSTANCES(false, 2) {
+    @Override
+    void inject(SoakFleet fleet, ReplicatedGroup group, Random random) throws IOException {
+      for (InstanceProcess instance : fleet.instances()) {
+        if (random.nextDouble() < KILLED_SHARE) {
+          instance.signal("KILL");
+        }
+      }
+      int millis = 500 + random.nextInt(5_000);
+      if (random.nextBoolean()) {
+        fleet.after(random.nextInt(400), () -> crash(fleet, group.primary(), millis));
+      }
+    }
+  },
   /** An instance is paused, mostly for a moment and sometimes longer than its lease. */
   PAUSE_INSTANCE(false, 3) {
     @Override
@@ -86,11 +101,11 @@
       fleet.after(500 + random.nextInt(5_000), () -> server.setIsolated(false));
     }
   },
-  /** Commits reach a replica late, and are applied later. */
-  SLOW_REPLICA(false, 2) {
+  /** Commits reach a replica late from now on, and are applied later. */
+  SLOW_REPLICA(false, 3) {
     @Override
     void inject(SoakFleet fleet, ReplicatedGroup group, Random random) {
-      chooseReplica(group, random).setDelays(random.nextInt(120), random.nextInt(800));
+      chooseReplica(group, random).setDelays(random.nextInt(1_000), random.nextInt(800));
     }
   },
   /** A server is replaced as planned: it drains, ends, and a new one starts with its log. */
@@ -171,6 +186,8 @@
     }
   };
 
+  private static final double KILLED_SHARE = 0.7;
+
   /** How long a server continues after it has reported that it drains. */
   private static final int DRAIN_MILLIS = 3_500;
 
--- a/bench/src/main/java/org/chicorylane/bench/soak/FaultInjector.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/FaultInjector.java
@@ -24,8 +24,15 @@
   /** Time within which half of the faults around a promotion begin, so that others react to it. */
   private static final int EARLY_MILLIS = 60;
 
+  private static final int MAX_DELIVERY_MILLIS = 60;
+  private static final int MAX_APPLY_MILLIS = 200;
+
   private static final double HOLDER_FAULT_SHARE = 0.75;
   private static final double REPLICA_FAULT_SHARE = 0.6;
+  private static final double NEXT_PRIMARY_FAULT_SHARE = 0.6;
+
+  /** Time within which the primary fails again after a promotion. */
+  private static final int NEXT_PRIMARY_RANGE_MILLIS = 2_500;
 
   private final SoakFleet fleet;
   private final Timeline timeline;
@@ -44,6 +51,7 @@
 
   /** Injects faults for a time, or until a rule is broken. */
   void run(int seconds) throws InterruptedException, IOException {
+    drawDelays();
     active = true;
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
     while (System.nanoTime() < end && timeline.violations().isEmpty()) {
@@ -55,6 +63,16 @@
     active = false;
   }
 
+  /** Gives each server delays of its own, so that one replica is usually ahead of the other. */
+  private void drawDelays() {
+    for (ReplicatedGroup group : fleet.system().groups()) {
+      for (ReplicatedServer server : group.servers()) {
+        server.setDelays(
+            independent.nextInt(MAX_DELIVERY_MILLIS), independent.nextInt(MAX_APPLY_MILLIS));
+      }
+    }
+  }
+
   private Fault draw() {
     int left = independent.nextInt(faults.stream().mapToInt(Fault::weight).sum());
     for (Fault f : faults) {
@@ -90,6 +108,29 @@
     if (aroundPromotions.nextDouble() < REPLICA_FAULT_SHARE) {
       injectAtReplica(group, call);
     }
+    if (aroundPromotions.nextDouble() < NEXT_PRIMARY_FAULT_SHARE) {
+      injectAtNextPrimary(group);
+    }
+  }
+
+  /** Makes another promotion of the group follow. */
+  private void injectAtNextPrimary(ReplicatedGroup group) {
+    List<Fault> kinds =
+        Stream.of(Fault.CRASH_PRIMARY, Fault.FREEZE_PRIMARY, Fault.REPLACE_SERVER)
+            .filter(faults::contains)
+            .toList();
+    if (kinds.isEmpty()) {
+      return;
+    }
+    Fault kind = Fault.choose(kinds, aroundPromotions);
+    Random drawn = new Random(aroundPromotions.nextLong());
+    fleet.after(
+        EFFECT_MILLIS + aroundPromotions.nextInt(NEXT_PRIMARY_RANGE_MILLIS),
+        () -> {
+          if (active) {
+            kind.inject(fleet, group, drawn);
+          }
+        });
   }
 
   private long drawDelay() {
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -30,6 +31,11 @@
   /** How long a replaced primary continues after it can reach the new one. */
   private static final long REPLACED_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** The longest wait for the port of a server that has crashed. */
+  private static final long PORT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private static final long PORT_RETRY_MILLIS = 20;
+
   private final ReplicatedGroup group;
   private final int port;
   private final Semaphore slots = new Semaphore(SLOTS);
@@ -40,10 +46,6 @@
   private final Map<String, Integer> lengthByRequestId = new HashMap<>();
 
   private @Nullable ServerSocket listener;
-
-  /** Whether a thread may still hold the previous listener, and with it the port. */
-  private boolean accepting;
-
   private String id;
   private boolean primary;
   private long term = 1;
@@ -193,13 +195,12 @@
       if (listener != null) {
         return;
       }
-      awaitPort();
       id = newId;
       frozen = false;
       sealedTerm = 0;
       replacedSinceNanos = 0;
       primary = primary && term == group.term();
-      listen();
+      listenAgain();
     }
   }
 
@@ -208,11 +209,27 @@
     crash();
   }
 
-  private void awaitPort() throws IOException {
-    try {
-      while (accepting) {
-        group.wait();
+  /**
+   * Listens once the port is free. A thread that waited in {@code accept}, or a process that is
+   * being started, holds the previous listener for a moment longer.
+   */
+  private void listenAgain() throws IOException {
+    long end = System.nanoTime() + PORT_NANOS;
+    while (listener == null) {
+      try {
+        listen();
+      } catch (BindException e) {
+        if (System.nanoTime() > end) {
+          throw e;
+        }
+        awaitRetry();
       }
+    }
+  }
+
+  private void awaitRetry() throws IOException {
+    try {
+      group.wait(PORT_RETRY_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new InterruptedIOException("interrupted while " + id + " waited for its port " + port);
@@ -222,9 +239,13 @@
   private void listen() throws IOException {
     ServerSocket opened = new ServerSocket();
     opened.setReuseAddress(true);
-    opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+    try {
+      opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+    } catch (BindException e) {
+      opened.close();
+      throw e;
+    }
     listener = opened;
-    accepting = true;
     group.execute(() -> accept(opened));
   }
 
@@ -244,11 +265,6 @@
     } catch (IOException e) {
       // crash() closed the listener, so no connection follows.
       return;
-    } finally {
-      synchronized (group) {
-        accepting = false;
-        group.notifyAll();
-      }
     }
   }
 
--- a/standins/src/test/java/org/chicorylane/standin/wire/ReplicatedSystemTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/wire/ReplicatedSystemTest.java
@@ -180,7 +180,7 @@
 
   /** A thread that still waited in accept() kept the port of a crashed server. */
   @Test
-  void testServerFindsItsPortFreeAtOnceAfterEachCrash() throws Exception {
+  void testServerListensAgainAfterEachCrash() throws Exception {
     for (int i = 0; i < 200; i++) {
       server(1).crash();
       server(1).restart(server(1).id());
