--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -71,11 +71,25 @@
     if (leading != null) {
       return order == null || order.permits(leading.serverId())
           ? leading
-          : new Wait("the promotion of " + order.serverId() + " may still take effect");
+          : chooseLeadingAgain(basis, leading, order);
     }
     return order == null ? chooseReplica(basis) : chooseAfterOrder(basis, order);
   }
 
+  /**
+   * Promotes a server again that leads, once the order of another one has expired unseen: in its
+   * new term it follows on whatever the other one did.
+   */
+  private static PromotionChoice chooseLeadingAgain(
+      Basis basis, Leads leading, PromotionOrders.State order) {
+    for (BackendServer s : basis.servers()) {
+      if (order.expired() && s.id().equals(leading.serverId())) {
+        return promote(basis, s);
+      }
+    }
+    return new Wait("the promotion of " + order.serverId() + " may still take effect");
+  }
+
   private static @Nullable Leads findLeading(Basis basis) {
     Leads leading = null;
     for (BackendServer s : basis.servers()) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -26,14 +26,20 @@
    *
    * @param serverId the server that was to be promoted
    * @param expired whether the order can no longer take effect
+   * @param settled whether it is known whether it took effect; false after an order that was not
+   *     rejected and has not been seen to take effect
    * @param inherited whether an earlier home sent it, and may have used the server as the primary
    * @param repeatDue whether the order should be repeated if the server does not answer
    */
-  record State(String serverId, boolean expired, boolean inherited, boolean repeatDue) {
+  record State(
+      String serverId, boolean expired, boolean settled, boolean inherited, boolean repeatDue) {
 
-    /** Returns whether a server may be used as the primary beside this order. */
+    /**
+     * Returns whether a server that leads may be used as the primary beside this order. After an
+     * order that may have taken effect unseen, the server has to be promoted again first.
+     */
     boolean permits(String otherServerId) {
-      return expired || otherServerId.equals(serverId);
+      return (expired && settled) || otherServerId.equals(serverId);
     }
   }
 
@@ -54,6 +60,7 @@
   private boolean inherited;
   private boolean senderExcluded;
   private boolean rejected;
+  private boolean tookEffect;
   private boolean repeated;
 
   /** Takes over the order of an earlier home, which may still repeat it. */
@@ -95,6 +102,7 @@
     mayTakeEffect = false;
     inherited = false;
     rejected = false;
+    tookEffect = false;
     repeated = false;
   }
 
@@ -128,8 +136,9 @@
   void onNewPrimary(String serverId) {
     boolean wasOnlyOrder = !inherited && sent == 1 && accepted == 1;
     inherited = false;
-    if (serverId.equals(target) && wasOnlyOrder) {
-      target = null;
+    if (serverId.equals(target)) {
+      tookEffect = true;
+      target = wasOnlyOrder ? null : target;
     }
   }
 
@@ -149,6 +158,6 @@
     boolean mayBeRepeated = inherited && !senderExcluded;
     boolean expired = !mayBeRepeated && (rejected || ageNanos > LIFETIME.toNanos());
     boolean repeatDue = !repeated && ageNanos > EFFECT_LIMIT.toNanos();
-    return new State(serverId, expired, inherited, repeatDue);
+    return new State(serverId, expired, rejected || tookEffect, inherited, repeatDue);
   }
 }
