--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -122,15 +122,20 @@
 
   /**
    * Returns whether {@link #acknowledged} covers all that successors have acknowledged since this
-   * home started or {@link #onPrimaryChanged} was called.
+   * home started or {@link #forgetRemovedSuccessors} was called.
    */
   boolean isSuccessorAccounted(HomeRecord r) {
-    return accounted.containsAll(removedSuccessors)
+    return areRemovedSuccessorsAccounted()
         && (r.successor() == null || (hasSuccessorStopped(r) && accounted.contains(r.successor())));
   }
 
-  /** Forgets what was acknowledged on the earlier primary, whose log the present one holds. */
-  void onPrimaryChanged() {
+  /** Returns whether each successor that was removed told what it had acknowledged. */
+  boolean areRemovedSuccessorsAccounted() {
+    return accounted.containsAll(removedSuccessors);
+  }
+
+  /** Forgets removed successors, because a bound covers what they acknowledged. */
+  void forgetRemovedSuccessors() {
     removedSuccessors.clear();
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -33,6 +33,8 @@
  * @param hasOmittedPriorHomes whether there are further such homes that the record does not list
  * @param members the addresses, by server id, of the servers that may have confirmed commits of the
  *     primary
+ * @param outstanding the present primary if further orders to promote it may be carried out later,
+ *     null if there are none
  * @param writer the unique id of the write
  * @param settledEra the era of the store in which all leases of earlier eras were known to have
  *     ended when this record was written, 0 if that was not known
@@ -47,6 +49,7 @@
     List<Holder> priorHomes,
     boolean hasOmittedPriorHomes,
     Map<String, String> members,
+    @Nullable String outstanding,
     String writer,
     long settledEra) {
 
@@ -125,15 +128,21 @@
       long newTerm,
       boolean priorHomesStopped,
       Map<String, String> newMembers,
+      @Nullable String newOutstanding,
       String newWriter) {
     Builder copy =
-        copy(newWriter).primary(newPrimaryId, newTerm).promoting(null).members(newMembers);
+        copy(newWriter)
+            .primary(newPrimaryId, newTerm)
+            .promoting(null)
+            .members(newMembers)
+            .outstanding(newOutstanding);
     return priorHomesStopped ? copy.noPriorHomes().build() : copy.build();
   }
 
-  /** Returns this record with other members. */
-  HomeRecord withMembers(Map<String, String> newMembers, String newWriter) {
-    return copy(newWriter).members(newMembers).build();
+  /** Returns this record with other members and outstanding orders. */
+  HomeRecord withMembers(
+      Map<String, String> newMembers, @Nullable String newOutstanding, String newWriter) {
+    return copy(newWriter).members(newMembers).outstanding(newOutstanding).build();
   }
 
   /** Returns this record with a pending promotion, for use after all earlier homes have stopped. */
@@ -171,6 +180,7 @@
             .epoch(Math.max(epoch, known.epoch))
             .promoting(keepsOwnPromotion ? promoting : laterPromoting)
             .members(allMembers)
+            .outstanding(knownIsLater ? known.outstanding : outstanding)
             .limitedPriorHomes(priorHomesWith(known));
     if (knownIsLater) {
       copy.primary(known.primaryId, known.term);
@@ -197,6 +207,7 @@
     copy.priorHomes = priorHomes;
     copy.hasOmittedPriorHomes = hasOmittedPriorHomes;
     copy.members = members;
+    copy.outstanding = outstanding;
     copy.settledEra = settledEra;
     return copy;
   }
@@ -213,6 +224,7 @@
     private List<Holder> priorHomes = List.of();
     private boolean hasOmittedPriorHomes;
     private Map<String, String> members = Map.of();
+    private @Nullable String outstanding;
     private long settledEra;
 
     Builder(long epoch, Holder home, String writer) {
@@ -280,6 +292,11 @@
       return this;
     }
 
+    Builder outstanding(@Nullable String serverId) {
+      outstanding = serverId;
+      return this;
+    }
+
     Builder settledEra(long era) {
       settledEra = era;
       return this;
@@ -296,6 +313,7 @@
           priorHomes,
           hasOmittedPriorHomes,
           members,
+          outstanding,
           writer,
           settledEra);
     }
@@ -324,6 +342,7 @@
     JsonObject addresses = new JsonObject();
     new TreeMap<>(members).forEach(addresses::addProperty);
     o.add("members", addresses);
+    o.addProperty("outstanding", outstanding);
     o.addProperty("writer", writer);
     o.addProperty("settled_era", settledEra);
     return o.toString();
@@ -356,6 +375,7 @@
             .successor(o.has("successor") ? readHolder(o.get("successor")) : null)
             .limitedPriorHomes(prior)
             .members(members)
+            .outstanding(readText(o, "outstanding"))
             .settledEra(o.has("settled_era") ? o.get("settled_era").getAsLong() : 0);
     boolean omitted = o.has("prior_omitted") && o.get("prior_omitted").getAsBoolean();
     return omitted ? record.omittedPriorHomes().build() : record.build();
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -93,7 +93,9 @@
   /** Era of the store in which that was found. */
   private long boundEra;
 
-  private LogPosition promotedLogEnd = LogPosition.ZERO;
+  /** The log end of the server that was chosen; null if its promotion is only repeated. */
+  private @Nullable LogPosition promotedLogEnd;
+
   private @Nullable String promotedServerId;
   private long primaryAdoptedNanos;
   private boolean writingRecord;
@@ -124,6 +126,8 @@
     if (r != null && r.promoting() != null) {
       orders.inherit(r.promoting(), now());
       startChange(false, "an earlier home was promoting " + r.promoting());
+    } else if (r != null && r.outstanding() != null) {
+      orders.inheritOutstanding(r.outstanding(), now());
     }
   }
 
@@ -195,6 +199,7 @@
   private void learnInheritedBound(ServerStatus primary, long askedNanos) {
     if (inheritedBound == null && excludedNanos != 0 && askedNanos >= excludedNanos) {
       inheritedBound = primary.received();
+      exclusion.forgetRemovedSuccessors();
       election.log("acknowledged-bound").with("position", primary.received()).write();
     }
   }
@@ -211,7 +216,15 @@
 
   /** Requests the end of the primary's log once all earlier homes are excluded. */
   private void queryInheritedBound(HomeRecord r, String primary) {
-    if (inheritedBound == null && excludedNanos == 0 && exclusion.havePriorHomesStopped(r)) {
+    if (!exclusion.havePriorHomesStopped(r)) {
+      return;
+    }
+    orders.onSenderExcluded(now());
+    if (inheritedBound != null && !exclusion.areRemovedSuccessorsAccounted()) {
+      inheritedBound = null;
+      excludedNanos = 0;
+    }
+    if (inheritedBound == null && excludedNanos == 0) {
       excludedNanos = now();
       queryStatus(primary, () -> {});
     }
@@ -398,12 +411,14 @@
   /** Records servers that joined, so that a later home knows of them even without an entry. */
   private void recordMembers(HomeRecord r) {
     Map<String, String> members = election.members().all(now());
+    String outstanding = orders.outstanding(now());
+    boolean forgetsOrder = r.outstanding() != null && outstanding == null;
     if (!writingMembers
-        && !r.members().keySet().containsAll(members.keySet())
+        && (!r.members().keySet().containsAll(members.keySet()) || forgetsOrder)
         && election.isRecentlyConfirmed()) {
       writingMembers = true;
       election.write(
-          r.withMembers(members, context.ids().next()),
+          r.withMembers(members, outstanding, context.ids().next()),
           revision -> writingMembers = false,
           () -> writingMembers = false);
     }
@@ -463,14 +478,22 @@
     pool.setPrimary(serverId, term);
     orders.onNewPrimary(serverId);
     if (promoted) {
-      pool.raiseAcknowledged(promotedLogEnd);
-      inheritedBound = promotedLogEnd;
-      exclusion.onPrimaryChanged();
+      learnBoundOfPromoted(promotedLogEnd);
     }
     primaryAdoptedNanos = now();
     rejectedServerId = null;
   }
 
+  private void learnBoundOfPromoted(@Nullable LogPosition logEnd) {
+    inheritedBound = logEnd;
+    if (logEnd == null) {
+      excludedNanos = 0;
+    } else {
+      pool.raiseAcknowledged(logEnd);
+      exclusion.forgetRemovedSuccessors();
+    }
+  }
+
   private void writePrimary(String serverId, long term, HomeRecord before, Runnable onWritten) {
     writingRecord = true;
     exclusion.onNewRecord(before);
@@ -480,13 +503,19 @@
             term,
             exclusion.havePriorHomesStopped(before),
             election.members().all(now()),
+            orders.outstanding(now()),
             context.ids().next()),
         revision -> {
           writingRecord = false;
           promotionUnsettled = false;
           onWritten.run();
         },
-        () -> writingRecord = false);
+        () -> {
+          writingRecord = false;
+          if (step == Step.SEALING) {
+            scheduleRetry("the record could not be written");
+          }
+        });
   }
 
   /**
@@ -498,7 +527,7 @@
     if (step != Step.STEADY && step != Step.ASKING) {
       return;
     }
-    if (isPlanned && !election.areEarlierErasOver()) {
+    if (isPlanned && (!election.areEarlierErasOver() || orders.outstanding(now()) != null)) {
       // The primary works, and its writes would be held back for the whole wait.
       return;
     }
@@ -658,12 +687,16 @@
     logChoice(choice, basis);
     if (choice instanceof PromotionChoice.Leads leads) {
       adopt(leads.serverId(), leads.term());
+      if (step == Step.SEALING && !writingRecord) {
+        scheduleRetry("server " + leads.serverId() + " leads and cannot be used yet");
+      }
     } else if (choice instanceof PromotionChoice.Promote promote
         && !promote.server().id().equals(rejectedServerId)) {
       promote(r, promote.server(), promote.received());
     } else if (choice instanceof PromotionChoice.Repeat repeat) {
       enter(Step.PROMOTING);
       promotedServerId = repeat.serverId();
+      promotedLogEnd = null;
       election.haltPrimary(PrimaryHalt.EVERYTHING);
       orders.onRepeat();
       requestPromotion(repeat.serverId(), election.revision(), stepGeneration);
@@ -832,7 +865,7 @@
       return;
     }
     election.write(
-        r.withMembers(election.members().all(now()), context.ids().next()),
+        r.withMembers(election.members().all(now()), r.outstanding(), context.ids().next()),
         revision -> {
           promotionUnsettled = false;
           resume.run();
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -58,7 +58,7 @@
 
   private int accepted;
   private boolean inherited;
-  private boolean senderExcluded;
+  private boolean senderExcluded = true;
   private boolean rejected;
   private boolean tookEffect;
   private boolean repeated;
@@ -72,9 +72,22 @@
     senderExcluded = false;
   }
 
+  /** Takes over the orders of an earlier home for the present primary that may be outstanding. */
+  void inheritOutstanding(String serverId, long nowNanos) {
+    inherit(serverId, nowNanos);
+    inherited = false;
+    tookEffect = true;
+  }
+
+  /** Returns the present primary if further orders for it may be outstanding; null if not. */
+  @Nullable String outstanding(long nowNanos) {
+    State state = state(nowNanos);
+    return state != null && tookEffect && !state.expired() ? state.serverId() : null;
+  }
+
   /** Records that the earlier home can send no further order. */
   void onSenderExcluded(long nowNanos) {
-    if (inherited && !senderExcluded) {
+    if (!senderExcluded) {
       senderExcluded = true;
       lastSentNanos = nowNanos;
     }
@@ -97,6 +110,7 @@
 
   private void start(String serverId) {
     target = serverId;
+    senderExcluded = true;
     sent = 0;
     accepted = 0;
     mayTakeEffect = false;
@@ -155,9 +169,8 @@
       return null;
     }
     long ageNanos = nowNanos - lastSentNanos;
-    boolean mayBeRepeated = inherited && !senderExcluded;
-    boolean expired = !mayBeRepeated && (rejected || ageNanos > LIFETIME.toNanos());
-    boolean repeatDue = !repeated && ageNanos > EFFECT_LIMIT.toNanos();
+    boolean expired = senderExcluded && (rejected || ageNanos > LIFETIME.toNanos());
+    boolean repeatDue = !tookEffect && !repeated && ageNanos > EFFECT_LIMIT.toNanos();
     return new State(serverId, expired, rejected || tookEffect, inherited, repeatDue);
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -663,7 +663,9 @@
     server.updatePosition(position);
     if (server.primary) {
       lastPrimaryAnswerNanos = halt.equals(PrimaryHalt.NOTHING) ? now : lastPrimaryAnswerNanos;
-      floors.addSample(sentNanos, position);
+      if (halt != PrimaryHalt.EVERYTHING) {
+        floors.addSample(sentNanos, position);
+      }
     } else {
       long age = floors.ageMillis(position, now);
       if (age >= 0) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/HomeRecordTest.java
@@ -35,6 +35,7 @@
             List.of(new HomeRecord.Holder("i3", "i3-a", "10.0.0.3:1")),
             true,
             Map.of("server-a", "10.0.1.1:1", "server-c", "10.0.1.3:1"),
+            "server-a",
             "w1",
             5);
     assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
@@ -43,7 +44,7 @@
   @Test
   void testNullFieldsStayNullAfterDecoding() {
     HomeRecord record =
-        new HomeRecord(1, HOME, null, 0, null, null, List.of(), false, Map.of(), "w1", 0);
+        new HomeRecord(1, HOME, null, 0, null, null, List.of(), false, Map.of(), null, "w1", 0);
     assertThat(HomeRecord.decode(entry(record.encode()), p -> {})).hasValue(record);
   }
 
@@ -69,6 +70,7 @@
         List.of(holder("i7")),
         false,
         Map.of(primary, primary + ":1"),
+        null,
         "w1",
         2);
   }
