Answer the running statement of a session before a shutdown closes it

Cause: at three quarters of the stop time all sessions were closed, those too whose statement waited at the home.

Change: such a session answers first: in doubt if the statement may have committed, aborted otherwise.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -45,7 +45,13 @@
   private @Nullable DatabaseRoute transactionRoute;
   private @Nullable RoutedTransaction transaction;
   private @Nullable LogPosition floor;
-  private boolean statementRunning;
+
+  /** Handler of the running statement's answer, null if no statement is running. */
+  private @Nullable Consumer<Answer> runningHandler;
+
+  /** Whether the running statement may make a write durable. */
+  private boolean mayCommit;
+
   private boolean closed;
 
   ClientSession(SessionHost host, String database) {
@@ -55,17 +61,19 @@
 
   /** Returns whether the session has neither a running statement nor an open transaction. */
   public boolean isIdle() {
-    return !statementRunning && state == TransactionState.IDLE;
+    return runningHandler == null && state == TransactionState.IDLE;
   }
 
   /** Runs a statement and passes its answer to the handler, unless the session is closed first. */
   public void run(String requestId, ClientStatement statement, Consumer<Answer> handler) {
-    statementRunning = true;
+    runningHandler = handler;
+    mayCommit = false;
     Consumer<Answer> onDone =
         answer -> {
-          statementRunning = false;
-          if (!closed) {
-            handler.accept(answer);
+          Consumer<Answer> running = runningHandler;
+          runningHandler = null;
+          if (!closed && running != null) {
+            running.accept(answer);
           }
         };
     if (statement instanceof ClientStatement.Malformed malformed) {
@@ -98,6 +106,21 @@
     }
   }
 
+  /**
+   * Answers the running statement, if there is one, because the session is about to be closed. A
+   * statement that may have committed is reported as in doubt, any other as aborted.
+   */
+  public void abortRunning(String reason) {
+    Consumer<Answer> running = runningHandler;
+    if (running == null || closed) {
+      return;
+    }
+    runningHandler = null;
+    FailureCode code = mayCommit ? FailureCode.IN_DOUBT : FailureCode.ABORTED;
+    endTransaction(true);
+    running.accept(Answer.failure(code, reason, state));
+  }
+
   /** Ends the session and rolls back its transaction. */
   public void close() {
     closed = true;
@@ -200,6 +223,7 @@
     boolean writes =
         kind == WorkKind.WRITE || (template != null && template.mode() == AccessMode.WRITE);
     boolean inDoubtIfLost = inTransaction ? kind == WorkKind.COMMIT && hasWritten : writes;
+    mayCommit = inDoubtIfLost;
     Work work =
         new Work(
             kind,
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
@@ -59,13 +59,15 @@
   }
 
   /**
-   * Closes the connections of the idle sessions, or of all sessions.
+   * Closes the connections of the idle sessions, or of all sessions. A session that is not idle
+   * answers its running statement first.
    *
    * @return the number of sessions that are still registered
    */
   public int closeSessions(boolean idleOnly) {
     for (Map.Entry<ClientSession, Runnable> entry : new ArrayList<>(sessions.entrySet())) {
       if (!idleOnly || entry.getKey().isIdle()) {
+        entry.getKey().abortRunning("the instance shuts down");
         entry.getValue().run();
       }
     }
