--- a/chicorylane/src/main/java/org/chicorylane/internal/election/GroupMembers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/GroupMembers.java
@@ -15,7 +15,7 @@
  */
 final class GroupMembers {
 
-  /** Time after which a server without an entry no longer belongs to the group. */
+  /** Time after which a server without an entry is assumed to be gone for good. */
   static final Duration MISSING_LIMIT = Duration.ofSeconds(60);
 
   private final Map<String, BackendServer> listed = new HashMap<>();
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -14,7 +14,7 @@
  */
 sealed interface PromotionChoice {
 
-  /** Promote the server, whose log holds every acknowledged commit. */
+  /** Promote the server, whose log holds every acknowledged commit as far as is known. */
   record Promote(BackendServer server, LogPosition received) implements PromotionChoice {}
 
   /** No promotion is needed: a server already leads a later term. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -12,12 +12,12 @@
  */
 final class PromotionOrders {
 
-  /** Time after which an order that was sent can no longer take effect. */
+  /** Time after which an order without an answer is assumed to have no effect any more. */
   static final Duration LIFETIME = Duration.ofSeconds(8);
 
   /**
-   * Time after which an order was carried out or has failed, if the platform then answers that the
-   * server does not run.
+   * Time after which an accepted order is assumed to have been carried out or to have failed, if
+   * the platform then answers that the server does not run.
    */
   static final Duration EFFECT_LIMIT = Duration.ofSeconds(3);
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/RepeatedOrderBoundTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/RepeatedOrderBoundTest.java
@@ -13,7 +13,7 @@
   private final ModelFleet fleet = scenario.fleet;
 
   @Test
-  void testServerThatLedAfterRepeatedOrderIsNotReplacedByOneWithAShorterLog() {
+  void testServerThatLedAfterRepeatedOrderIsNotReplacedByShorterLog() {
     scenario.begin();
     ModelHost home = scenario.home();
     fleet.promotionService.onOrder =
@@ -30,7 +30,7 @@
     fleet.putServer("server-a", true);
     scenario.advanceUntil("a promotion", 4_000, () -> !fleet.promotions.isEmpty());
     fleet.advance(1_500);
-    String promoted = fleet.promotions.get(0);
+    final String promoted = fleet.promotions.get(0);
     fleet.putServer("server-a", false);
     home.kill();
     home.unreachableHosts.clear();
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/RepeatedOrderOfEarlierHomeTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/RepeatedOrderOfEarlierHomeTest.java
@@ -16,7 +16,7 @@
   @Test
   void testFirstCallOfAnEarlierHomeExecutedAfterLaterPromotionLosesNoCommits() {
     scenario.begin();
-    ModelHost home = scenario.home();
+    final ModelHost home = scenario.home();
     fleet.promotionService.checksTokens = false;
     fleet.promotionService.untilExecuted = Duration.ofSeconds(6);
     fleet.promotionService.onOrder =
@@ -25,7 +25,7 @@
     fleet.putServer("server-a", true);
     scenario.advanceUntilLogged("outcome=ACCEPTED", 4_000);
     fleet.advance(1_000);
-    String first = fleet.promotions.get(0);
+    final String first = fleet.promotions.get(0);
     fleet.putServer("server-a", false);
     home.kill();
     fleet.advance(500);
