Add failing tests: statements reach a primary that has been draining too long

The fleet model now records when new work reaches a server that has been draining for longer than the drain timeout (7 s), and keeps a replica that is stopped, or receives nothing, from following a new primary, as the servers do.

The new check also breaks four cases of existing tests: an order that may still take effect (8 s) and a restored store (9 s) hold the change up for longer than the bound.

--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelGroup.java
@@ -29,6 +29,12 @@
         TransactionState state);
   }
 
+  /** Receives each statement that reaches a server and is not run within an open transaction. */
+  public interface ArrivalListener {
+    /** A single statement, or the first one of a transaction, has reached a server. */
+    void onArrival(ModelServer server, String requestId);
+  }
+
   private static final Duration CONTACT_INTERVAL = Duration.ofMillis(50);
 
   /** Checks in a row in which an old primary reaches the new one before it becomes a replica. */
@@ -52,6 +58,7 @@
   public Duration handshake = Duration.ofMillis(12);
   public int opened;
   public RunListener listener = (server, connection, requestId, values, state) -> {};
+  public ArrivalListener arrivalListener = (server, requestId) -> {};
 
   /** Creates a group whose first server is the primary of term 1. */
   public ModelGroup(Scheduler scheduler, String name, int slots) {
@@ -98,7 +105,7 @@
     checkHoldsAcknowledged(promoted, next);
     promoted.lead(next);
     for (ModelServer s : servers.values()) {
-      if (s != promoted && !s.primary && s.running && areConnected(promoted, s)) {
+      if (s != promoted && !s.primary && s.running && follows(s, promoted)) {
         s.becomeReplica(next);
       }
     }
@@ -250,6 +257,11 @@
         && areConnected(from, to);
   }
 
+  /** Returns whether a replica learns of the term of a primary and takes over its log. */
+  private static boolean follows(ModelServer replica, ModelServer leader) {
+    return areConnected(replica, leader) && !replica.ignoresReplication;
+  }
+
   private static boolean areConnected(ModelServer a, ModelServer b) {
     return !a.isolatedFromServers && !b.isolatedFromServers;
   }
@@ -285,7 +297,8 @@
       }
       boolean reachesLater = s.term < leader.term && leader.running && areConnected(leader, s);
       s.contactChecks = reachesLater ? s.contactChecks + 1 : 0;
-      if (reachesLater && (!s.primary || s.contactChecks > DEMOTION_CHECKS)) {
+      boolean follows = !s.primary && s.sealedTerm <= leader.term && follows(s, leader);
+      if (reachesLater && (follows || (s.primary && s.contactChecks > DEMOTION_CHECKS))) {
         s.becomeReplica(leader.term);
       }
       sendLogTo(s);
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -200,6 +200,9 @@
     private boolean ended;
     private boolean reachable = true;
 
+    /** Whether a transaction has begun and none of its statements has arrived yet. */
+    private boolean awaitsFirstStatement;
+
     Connection(ServerConnector.Listener listener) {
       this.listener = listener;
       connections.add(this);
@@ -245,6 +248,7 @@
         reply(handler, failure(FailureCode.REPLICA_BEHIND));
       } else {
         state = TransactionState.OPEN;
+        awaitsFirstStatement = true;
         readOnly = c.readOnly();
         reply(handler, done(Answer.UNSIGNED));
       }
@@ -276,6 +280,10 @@
 
     private void statement(
         String requestId, boolean writes, @Nullable LogPosition floor, AnswerHandler handler) {
+      if (state == TransactionState.IDLE || awaitsFirstStatement) {
+        awaitsFirstStatement = false;
+        group.arrivalListener.onArrival(ModelServer.this, requestId);
+      }
       if (refuseNextStatement) {
         refuseNextStatement = false;
         reply(handler, failure(FailureCode.OVERLOADED));
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.chicorylane.internal.passthrough.ModelGroup;
+import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.platform.InMemoryKeyValueStore;
 import org.chicorylane.internal.platform.StoreTransaction;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -24,8 +25,9 @@
  * A simulated fleet in virtual time: instances, a key-value store, one database group with clients,
  * and optionally further groups without clients.
  *
- * <p>It checks that the fencing tokens of promotions never decrease and that a promoted server
- * holds every acknowledged commit.
+ * <p>It checks that the fencing tokens of promotions never decrease, that a promoted server holds
+ * every acknowledged commit, and that no new work reaches a server that has been draining for
+ * longer than {@link #DRAIN_TIMEOUT}.
  */
 final class ModelFleet implements TopologyDecoder {
 
@@ -35,6 +37,11 @@
   static final String OWN = "own";
   static final long MAXIMUM_AGE_MILLIS = 1_500;
 
+  /**
+   * Time after the store's answer to the report that a server drains in which it takes new work.
+   */
+  static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(7);
+
   private static final String GROUP = "plans";
 
   /** Time after which a watch that was cut continues. */
@@ -60,6 +67,7 @@
   private final Map<String, ModelGroup> groupsWithoutClients = new LinkedHashMap<>();
   private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
   private final Map<String, Boolean> draining = new LinkedHashMap<>();
+  private final Map<String, Long> drainingSinceMillis = new HashMap<>();
   private long configurationVersion;
 
   ModelFleet(int instances) {
@@ -77,6 +85,7 @@
     for (String id : SERVERS) {
       putServer(id, false);
     }
+    group.arrivalListener = this::checkArrival;
     putConfiguration(1);
     for (int i = 0; i < instances; i++) {
       hosts.put("i" + i, new ModelHost(this, "i" + i));
@@ -126,6 +135,20 @@
   void putServer(String id, boolean isDraining) {
     draining.put(id, isDraining);
     put("servers/" + id, isDraining ? "draining" : "ready");
+    if (isDraining) {
+      drainingSinceMillis.putIfAbsent(id, scheduler.millis());
+    } else {
+      drainingSinceMillis.remove(id);
+    }
+  }
+
+  private void checkArrival(ModelServer server, String requestId) {
+    Long since = drainingSinceMillis.get(server.id());
+    long drainedMillis = since == null ? 0 : scheduler.millis() - since;
+    if (drainedMillis > DRAIN_TIMEOUT.toMillis()) {
+      violations.add(
+          requestId + " reached " + server.id() + ", draining for " + drainedMillis + " ms");
+    }
   }
 
   /** Replaces a server of the group at once by a new one that has its log and its address. */
