Stop sending new work to a primary that has been draining for too long

Cause: draining was a state without a clock. A draining server took no new work unless it was the primary, and a primary took it for as long as it was the primary, however long its change took.

Change: the directory of servers remembers since when each server has been draining, by a time that is never too late: an entry's revision is compared with the revisions as of which the store answered earlier calls. The pool asks before each dispatch, and again before a statement whose connection had to be prepared first, whether the server's time is over. An instance that does not know when a drain began counts it as over, and, as a home, asks the other instances. The drain timeout comes from the settings (drainMillis).

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -31,6 +31,7 @@
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.UniqueIds;
 import org.chicorylane.internal.topology.BackendServer;
+import org.chicorylane.internal.topology.DrainLimit;
 import org.chicorylane.internal.topology.GroupDeclaration;
 import org.chicorylane.internal.topology.PeerInstance;
 import org.jspecify.annotations.Nullable;
@@ -53,11 +54,13 @@
    * The collaborators that the elections of all groups of an instance share.
    *
    * @param storeUnavailable returns whether this instance's last call to the store failed
+   * @param drainLimit tells for how long a draining server may be sent new work
    */
   public record Context(
       HomeRecord.Holder self,
       RestorableStore store,
       BooleanSupplier storeUnavailable,
+      DrainLimit drainLimit,
       ConditionalWriter swaps,
       ServerConnector connector,
       Promoter promoter,
@@ -836,6 +839,7 @@
             context.scheduler(),
             context.log(),
             this::mayWork,
+            context.drainLimit(),
             context.metrics(),
             listener);
     pool = p;
--- a/chicorylane/src/main/java/org/chicorylane/internal/platform/RestorableStore.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/platform/RestorableStore.java
@@ -24,6 +24,7 @@
   private final KeyValueStore store;
   private final LongSupplier nanoTime;
   private final Runnable onRestored;
+  private final RevisionTimes revisionTimes = new RevisionTimes();
   private final List<EraWatch> watches = new ArrayList<>();
 
   /** The newest era seen; meaningless until {@link #eraKnown}. */
@@ -49,6 +50,11 @@
     this.onRestored = onRestored;
   }
 
+  /** Returns the times of the revisions, as this client's calls tell. */
+  public RevisionTimes revisionTimes() {
+    return revisionTimes;
+  }
+
   /** Returns the newest era seen, 0 before the first answer. */
   public long era() {
     return era;
@@ -80,20 +86,31 @@
 
   @Override
   public CompletableFuture<ReadResult> get(String key) {
-    return store.get(key).thenApply(this::checkRead);
+    long sent = nanoTime.getAsLong();
+    return store.get(key).thenApply(result -> checkRead(result, sent));
   }
 
   @Override
   public CompletableFuture<ReadResult> getAt(String key, long revision) {
-    return store.getAt(key, revision).thenApply(this::checkRead);
+    return store.getAt(key, revision).thenApply(this::checkEra);
   }
 
   @Override
   public CompletableFuture<ReadResult> range(String prefix) {
-    return store.range(prefix).thenApply(this::checkRead);
+    long sent = nanoTime.getAsLong();
+    return store.range(prefix).thenApply(result -> checkRead(result, sent));
+  }
+
+  private ReadResult checkRead(ReadResult result, long sentNanos) {
+    ReadResult checked = checkEra(result);
+    // Revision 0 stands for an answer that does not tell its revision.
+    if (checked instanceof ReadResult.Read read && StoreEra.revisionOf(read.revision()) > 0) {
+      revisionTimes.onAnswer(sentNanos, read.revision());
+    }
+    return checked;
   }
 
-  private ReadResult checkRead(ReadResult result) {
+  private ReadResult checkEra(ReadResult result) {
     if (!(result instanceof ReadResult.Read read)) {
       return result;
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -19,6 +19,7 @@
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.BackendServer;
+import org.chicorylane.internal.topology.DrainLimit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -82,6 +83,7 @@
   private final Scheduler scheduler;
   private final DecisionLog log;
   private final LongPredicate mayServe;
+  private final DrainLimit drainLimit;
   private final PoolListener listener;
   private final PoolMetrics metrics;
   private final Map<String, PoolServer> servers = new HashMap<>();
@@ -99,7 +101,7 @@
   private LogPosition acknowledged = LogPosition.ZERO;
   private long nextSequence;
 
-  /** Time of the last answer from the primary while no work was held back from it. */
+  /** Time of the last answer from the primary while it could be sent all kinds of work. */
   private long lastPrimaryAnswerNanos;
 
   private boolean dispatching;
@@ -116,6 +118,7 @@
    *
    * @param mayServe returns whether, at a time in nanoseconds, this instance is confirmed as the
    *     home and may serve statements
+   * @param drainLimit tells for how long a draining server may be sent new work
    */
   public GroupPool(
       String group,
@@ -123,6 +126,7 @@
       Scheduler scheduler,
       DecisionLog log,
       LongPredicate mayServe,
+      DrainLimit drainLimit,
       PoolMetrics metrics,
       PoolListener listener) {
     this.metrics = metrics;
@@ -130,6 +134,7 @@
     this.scheduler = scheduler;
     this.log = log;
     this.mayServe = mayServe;
+    this.drainLimit = drainLimit;
     this.listener = listener;
     this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
     this.monitor =
@@ -177,7 +182,7 @@
       servers.computeIfAbsent(
           backend.id(),
           id -> {
-            PoolServer server = new PoolServer(backend);
+            PoolServer server = new PoolServer(backend, drainLimit);
             server.primary = id.equals(primaryId);
             return server;
           });
@@ -579,13 +584,19 @@
       if (--outstanding > 0) {
         return;
       }
-      if (failed == null) {
+      Answer failure = failed;
+      boolean isTooLate = isNewWork(item) && !connection.server.acceptsNewWork();
+      if (failure == null && !isTooLate) {
         sendStatement(item, connection, floor, scheduler.nanoTime());
         return;
       }
       connection.server.inFlight--;
       connections.close(connection);
-      retryUnrun(item, connection.server, failed);
+      if (failure == null) {
+        retryUnsent(item, connection.server);
+      } else {
+        retryUnrun(item, connection.server, failure);
+      }
       dispatchQueued();
     }
 
@@ -662,7 +673,8 @@
     }
     server.updatePosition(position);
     if (server.primary) {
-      lastPrimaryAnswerNanos = halt.equals(PrimaryHalt.NOTHING) ? now : lastPrimaryAnswerNanos;
+      boolean servesAll = halt == PrimaryHalt.NOTHING && server.acceptsNewWork();
+      lastPrimaryAnswerNanos = servesAll ? now : lastPrimaryAnswerNanos;
       if (halt != PrimaryHalt.EVERYTHING) {
         floors.addSample(sentNanos, position);
       }
@@ -720,6 +732,11 @@
     deliver(item, c.server, answer, sentNanos);
   }
 
+  /** Returns whether work is a single statement or the first one of a transaction. */
+  private static boolean isNewWork(QueuedWork item) {
+    return item.transaction == null || item.work.begins();
+  }
+
   /** Returns whether a success of the work makes a write durable. */
   private static boolean mayHaveCommitted(QueuedWork item) {
     PoolTransaction t = item.transaction;
@@ -762,8 +779,7 @@
    * its transaction has run before, there are attempts and time left, and a retry can help.
    */
   private boolean isRetryable(QueuedWork item, Answer answer) {
-    boolean isFirst = item.transaction == null || item.work.begins();
-    return isFirst
+    return isNewWork(item)
         && item.attempts < MAX_ATTEMPTS
         && scheduler.nanoTime() < item.deadlineNanos()
         && !answer.failedWith(FailureCode.MALFORMED)
@@ -917,6 +933,9 @@
       line.with("server", server.backend.id())
           .with("server_busy", server.inFlight)
           .with("server_position", server.position);
+      if (server.backend.draining()) {
+        line.with("drain_left_ms", drainLimit.remainingNanos(server.backend) / 1_000_000);
+      }
     }
     if (failure != null) {
       line.with("reason", answer.text()).with("queued", queue.size());
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -10,6 +10,7 @@
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.BackendServer;
+import org.chicorylane.internal.topology.DrainLimit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +26,7 @@
   private static final long UNKNOWN_LAG_MILLIS = 60_000;
 
   BackendServer backend;
+  private final DrainLimit drainLimit;
   boolean primary;
   boolean removed;
 
@@ -53,8 +55,9 @@
   /** Earliest time of the next attempt to open the control connection. */
   long retryAtNanos;
 
-  PoolServer(BackendServer backend) {
+  PoolServer(BackendServer backend, DrainLimit drainLimit) {
     this.backend = backend;
+    this.drainLimit = drainLimit;
   }
 
   ServerConnector.Target target() {
@@ -65,8 +68,14 @@
     return !removed && !unreachable;
   }
 
+  /**
+   * Returns whether the server may be sent a single statement or the first one of a transaction. A
+   * draining replica takes none; a draining primary, which nothing may be able to replace yet,
+   * takes some for a limited time.
+   */
   boolean acceptsNewWork() {
-    return isUsable() && (!backend.draining() || primary);
+    return isUsable()
+        && (!backend.draining() || (primary && drainLimit.remainingNanos(backend) > 0));
   }
 
   /** Returns the number of statements that the server runs at the same time. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -67,7 +67,7 @@
     }
     if (primary == null
         || !halt.allows(item.work)
-        || !primary.isUsable()
+        || !primary.acceptsNewWork()
         || primary.inFlight >= maxInFlight(primary)) {
       return null;
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -28,6 +29,7 @@
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.topology.ServerDirectory;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,6 +56,7 @@
   private final LatestConfiguration configuration;
   private final KeyValueStore store;
   private final BooleanSupplier storeUnavailable;
+  private final ServerDirectory servers;
 
   MeshService(
       Scheduler scheduler,
@@ -63,7 +66,9 @@
       Function<String, PeerLink> links,
       LatestConfiguration configuration,
       KeyValueStore store,
-      BooleanSupplier storeUnavailable) {
+      BooleanSupplier storeUnavailable,
+      ServerDirectory servers) {
+    this.servers = servers;
     this.store = store;
     this.storeUnavailable = storeUnavailable;
     this.scheduler = scheduler;
@@ -155,6 +160,13 @@
                       new WriteResult.Unavailable(STORE_UNAVAILABLE, false))
                   : store.transact(StoreMessages.decodeTransaction(question)))
               .thenAccept(r -> reply(channel, question, StoreMessages.encodeReply(r)));
+      case DRAIN_AGE -> {
+        OptionalLong age = servers.drainingNanos(question.getServerId());
+        reply(
+            channel,
+            question,
+            MeshReply.newBuilder().setYes(age.isPresent()).setRevision(age.orElse(0)));
+      }
       case STOP_HOME -> stopHome(channel, question, election, true);
       default -> stopHome(channel, question, election, false);
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -24,7 +24,12 @@
    * Asks the peer to accept no new work as the home of a group, and whether all earlier work has
    * ended.
    */
-  END_HOME;
+  END_HOME,
+  /**
+   * Asks for how long a server has been draining at most. The reply has the time in nanoseconds as
+   * its revision, and is negative if the peer does not know.
+   */
+  DRAIN_AGE;
 
   /** The constants' numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -101,6 +101,7 @@
   private final HomeRouter router;
   private final SessionRegistry sessions;
   private final MeshService service;
+  private final DrainInquiry drainInquiry;
   private final RestorableStore store;
   private final HomeElection.Context context;
   private final MetricRegistry metrics = new MetricRegistry();
@@ -110,14 +111,17 @@
   private boolean confirming;
   private int confirmRound;
 
-  /** Creates an instance that is inactive until {@link #start()}. */
-  public ProxyInstance(PeerInstance self, Ports ports) {
+  /**
+   * Creates an instance that is inactive until {@link #start()}.
+   *
+   * @param drainTimeout the time in which a draining server takes new work
+   */
+  public ProxyInstance(PeerInstance self, Ports ports, Duration drainTimeout) {
     this.self = self;
     this.ports = ports;
     Scheduler scheduler = ports.scheduler();
     this.configuration =
         new LatestConfiguration(ports.decoder(), ports.log(), this::updateElections);
-    this.servers = new ServerDirectory(scheduler, this::updateElections);
     this.registry = new InstanceRegistry(ports.store(), scheduler, ports.log(), self);
     this.store =
         new RestorableStore(
@@ -129,6 +133,11 @@
                 self.name()),
             scheduler::nanoTime,
             this::onStoreRestored);
+    this.servers =
+        new ServerDirectory(
+            scheduler, store.revisionTimes(), ports.log(), drainTimeout, this::updateElections);
+    this.drainInquiry =
+        new DrainInquiry(scheduler, servers, registry::instances, this::link, self.name());
     this.router = new HomeRouter(scheduler, ports.log(), elections::get, this::link, self.name());
     this.sessions = new SessionRegistry(configuration::current, router);
     this.service =
@@ -140,7 +149,8 @@
             this::link,
             configuration,
             ports.store(),
-            ports.storeUnavailable());
+            ports.storeUnavailable(),
+            servers);
     ConditionalWriter swaps =
         new ConditionalWriter(
             store,
@@ -154,6 +164,7 @@
             new HomeRecord.Holder(self.name(), self.incarnation(), self.address()),
             store,
             ports.storeUnavailable(),
+            servers,
             swaps,
             ports.connector(),
             ports.promoter(),
@@ -216,6 +227,12 @@
         .repeat(
             TICK_INTERVAL, () -> new ArrayList<>(elections.values()).forEach(HomeElection::tick));
     ports.scheduler().repeat(timings.confirmInterval(), this::confirmRecords);
+    ports.scheduler().repeat(TICK_INTERVAL, this::askAboutDrainedServers);
+  }
+
+  private void askAboutDrainedServers() {
+    drainInquiry.ask(
+        elections.values().stream().filter(HomeElection::isHome).map(HomeElection::group).toList());
   }
 
   /** Returns the registry that opens clients' sessions. */
@@ -459,13 +476,13 @@
   private final class ServerListener implements PrefixFollower.Listener {
     @Override
     public void onAll(List<KeyValueEntry> entries) {
-      Map<String, BackendServer> present = new HashMap<>();
-      entries.forEach(
-          e ->
-              ports
-                  .decoder()
-                  .decodeServer(e.key(), e.value())
-                  .ifPresent(s -> present.put(s.id(), s)));
+      Map<String, ServerDirectory.Entry> present = new HashMap<>();
+      for (KeyValueEntry e : entries) {
+        ports
+            .decoder()
+            .decodeServer(e.key(), e.value())
+            .ifPresent(s -> present.put(s.id(), new ServerDirectory.Entry(s, e.modRevision())));
+      }
       serversLoaded = true;
       servers.replaceAll(present);
     }
@@ -479,7 +496,9 @@
         ports
             .decoder()
             .decodeServer(entry.key(), entry.value())
-            .ifPresentOrElse(servers::put, () -> servers.markMissing(id));
+            .ifPresentOrElse(
+                s -> servers.put(new ServerDirectory.Entry(s, entry.modRevision())),
+                () -> servers.markMissing(id));
       }
     }
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/topology/BackendServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/topology/BackendServer.java
@@ -24,6 +24,12 @@
     boolean claimsPrimary,
     long startedMillis) {
 
+  /** Returns this description with another value of {@code draining}. */
+  public BackendServer withDraining(boolean isDraining) {
+    return new BackendServer(
+        id, group, address, zone, slots, isDraining, claimsPrimary, startedMillis);
+  }
+
   // Written out, as in all records that a starting process compares: the generated method links
   // method handles on first use, which takes about 10 ms in a cold process.
   @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -316,6 +316,69 @@
     assertThat(fixture.pool.isIdle()).isTrue();
   }
 
+  private void drainPrimary(Duration left) {
+    fixture.drainLeft = left;
+    fixture.pool.setServers(
+        fixture.group.entries().stream()
+            .map(s -> s.withDraining(s.id().equals("server-a")))
+            .toList());
+  }
+
+  @Test
+  void testDrainingPrimaryTakesNewWorkWithinItsLimit() {
+    drainPrimary(Duration.ofMillis(1));
+    fixture.submit(PoolFixture.work("r", WorkKind.READ, Freshness.LATEST).build());
+    fixture.advance(50);
+    assertThat(fixture.failureOf("r")).isNull();
+  }
+
+  // Guards against statements in the queue that are sent to a draining primary after its limit.
+  @Test
+  void testDrainingPrimaryTakesNoNewWorkAfterItsLimit() {
+    drainPrimary(Duration.ZERO);
+    fixture.submit(PoolFixture.work("r", WorkKind.READ, Freshness.LATEST).build());
+    fixture.submit(
+        PoolFixture.work("t", WorkKind.READ, Freshness.LATEST)
+            .inTransaction(7, true, false)
+            .build());
+    fixture.advance(900);
+    assertThat(fixture.failureOf("r")).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(fixture.failureOf("t")).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(fixture.group.server("server-a").statements).isEqualTo(0);
+  }
+
+  // Guards against a statement that is sent after the limit because its connection had to be set
+  // up.
+  @Test
+  void testStatementWhoseSetupEndsAfterTheLimitIsNotSent() {
+    drainPrimary(Duration.ofSeconds(1));
+    fixture.submit(
+        PoolFixture.work("t", WorkKind.READ, Freshness.LATEST)
+            .inTransaction(7, true, false)
+            .build());
+    fixture.drainLeft = Duration.ZERO;
+    fixture.advance(900);
+    assertThat(fixture.failureOf("t")).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(fixture.group.server("server-a").statements).isEqualTo(0);
+  }
+
+  @Test
+  void testTransactionThatBeganBeforeTheLimitContinues() {
+    drainPrimary(Duration.ofSeconds(1));
+    fixture.submit(
+        PoolFixture.work("t1", WorkKind.READ, Freshness.LATEST)
+            .inTransaction(7, true, false)
+            .build());
+    fixture.advance(50);
+    fixture.drainLeft = Duration.ZERO;
+    fixture.submit(
+        PoolFixture.work("t2", WorkKind.READ, Freshness.LATEST)
+            .inTransaction(7, false, false)
+            .build());
+    fixture.advance(50);
+    assertThat(fixture.failureOf("t2")).isNull();
+  }
+
   @Test
   void testDrainingReplicaGetsNoNewWork() {
     fixture.pool.setServers(
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -27,6 +27,10 @@
   final List<String> notHome = new ArrayList<>();
   final List<String> lost = new ArrayList<>();
   boolean mayServe = true;
+
+  /** The time in which draining servers may be sent new work. */
+  Duration drainLeft = Duration.ofSeconds(7);
+
   final GroupPool pool;
 
   PoolFixture() {
@@ -37,6 +41,7 @@
             scheduler,
             DecisionLog.none(),
             now -> mayServe,
+            server -> server.draining() ? drainLeft.toNanos() : Long.MAX_VALUE,
             new PoolMetrics(new MetricRegistry()),
             new PoolListener() {
               @Override
--- a/standins/src/main/java/org/chicorylane/standin/wire/InstanceSettings.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/InstanceSettings.java
@@ -9,6 +9,9 @@
 
   private static final int STOP_SECONDS = 4;
 
+  /** The time in milliseconds in which a draining server takes new work. */
+  public static final int DRAIN_MILLIS = 3_000;
+
   private final String instance;
   private final String availabilityZone;
   private final String storeAddress;
@@ -69,6 +72,7 @@
     settings.addProperty("processorSpeed", 1);
     settings.addProperty("linkMegabits", 1000);
     settings.addProperty("stopSeconds", STOP_SECONDS);
+    settings.addProperty("drainMillis", DRAIN_MILLIS);
     return settings.toString();
   }
 }
