Let replicas receive while a draining primary waits for one that can take over

Cause: a change of primary that found no replica with the whole log began again every 250 ms, and each attempt first told the replicas to receive nothing. A draining primary was never returned to in between, so the replica it waited for could not catch up.

Change: an attempt that fails returns to a primary that leads, draining or not, and the replicas receive again at once. The next attempt starts when a replica has caught up, or, once the primary's time is nearly over, after a pause. A planned change holds writes back only when no other instance can use the primary any more, and it does not start while the store does not answer. While no replica confirms commits, writes are rejected at once, as before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -71,6 +71,7 @@
   private final Map<String, ServerStatus> statuses = new HashMap<>();
   private final HomeExclusion exclusion;
   private final ReplicationCheck replicationCheck;
+  private final DrainReplacement drainReplacement;
   private final LogReports reports = new LogReports();
   private final PromotionOrders orders = new PromotionOrders();
   private Step step = Step.STEADY;
@@ -117,6 +118,11 @@
     this.startNanos = nowNanos;
     this.boundEra = context.store().era();
     this.replicationCheck = new ReplicationCheck(context.scheduler(), statuses, this::queryStatus);
+    this.drainReplacement =
+        new DrainReplacement(
+            context.scheduler(),
+            context.drainLimit(),
+            new CatchUpCheck(context.scheduler(), statuses, this::queryStatus));
     this.exclusion = new HomeExclusion(election, context, this::proceedIfExclusive);
   }
 
@@ -379,16 +385,17 @@
     queryInheritedBound(r, primary);
     recordMembers(r);
     BackendServer server = findServer(primary);
-    boolean hasOtherCandidate = election.servers().stream().anyMatch(s -> isCandidate(s, primary));
-    if (!hasOtherCandidate) {
+    if (server != null && server.draining()) {
+      if (replaceIfDue(server)) {
+        return;
+      }
+    } else if (election.servers().stream().noneMatch(s -> isCandidate(s, primary))) {
       return;
     }
     if (server == null) {
       if (now() - startNanos > Duration.ofSeconds(3).toNanos()) {
         startChange(pool.canReach(primary), "primary " + primary + " is no longer registered");
       }
-    } else if (server.draining()) {
-      startChange(true, "primary " + primary + " is draining");
     } else if (!pool.canReach(primary)
         && now() - startNanos > Duration.ofSeconds(1).toNanos()
         && !statuses.containsKey(primary)) {
@@ -408,6 +415,24 @@
     }
   }
 
+  /**
+   * Starts to replace a draining primary if that is due, and returns whether it did. Until then the
+   * primary serves, without writes while no replica confirms them.
+   */
+  private boolean replaceIfDue(BackendServer primary) {
+    boolean isDue = drainReplacement.isDue(primary, election.servers());
+    if (isDue && election.isRecentlyConfirmed() && mayStartPlannedChange()) {
+      drainReplacement.onStarted();
+      startChange(true, "primary " + primary.id() + " is draining");
+      return true;
+    }
+    boolean isCommitOverdue = pool.oldestPendingCommitMillis() > MAX_UNCONFIRMED_MILLIS;
+    boolean confirms =
+        drainReplacement.confirmsCommits(primary, election.servers(), isCommitOverdue);
+    pool.setPrimaryHalt(confirms ? PrimaryHalt.NOTHING : PrimaryHalt.WRITES);
+    return false;
+  }
+
   /** Records servers that joined, so that a later home knows of them even without an entry. */
   private void recordMembers(HomeRecord r) {
     Map<String, String> members = election.members().all(now());
@@ -518,6 +543,14 @@
         });
   }
 
+  /**
+   * Returns whether the primary can be replaced without a long wait. Its writes, which work, would
+   * be held back for the whole wait.
+   */
+  private boolean mayStartPlannedChange() {
+    return election.areEarlierErasOver() && orders.outstanding(now()) == null;
+  }
+
   /**
    * Starts to replace the primary.
    *
@@ -527,8 +560,7 @@
     if (step != Step.STEADY && step != Step.ASKING) {
       return;
     }
-    if (isPlanned && (!election.areEarlierErasOver() || orders.outstanding(now()) != null)) {
-      // The primary works, and its writes would be held back for the whole wait.
+    if (isPlanned && !mayStartPlannedChange()) {
       return;
     }
     election.log("primary-change").with("planned", isPlanned).with("reason", reason).write();
@@ -536,7 +568,9 @@
     enter(Step.EXCLUDING);
     HomeRecord r = election.record();
     if (r != null) {
-      pool.setPrimaryHalt(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.WRITES);
+      if (!isPlanned || mayHaveOtherPrimary(r)) {
+        pool.setPrimaryHalt(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.WRITES);
+      }
       refreshPrimaryStatus(r.primaryId());
       exclusion.stopPriorHomes(r);
       exclusion.stopSuccessor(r, 0);
@@ -553,6 +587,7 @@
 
   private void quiesceOrSeal() {
     if (plannedChange) {
+      pool.setPrimaryHalt(PrimaryHalt.WRITES);
       enter(Step.QUIESCING);
     } else {
       seal();
@@ -836,9 +871,9 @@
               }
               String primary = r.primaryId();
               ServerStatus status = primary == null ? null : statuses.get(primary);
-              BackendServer server = primary == null ? null : findServer(primary);
+              boolean listed = primary != null && findServer(primary) != null;
               boolean leads = status != null && status.primary() && status.term() == r.term();
-              if (leads && server != null && !server.draining() && r.promoting() == null) {
+              if (leads && listed && r.promoting() == null) {
                 returnToPrimary(r);
               } else {
                 enter(Step.EXCLUDING);
@@ -858,6 +893,8 @@
             election.log("primary-returned").with("server", r.primaryId()).write();
             enter(Step.STEADY);
             pool.setPrimaryHalt(PrimaryHalt.NOTHING);
+            // The answers of sealed replicas make them receive again.
+            election.servers().forEach(s -> queryStatus(s.id(), () -> {}));
           }
         };
     if (!promotionUnsettled) {
