Promote a server that is not draining if it holds as much as was acknowledged

A draining server whose log was longer by commits that were never acknowledged was promoted, and had to be replaced at once. Found by reading for the same class of fault; shown by PromotionChoiceTest only. The chosen log covers the bound on acknowledged positions, which is the condition under which the longest log may be chosen.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -58,9 +58,10 @@
   }
 
   /**
-   * Chooses the replica with the longest log. Its log holds every acknowledged commit if it covers
-   * the bound of the acknowledged positions, or the primary's log, or if all servers that may have
-   * confirmed a commit have reported.
+   * Chooses the replica with the longest log, or one that is not draining and holds as much as may
+   * have been acknowledged. The longest log holds every acknowledged commit if it covers the bound
+   * of the acknowledged positions, or the primary's log, or if all servers that may have confirmed
+   * a commit have reported.
    *
    * <p>A server whose promotion was ordered before is chosen again: it held every acknowledged
    * commit then, and none can have been acknowledged elsewhere since.
@@ -151,9 +152,28 @@
         allReported
             || (bound != null && end.compareTo(bound) >= 0)
             || (primaryEnd != null && end.compareTo(primaryEnd) >= 0);
-    return holdsAllAcknowledged
-        ? promote(basis, best)
-        : new Wait("a server that may hold acknowledged commits does not answer");
+    if (!holdsAllAcknowledged) {
+      return new Wait("a server that may hold acknowledged commits does not answer");
+    }
+    BackendServer lasting = best.draining() ? longestLasting(basis, replicas, best) : null;
+    return promote(basis, lasting == null ? best : lasting);
+  }
+
+  /**
+   * Returns the replica with the longest log that is not draining and covers the bound; null if
+   * there is none. The rest of the longest log was never acknowledged.
+   */
+  private static @Nullable BackendServer longestLasting(
+      Basis basis, List<BackendServer> replicas, BackendServer longest) {
+    BackendServer lasting =
+        longestLog(basis, replicas.stream().filter(s -> !s.draining()).toList());
+    LogPosition bound = basis.bound();
+    if (lasting == null || bound == null) {
+      return null;
+    }
+    LogPosition end = receivedBy(basis, lasting);
+    boolean sameTerm = end.term() == receivedBy(basis, longest).term();
+    return sameTerm && end.compareTo(bound) >= 0 ? lasting : null;
   }
 
   /**
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -80,6 +80,31 @@
     assertThat(promotedId(choose(null))).isEqualTo("b");
   }
 
+  // Guards against promoting a draining server for commits that were never acknowledged.
+  @Test
+  void testNonDrainingReplicaThatCoversTheBoundIsPromotedBeforeALongerLog() {
+    draining = true;
+    setReplicaStatus("b", 1, 120);
+    setReplicaStatus("c", 1, 110);
+    assertThat(promotedId(choose(new LogPosition(1, 110)))).isEqualTo("c");
+  }
+
+  @Test
+  void testDrainingReplicaIsPromotedIfOnlyItCoversTheBound() {
+    draining = true;
+    setReplicaStatus("b", 1, 120);
+    setReplicaStatus("c", 1, 110);
+    assertThat(promotedId(choose(new LogPosition(1, 111)))).isEqualTo("b");
+  }
+
+  @Test
+  void testDrainingReplicaWithLongestLogIsPromotedWithoutABound() {
+    draining = true;
+    setReplicaStatus("b", 1, 120);
+    setReplicaStatus("c", 1, 110);
+    assertThat(promotedId(choose(null))).isEqualTo("b");
+  }
+
   @Test
   void testNonDrainingReplicaIsPromotedAmongEqualLogs() {
     draining = true;
