Check in the soak that no new work reaches a drained server

The stand-in servers tell when a single statement, or the first one of a transaction, arrives, and since when the store has known that they drain. Draining servers end after 6 s, twice the time in which they take work, in place of 3.5 s. A statement does not count if, within 4 s before, the link to the server or a link to the store was cut or delayed, the store was down, or an instance was paused.

--- a/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import org.chicorylane.standin.wire.InstanceSettings;
 import org.chicorylane.standin.wire.ReplicatedGroup;
 import org.chicorylane.standin.wire.ReplicatedServer;
 
@@ -173,9 +174,11 @@
   STOP_STORE(false, 1) {
     @Override
     void inject(SoakFleet fleet, ReplicatedGroup group, Random random) {
+      int millis = 300 + random.nextInt(5_000);
       fleet.event("store down");
+      fleet.noteStoreOutage(millis);
       fleet.system().store().setDown(true);
-      fleet.after(300 + random.nextInt(5_000), () -> fleet.system().store().setDown(false));
+      fleet.after(millis, () -> fleet.system().store().setDown(false));
     }
   },
   /** Calls for promotions or their answers arrive late. */
@@ -189,7 +192,7 @@
   private static final double KILLED_SHARE = 0.7;
 
   /** How long a server continues after it has reported that it drains. */
-  private static final int DRAIN_MILLIS = 3_500;
+  private static final int DRAIN_MILLIS = 2 * InstanceSettings.DRAIN_MILLIS;
 
   /** Time until a new server has taken the place of one that ended. */
   private static final int REPLACEMENT_MILLIS = 300;
--- a/bench/src/main/java/org/chicorylane/bench/soak/LinkProxy.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/LinkProxy.java
@@ -47,6 +47,11 @@
   private @Nullable Channel listener;
   private long delayMillis;
 
+  /** Time until which the link was disturbed last; 0 if it never was. */
+  private volatile long disturbedUntilNanos;
+
+  private volatile boolean disturbed;
+
   /**
    * Creates a proxy and starts to listen.
    *
@@ -107,7 +112,23 @@
 
   /** Delays all bytes that arrive from now on, in both directions. */
   void setDelay(long newDelayMillis) {
-    loop.execute(() -> delayMillis = newDelayMillis);
+    loop.execute(
+        () -> {
+          delayMillis = newDelayMillis;
+          noteDisturbance();
+        });
+  }
+
+  /** Returns whether the link was cut or delayed at some time in the last {@code millis}. */
+  boolean wasDisturbedWithin(long millis) {
+    long sinceNanos = System.nanoTime() - disturbedUntilNanos;
+    return disturbed
+        || (disturbedUntilNanos != 0 && sinceNanos < TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
+  private void noteDisturbance() {
+    disturbed = delayMillis > 0 || !cut.isEmpty();
+    disturbedUntilNanos = System.nanoTime();
   }
 
   /**
@@ -122,6 +143,7 @@
           } else {
             cut.remove(direction);
           }
+          noteDisturbance();
           connections.forEach(Connection::applyReads);
         });
   }
--- a/bench/src/main/java/org/chicorylane/bench/soak/PromiseChecker.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/PromiseChecker.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
+import java.util.function.ToLongBiFunction;
+import org.chicorylane.standin.wire.InstanceSettings;
 import org.chicorylane.standin.wire.LogEntry;
 import org.chicorylane.standin.wire.ReplicatedGroup;
 import org.chicorylane.standin.wire.ReplicatedGroupListener;
@@ -56,6 +58,7 @@
 
   private final Timeline timeline;
   private final Predicate<String> excusesToken;
+  private final ToLongBiFunction<ReplicatedServer, Long> drainedNanos;
   private final BiConsumer<ReplicatedGroup, PromotionCall> onPromotionOrdered;
   private final Map<String, History> histories = new ConcurrentHashMap<>();
   private final Set<String> run = ConcurrentHashMap.newKeySet();
@@ -65,14 +68,18 @@
    *
    * @param excusesToken tells whether an instance was paused so lately that it may call with a
    *     lower token
+   * @param drainedNanos tells for how long a server has been draining at a time, 0 if it is not or
+   *     if a statement may reach it late
    * @param onPromotionOrdered called when a promotion was accepted
    */
   PromiseChecker(
       Timeline timeline,
       Predicate<String> excusesToken,
+      ToLongBiFunction<ReplicatedServer, Long> drainedNanos,
       BiConsumer<ReplicatedGroup, PromotionCall> onPromotionOrdered) {
     this.timeline = timeline;
     this.excusesToken = excusesToken;
+    this.drainedNanos = drainedNanos;
     this.onPromotionOrdered = onPromotionOrdered;
   }
 
@@ -149,6 +156,16 @@
     }
   }
 
+  @Override
+  public void onArrival(ReplicatedServer server, String requestId, long nanos) {
+    long millis = TimeUnit.NANOSECONDS.toMillis(drainedNanos.applyAsLong(server, nanos));
+    if (millis > InstanceSettings.DRAIN_MILLIS) {
+      timeline.violation(
+          "DRAIN",
+          requestId + " reached " + server.describe() + ", draining for " + millis + " ms");
+    }
+  }
+
   @Override
   public void onRead(ReplicatedServer server, String requestId) {
     run.add(requestId);
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakFleet.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakFleet.java
@@ -41,6 +41,9 @@
 
   private volatile boolean ending;
 
+  /** End of the last outage of the store, 0 before the first one. */
+  private volatile long storeOutageEndNanos;
+
   /**
    * Starts the stand-ins; the instances follow with {@link #startInstances}.
    *
@@ -148,6 +151,24 @@
     timeline.event(text);
   }
 
+  /** Notes that the store is down for a time from now on. */
+  void noteStoreOutage(long millis) {
+    storeOutageEndNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  /**
+   * Returns whether a statement may reach a server late, or come from an instance that could not
+   * learn that the server drains: in the last {@code millis} the link to the server or a link to
+   * the store was disturbed, the store was down, or an instance was paused.
+   */
+  boolean wasDisturbedWithin(ReplicatedServer server, long millis) {
+    long sinceOutageNanos = System.nanoTime() - storeOutageEndNanos;
+    return linkTo(server).wasDisturbedWithin(millis)
+        || storeLinks.stream().anyMatch(link -> link.wasDisturbedWithin(millis))
+        || instances.stream().anyMatch(i -> i.wasPausedWithin(millis))
+        || (storeOutageEndNanos != 0 && sinceOutageNanos < TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
   /** Returns an id for the server that takes the place of another one. */
   String nextServerId(ReplicatedServer server) {
     String id = server.id();
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakRun.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakRun.java
@@ -4,11 +4,13 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.chicorylane.standin.wire.ReplicatedGroup;
 import org.chicorylane.standin.wire.ReplicatedGroupListener.PromotionCall;
+import org.chicorylane.standin.wire.ReplicatedServer;
 import org.chicorylane.standin.wire.ReplicatedSystem;
 import org.jspecify.annotations.Nullable;
 
@@ -24,13 +26,16 @@
   private static final long LONGEST_FAULT_SECONDS = 12;
 
   /** The longest planned work that is drawn ends in this time. */
-  private static final long LONGEST_PLANNED_WORK_SECONDS = 6;
+  private static final long LONGEST_PLANNED_WORK_SECONDS = 8;
 
   private static final long POLL_MILLIS = 50;
 
   /** How long after a pause an instance may call with a token that has been replaced. */
   private static final long THAW_MILLIS = 13_000;
 
+  /** How long after a disturbance a statement may reach a draining server late. */
+  private static final long CONTACT_MILLIS = 4_000;
+
   private static final int PRINTED_LINES = 60;
 
   /**
@@ -64,7 +69,8 @@
     Files.createDirectories(options.logs());
     try (Timeline timeline = new Timeline(options.logs().resolve("timeline.log"))) {
       PromiseChecker checker =
-          new PromiseChecker(timeline, this::wasPausedLately, this::onPromotionOrdered);
+          new PromiseChecker(
+              timeline, this::wasPausedLately, this::drainedNanos, this::onPromotionOrdered);
       try (SoakFleet fleet = new SoakFleet(options, timeline, checker)) {
         runningFleet.set(fleet);
         run(fleet, checker, timeline);
@@ -150,6 +156,21 @@
     return fleet != null && fleet.instance(instance).wasPausedWithin(THAW_MILLIS);
   }
 
+  /**
+   * Returns for how long a server has been draining at a time; 0 if it does not drain, or if a
+   * disturbance may explain a late statement.
+   */
+  private long drainedNanos(ReplicatedServer server, long nanos) {
+    SoakFleet fleet = runningFleet.get();
+    if (fleet == null) {
+      return 0;
+    }
+    OptionalLong since = fleet.system().drainingSinceNanos(server);
+    return since.isEmpty() || fleet.wasDisturbedWithin(server, CONTACT_MILLIS)
+        ? 0
+        : nanos - since.getAsLong();
+  }
+
   private void onPromotionOrdered(ReplicatedGroup group, PromotionCall call) {
     promotions++;
     FaultInjector faults = injector.get();
--- a/bench/src/test/java/org/chicorylane/bench/soak/PromiseCheckerTest.java
+++ b/bench/src/test/java/org/chicorylane/bench/soak/PromiseCheckerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.chicorylane.standin.wire.InstanceSettings;
 import org.chicorylane.standin.wire.LogEntry;
 import org.chicorylane.standin.wire.ReplicatedGroup;
 import org.chicorylane.standin.wire.ReplicatedGroupListener;
@@ -25,6 +26,9 @@
 
   @TempDir Path folder;
 
+  /** For how long servers have been draining, in milliseconds. */
+  private volatile long drainedMillis;
+
   private final CountDownLatch promoted = new CountDownLatch(1);
   private Timeline timeline;
   private PromiseChecker checker;
@@ -33,6 +37,11 @@
 
   /** Passes all events on to the checker, and notes when a promotion has taken effect. */
   private final class Forwarder implements ReplicatedGroupListener {
+    @Override
+    public void onArrival(ReplicatedServer server, String requestId, long nanos) {
+      checker.onArrival(server, requestId, nanos);
+    }
+
     @Override
     public void onRead(ReplicatedServer server, String requestId) {
       checker.onRead(server, requestId);
@@ -58,7 +67,12 @@
   @BeforeEach
   void start() throws IOException {
     timeline = new Timeline(folder.resolve("timeline.log"));
-    checker = new PromiseChecker(timeline, instance -> false, (g, call) -> {});
+    checker =
+        new PromiseChecker(
+            timeline,
+            instance -> false,
+            (server, nanos) -> TimeUnit.MILLISECONDS.toNanos(drainedMillis),
+            (g, call) -> {});
     system = new ReplicatedSystem(List.of("plans"), new Forwarder(), 1, address -> address);
     group = system.groups().get(0);
   }
@@ -91,6 +105,37 @@
     return timeline.violations().stream().map(v -> v.substring(0, v.indexOf(':'))).toList();
   }
 
+  @Test
+  void testSingleStatementAtADrainedServerIsFound() throws Exception {
+    drainedMillis = InstanceSettings.DRAIN_MILLIS + 1;
+    ask(0, "w1 WRITE item data");
+    assertThat(brokenRules()).containsExactly("DRAIN");
+  }
+
+  @Test
+  void testLaterStatementOfATransactionAtADrainedServerIsAllowed() throws Exception {
+    checker.onReadSent(group, "r1", "primary", "session", System.nanoTime());
+    checker.onReadSent(group, "r2", "primary", "session", System.nanoTime());
+    try (StandInWireClient client = connect(0)) {
+      client.ask("QUERY - BEGIN READ");
+      client.ask("QUERY r1 READ item");
+      drainedMillis = InstanceSettings.DRAIN_MILLIS + 1;
+      client.ask("QUERY r2 READ item");
+    }
+    assertThat(brokenRules()).isEmpty();
+  }
+
+  @Test
+  void testFirstStatementOfATransactionAtADrainedServerIsFound() throws Exception {
+    checker.onReadSent(group, "r1", "primary", "session", System.nanoTime());
+    try (StandInWireClient client = connect(0)) {
+      client.ask("QUERY - BEGIN READ");
+      drainedMillis = InstanceSettings.DRAIN_MILLIS + 1;
+      client.ask("QUERY r1 READ item");
+    }
+    assertThat(brokenRules()).containsExactly("DRAIN");
+  }
+
   @Test
   void testPromotionThatLosesAcknowledgedCommitIsFound() throws Exception {
     ask(1, "- PAUSE 2");
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedConnection.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedConnection.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -24,6 +25,8 @@
 
   private static final String END = "\r\n";
 
+  private static final Set<String> STATEMENTS = Set.of("READ", "WRITE", "EXECUTE");
+
   private final ReplicatedServer server;
   private final ReplicatedGroup group;
   private final Socket socket;
@@ -39,6 +42,9 @@
 
   private boolean readOnly;
 
+  /** Whether a transaction has begun and none of its statements has arrived yet. */
+  private boolean awaitsFirstStatement;
+
   ReplicatedConnection(ReplicatedServer server, Socket socket) {
     this.server = server;
     this.group = server.group();
@@ -56,6 +62,7 @@
           new BufferedReader(
               new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
       for (String line = in.readLine(); line != null; line = in.readLine()) {
+        noteArrival(line, System.nanoTime());
         String answer = group.awaitThaw(server, incarnation) ? answer(line) : null;
         if (answer == null || !group.awaitThaw(server, incarnation)) {
           return;
@@ -77,6 +84,19 @@
     }
   }
 
+  private void noteArrival(String line, long nanos) {
+    String[] words = line.split(" ", -1);
+    int verb = words.length > 2 && words[2].equals("SINCE") ? 4 : 2;
+    boolean isStatement =
+        words[0].equals("QUERY") && words.length > verb && STATEMENTS.contains(words[verb]);
+    if (isStatement && (state == 'I' || awaitsFirstStatement)) {
+      awaitsFirstStatement = false;
+      synchronized (group) {
+        group.onArrival(server, words[1], nanos);
+      }
+    }
+  }
+
   /** Returns the answer to a line, null if the connection ends without one. */
   private @Nullable String answer(String line) throws IOException, InterruptedException {
     String[] words = line.split(" ", -1);
@@ -155,6 +175,7 @@
         return error(refusal);
       }
       state = 'T';
+      awaitsFirstStatement = true;
       readOnly = isReadOnly;
       return complete("-");
     }
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroup.java
@@ -169,6 +169,10 @@
     return server.incarnation() == incarnation;
   }
 
+  void onArrival(ReplicatedServer server, String requestId, long nanos) {
+    listener.onArrival(server, requestId, nanos);
+  }
+
   void onRead(ReplicatedServer server, String requestId) {
     listener.onRead(server, requestId);
   }
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroupListener.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroupListener.java
@@ -16,6 +16,13 @@
    */
   record PromotionCall(String group, String serverId, String holder, long token) {}
 
+  /**
+   * A single statement, or the first one of a transaction, has reached a server.
+   *
+   * @param nanos time at which it arrived, by {@link System#nanoTime()}
+   */
+  default void onArrival(ReplicatedServer server, String requestId, long nanos) {}
+
   /** A server runs a read on its log as it is now. */
   void onRead(ReplicatedServer server, String requestId);
 
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedSystem.java
@@ -9,6 +9,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -95,6 +96,14 @@
     registrar.setDraining(server, isDraining);
   }
 
+  /**
+   * Returns the time at which the store accepted that a server drains, by {@link
+   * System#nanoTime()}; empty if it does not drain. Takes no lock.
+   */
+  public OptionalLong drainingSinceNanos(ReplicatedServer server) {
+    return registrar.drainingSinceNanos(server);
+  }
+
   /** Sets whether a server has no entry in the store although it runs. */
   public void setLapsed(ReplicatedServer server, boolean isLapsed) {
     registrar.setLapsed(server, isLapsed);
--- a/standins/src/main/java/org/chicorylane/standin/wire/ServerRegistrar.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ServerRegistrar.java
@@ -6,6 +6,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 import org.chicorylane.standin.metadata.MetadataEngine;
@@ -32,6 +34,9 @@
   private final UnaryOperator<String> path;
   private final Map<ReplicatedServer, Registration> registrations = new HashMap<>();
 
+  /** Times at which the store has accepted that a server drains. */
+  private final Map<ReplicatedServer, Long> drainingSinceNanos = new ConcurrentHashMap<>();
+
   /**
    * Creates a registrar.
    *
@@ -44,6 +49,9 @@
 
   synchronized void setDraining(ReplicatedServer server, boolean isDraining) {
     registration(server).draining = isDraining;
+    if (!isDraining) {
+      drainingSinceNanos.remove(server);
+    }
     update(server);
   }
 
@@ -53,6 +61,15 @@
     update(server);
   }
 
+  /**
+   * Returns the time at which the store accepted that a server drains, by {@link
+   * System#nanoTime()}; empty if it does not drain. Takes no lock.
+   */
+  OptionalLong drainingSinceNanos(ReplicatedServer server) {
+    Long since = drainingSinceNanos.get(server);
+    return since == null ? OptionalLong.empty() : OptionalLong.of(since);
+  }
+
   /** Returns whether a server has an entry. */
   synchronized boolean isListed(ReplicatedServer server) {
     return registration(server).entry != null;
@@ -77,6 +94,9 @@
       write(key, entry);
       r.key = key;
       r.entry = entry;
+      if (r.draining && entry != null) {
+        drainingSinceNanos.putIfAbsent(server, System.nanoTime());
+      }
     }
   }
 
