--- a/chicorylane/src/main/java/org/chicorylane/internal/election/DrainReplacement.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/DrainReplacement.java
@@ -29,6 +29,7 @@
   private final DrainLimit drainLimit;
   private final CatchUpCheck catchUpCheck;
   private long lastStartNanos;
+  private String primaryId = "";
   private boolean confirmsCommits = true;
 
   DrainReplacement(Scheduler scheduler, DrainLimit drainLimit, CatchUpCheck catchUpCheck) {
@@ -83,6 +84,10 @@
    */
   boolean confirmsCommits(
       BackendServer primary, List<BackendServer> servers, boolean isCommitOverdue) {
+    if (!primary.id().equals(primaryId)) {
+      primaryId = primary.id();
+      confirmsCommits = true;
+    }
     boolean hasReplica = replicasOf(primary, servers).stream().anyMatch(catchUpCheck::hasCaughtUp);
     confirmsCommits = hasReplica || (confirmsCommits && !isCommitOverdue);
     return confirmsCommits;
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -102,6 +102,9 @@
   private boolean writingRecord;
   private boolean writingMembers;
 
+  /** Whether writes are held back from a draining primary, because no replica confirms them. */
+  private boolean holdsUnconfirmedWrites;
+
   /** Whether a write that names a server to promote may still be applied to the record. */
   private boolean promotionUnsettled;
 
@@ -389,8 +392,11 @@
       if (replaceIfDue(server)) {
         return;
       }
-    } else if (election.servers().stream().noneMatch(s -> isCandidate(s, primary))) {
-      return;
+    } else {
+      releaseWrites();
+      if (election.servers().stream().noneMatch(s -> isCandidate(s, primary))) {
+        return;
+      }
     }
     if (server == null) {
       if (now() - startNanos > Duration.ofSeconds(3).toNanos()) {
@@ -429,10 +435,19 @@
     boolean isCommitOverdue = pool.oldestPendingCommitMillis() > MAX_UNCONFIRMED_MILLIS;
     boolean confirms =
         drainReplacement.confirmsCommits(primary, election.servers(), isCommitOverdue);
+    holdsUnconfirmedWrites = !confirms;
     pool.setPrimaryHalt(confirms ? PrimaryHalt.NOTHING : PrimaryHalt.WRITES);
     return false;
   }
 
+  /** Lets a primary that does not drain any more take the writes that were held back. */
+  private void releaseWrites() {
+    if (holdsUnconfirmedWrites) {
+      holdsUnconfirmedWrites = false;
+      pool.setPrimaryHalt(PrimaryHalt.NOTHING);
+    }
+  }
+
   /** Records servers that joined, so that a later home knows of them even without an entry. */
   private void recordMembers(HomeRecord r) {
     Map<String, String> members = election.members().all(now());
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/DrainingPrimaryTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/DrainingPrimaryTest.java
@@ -305,6 +305,23 @@
     scenario.finish();
   }
 
+  // Guards against writes that stay held back from a primary whose drain is withdrawn.
+  @Test
+  void testPrimaryWhoseDrainIsWithdrawnTakesWritesAgain() {
+    scenario.begin();
+    scenario.server("server-b").ignoresReplication = true;
+    scenario.server("server-c").ignoresReplication = true;
+    fleet.putServer("server-a", true);
+    fleet.advance(1_500);
+    fleet.putServer("server-a", false);
+    fleet.advance(100);
+    scenario.server("server-b").ignoresReplication = false;
+    scenario.server("server-c").ignoresReplication = false;
+    fleet.advance(1_000);
+    requireServed("after the drain", 2_000, 200);
+    scenario.finish();
+  }
+
   // Guards against a change that cuts writes off although no replica can take over yet.
   @Test
   void testDrainingPrimaryServesWhileNoReplicaCanTakeOver() {
