--- a/chicorylane/src/main/java/org/chicorylane/internal/election/DrainReplacement.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/DrainReplacement.java
@@ -29,7 +29,10 @@
   private final DrainLimit drainLimit;
   private final CatchUpCheck catchUpCheck;
   private long lastStartNanos;
+
+  /** The primary to which {@link #confirmsCommits} applies. */
   private String primaryId = "";
+
   private boolean confirmsCommits = true;
 
   DrainReplacement(Scheduler scheduler, DrainLimit drainLimit, CatchUpCheck catchUpCheck) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -559,8 +559,8 @@
   }
 
   /**
-   * Returns whether the primary can be replaced without a long wait. Its writes, which work, would
-   * be held back for the whole wait.
+   * Returns whether a primary that works may be replaced now. A change would have to wait for
+   * earlier eras and orders to end, and would hold writes back meanwhile.
    */
   private boolean mayStartPlannedChange() {
     return election.areEarlierErasOver() && orders.outstanding(now()) == null;
@@ -583,8 +583,10 @@
     enter(Step.EXCLUDING);
     HomeRecord r = election.record();
     if (r != null) {
-      if (!isPlanned || mayHaveOtherPrimary(r)) {
-        pool.setPrimaryHalt(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.WRITES);
+      if (mayHaveOtherPrimary(r)) {
+        pool.setPrimaryHalt(PrimaryHalt.EVERYTHING);
+      } else if (!isPlanned) {
+        pool.setPrimaryHalt(PrimaryHalt.WRITES);
       }
       refreshPrimaryStatus(r.primaryId());
       exclusion.stopPriorHomes(r);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/DrainingPrimaryTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/DrainingPrimaryTest.java
@@ -305,7 +305,7 @@
     scenario.finish();
   }
 
-  // Guards against writes that stay held back from a primary whose drain is withdrawn.
+  // Covers writes that were held back from a primary whose drain is withdrawn.
   @Test
   void testPrimaryWhoseDrainIsWithdrawnTakesWritesAgain() {
     scenario.begin();
