--- a/bench/src/test/java/org/chicorylane/bench/soak/PromiseCheckerTest.java
+++ b/bench/src/test/java/org/chicorylane/bench/soak/PromiseCheckerTest.java
@@ -106,14 +106,14 @@
   }
 
   @Test
-  void testSingleStatementAtADrainedServerIsFound() throws Exception {
+  void testSingleStatementAtDrainedServerIsFound() throws Exception {
     drainedMillis = InstanceSettings.DRAIN_MILLIS + 1;
     ask(0, "w1 WRITE item data");
     assertThat(brokenRules()).containsExactly("DRAIN");
   }
 
   @Test
-  void testLaterStatementOfATransactionAtADrainedServerIsAllowed() throws Exception {
+  void testLaterStatementOfTransactionAtDrainedServerIsAllowed() throws Exception {
     checker.onReadSent(group, "r1", "primary", "session", System.nanoTime());
     checker.onReadSent(group, "r2", "primary", "session", System.nanoTime());
     try (StandInWireClient client = connect(0)) {
@@ -126,7 +126,7 @@
   }
 
   @Test
-  void testFirstStatementOfATransactionAtADrainedServerIsFound() throws Exception {
+  void testFirstStatementOfTransactionAtDrainedServerIsFound() throws Exception {
     checker.onReadSent(group, "r1", "primary", "session", System.nanoTime());
     try (StandInWireClient client = connect(0)) {
       client.ask("QUERY - BEGIN READ");
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -82,7 +82,7 @@
 
   // Guards against promoting a draining server for commits that were never acknowledged.
   @Test
-  void testNonDrainingReplicaThatCoversTheBoundIsPromotedBeforeALongerLog() {
+  void testReplicaThatCoversTheBoundIsPromotedBeforeDrainingOneWithLongerLog() {
     draining = true;
     setReplicaStatus("b", 1, 120);
     setReplicaStatus("c", 1, 110);
@@ -98,7 +98,7 @@
   }
 
   @Test
-  void testDrainingReplicaWithLongestLogIsPromotedWithoutABound() {
+  void testDrainingReplicaWithLongestLogIsPromotedWhileBoundIsUnknown() {
     draining = true;
     setReplicaStatus("b", 1, 120);
     setReplicaStatus("c", 1, 110);
