Update only the elections of groups whose servers have changed

Seen: a start with 14 groups of three servers ran 42 updates of all 14 elections, each with a search over all servers. Cause: ServerDirectory reported each changed server without its group, also during a complete read. Change: it names the group, and reports each group once per complete read. Evidence: testCompleteReadReportsOneChangePerGroup (3 before).

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -135,7 +135,7 @@
             this::onStoreRestored);
     this.servers =
         new ServerDirectory(
-            scheduler, store.revisionTimes(), ports.log(), drainTimeout, this::updateElections);
+            scheduler, store.revisionTimes(), ports.log(), drainTimeout, this::updateElection);
     this.drainInquiry =
         new DrainInquiry(scheduler, servers, registry::instances, this::link, self.name());
     this.router = new HomeRouter(scheduler, ports.log(), elections::get, this::link, self.name());
@@ -374,21 +374,26 @@
     if (c == null) {
       return;
     }
-    for (GroupDeclaration group : c.groups().values()) {
-      HomeElection election =
-          elections.computeIfAbsent(
-              group.name(),
-              name -> {
-                HomeElection created = new HomeElection(name, context, () -> onHomeChanged(name));
-                if (coordinationLoaded) {
-                  created.onRecord(records.get(HomeRecord.keyOf(name)));
-                }
-                return created;
-              });
-      List<BackendServer> present = servers.ofGroup(group.name());
-      election.updateDeclaration(group, c.transactionIdleLimit(), present);
-      election.tick();
+    c.groups().keySet().forEach(this::updateElection);
+  }
+
+  /** Applies the configuration and the present servers to the election of one group. */
+  private void updateElection(String group) {
+    Configuration c = configuration.current();
+    GroupDeclaration declaration = c == null ? null : c.groups().get(group);
+    if (c == null || declaration == null) {
+      return;
+    }
+    HomeElection election = elections.get(group);
+    if (election == null) {
+      election = new HomeElection(group, context, () -> onHomeChanged(group));
+      elections.put(group, election);
+      if (coordinationLoaded) {
+        election.onRecord(records.get(HomeRecord.keyOf(group)));
+      }
     }
+    election.updateDeclaration(declaration, c.transactionIdleLimit(), servers.ofGroup(group));
+    election.tick();
   }
 
   private void onHomeChanged(String group) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/topology/ServerDirectory.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/topology/ServerDirectory.java
@@ -3,9 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.chicorylane.internal.platform.RevisionTimes;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -45,7 +48,7 @@
   private final Scheduler scheduler;
   private final RevisionTimes revisionTimes;
   private final DecisionLog log;
-  private final Runnable onChange;
+  private final Consumer<String> onChange;
   private final Map<String, BackendServer> servers = new HashMap<>();
   private final Map<String, Scheduler.Timer> missing = new HashMap<>();
 
@@ -59,14 +62,14 @@
    *
    * @param revisionTimes relates the entries' revisions to the scheduler's clock
    * @param drainTimeout the time in which a draining server takes new work
-   * @param onChange called after each change
+   * @param onChange called with the group's name after each change of its servers
    */
   public ServerDirectory(
       Scheduler scheduler,
       RevisionTimes revisionTimes,
       DecisionLog log,
       Duration drainTimeout,
-      Runnable onChange) {
+      Consumer<String> onChange) {
     this.scheduler = scheduler;
     this.revisionTimes = revisionTimes;
     this.log = log;
@@ -76,15 +79,16 @@
 
   /** Applies a change of an entry; ends the server's grace period if its entry was missing. */
   public void put(Entry entry) {
-    put(entry, true);
+    put(entry, true).forEach(onChange);
   }
 
   /**
    * Adds a server or updates its entry.
    *
    * @param isOnlyChange whether the entry has not been written in between since it was last seen
+   * @return the groups whose servers have changed
    */
-  private void put(Entry entry, boolean isOnlyChange) {
+  private Set<String> put(Entry entry, boolean isOnlyChange) {
     BackendServer server = entry.server();
     Scheduler.Timer timer = missing.remove(server.id());
     if (timer != null) {
@@ -92,9 +96,11 @@
     }
     BackendServer before = servers.put(server.id(), server);
     trackDrain(before, entry, isOnlyChange);
-    if (!server.equals(before)) {
-      onChange.run();
+    if (server.equals(before)) {
+      return Set.of();
     }
+    boolean moved = before != null && !before.group().equals(server.group());
+    return moved ? Set.of(before.group(), server.group()) : Set.of(server.group());
   }
 
   private void trackDrain(@Nullable BackendServer before, Entry entry, boolean isOnlyChange) {
@@ -139,7 +145,9 @@
   public void replaceAll(Map<String, Entry> present) {
     new ArrayList<>(servers.keySet())
         .stream().filter(id -> !present.containsKey(id)).forEach(this::markMissing);
-    present.values().forEach(e -> put(e, differsInDrainOnly(e.server())));
+    Set<String> changed = new LinkedHashSet<>();
+    present.values().forEach(e -> changed.addAll(put(e, differsInDrainOnly(e.server()))));
+    changed.forEach(onChange);
   }
 
   /** Returns whether the start of the drain is all that is new about a server. */
@@ -163,9 +171,21 @@
 
   private void removeMissing(String id) {
     missing.remove(id);
-    servers.remove(id);
+    BackendServer removed = servers.remove(id);
     drainStartNanos.remove(id);
-    onChange.run();
+    if (removed != null) {
+      onChange.accept(removed.group());
+    }
+  }
+
+  /** Returns whether any server is draining. */
+  public boolean isAnyDraining() {
+    for (BackendServer server : servers.values()) {
+      if (server.draining()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the servers of a group, including those in their grace period. */
@@ -207,7 +227,7 @@
     if (server != null && server.draining() && isBetter) {
       drainStartNanos.put(id, nanos);
       logDrain(server, "another instance");
-      onChange.run();
+      onChange.accept(server.group());
     }
   }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/topology/ServerDirectoryTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/topology/ServerDirectoryTest.java
@@ -21,7 +21,7 @@
   private final RevisionTimes revisionTimes = new RevisionTimes();
   private final ServerDirectory directory =
       new ServerDirectory(
-          scheduler, revisionTimes, DecisionLog.none(), Duration.ofSeconds(7), () -> changes++);
+          scheduler, revisionTimes, DecisionLog.none(), Duration.ofSeconds(7), group -> changes++);
 
   private static ServerDirectory.Entry server(String id) {
     return new ServerDirectory.Entry(
@@ -129,4 +129,10 @@
     scheduler.advance(Duration.ofSeconds(2));
     assertThat(directory.ofGroup("plans")).hasSize(1);
   }
+
+  @Test
+  void testCompleteReadReportsOneChangePerGroup() {
+    directory.replaceAll(Map.of("s1", server("s1"), "s2", server("s2"), "s3", server("s3")));
+    assertThat(changes).isEqualTo(1);
+  }
 }
