One timer for the checks of an instance, and fewer pings on idle links

Cause: elections, the router and the inquiry about drains had a timer each, and each link to another instance had one of 100 ms and sent a ping every 0.5 s without anything to wait for. Change: one tick of 50 ms for the instance and one of 100 ms for all links (PeerLinks). A link without pending calls pings after 2 s of silence; one with pending calls after 0.25 s, as before. An instance that is asked whether it hears a home now asks the home if the last frame is old, as it no longer has a frame of the last 0.7 s at hand. Nobody is asked about drained servers unless one drains. Changed test: OutdatedStatusPromotionTest relied on an idle fleet to find a lost home; it now has a read under way, as callers would. Its assertions are unchanged.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -563,9 +563,7 @@
     context
         .balancer()
         .chooseReceiver(
-            Candidates.rank(group, context.peerClient().instances(), otherHomes),
-            otherHomes,
-            now())
+            Candidates.rank(group, context.peerClient().instances(), otherHomes), otherHomes, now())
         .ifPresent(this::handOverIfReachable);
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -42,7 +42,8 @@
   /** Extra time after the budget, during which the home's own refusal should arrive. */
   private static final long ANSWER_SLACK_NANOS = Duration.ofMillis(250).toNanos();
 
-  private static final Duration SWEEP_INTERVAL = Duration.ofMillis(50);
+  /** Minimum time between two attempts to route a held statement. */
+  private static final Duration ROUTE_INTERVAL = Duration.ofMillis(50);
 
   /** Maximum number of times that a statement is sent before it is only held. */
   private static final int MAXIMUM_SENDS = 6;
@@ -74,7 +75,6 @@
     this.elections = elections;
     this.links = links;
     this.selfName = selfName;
-    scheduler.repeat(SWEEP_INTERVAL, this::sweep);
   }
 
   /** Returns whether no statement is held or waits for an answer of its home. */
@@ -174,14 +174,18 @@
     sent.remove(r);
   }
 
-  private void sweep() {
+  /**
+   * Routes held statements again, and fails those whose time has run out; called at short
+   * intervals.
+   */
+  public void tick() {
     long now = scheduler.nanoTime();
     for (RoutedStatement r : new ArrayList<>(held)) {
       long waited = now - r.arrivedNanos;
       if (waited > r.work.budgetMillis() * 1e6 * MAXIMUM_HOLD_FRACTION) {
         held.remove(r);
         refuse(r, "no home of group " + r.group + " was reached in time");
-      } else if (now - r.lastAttemptNanos > SWEEP_INTERVAL.toNanos()) {
+      } else if (now - r.lastAttemptNanos > ROUTE_INTERVAL.toNanos()) {
         held.remove(r);
         r.lastAttemptNanos = now;
         route(r);
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.chicorylane.internal.mesh.generated.MeshAbandon;
 import org.chicorylane.internal.mesh.generated.MeshAnswer;
@@ -28,17 +29,15 @@
  */
 public final class PeerLink {
 
-  /**
-   * Time without a frame after which a link with pending calls sends a ping. A monitored link
-   * without pending calls waits twice as long.
-   */
+  /** Time without a frame after which a link with pending calls sends a ping. */
   private static final long PING_DELAY_NANOS = Duration.ofMillis(250).toNanos();
 
+  /** Time without a frame after which a monitored link without pending calls sends a ping. */
+  private static final long IDLE_PING_DELAY_NANOS = Duration.ofSeconds(2).toNanos();
+
   /** Time within which the peer must answer a ping. */
   private static final long PING_TIMEOUT_NANOS = Duration.ofMillis(450).toNanos();
 
-  private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
-
   /** Minimum time between two attempts to connect. */
   private static final long RECONNECT_DELAY_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -91,7 +90,7 @@
   private final LinkListener listener;
   private final Map<Long, Call> calls = new HashMap<>();
   private final Deque<MeshFrame> unsent = new ArrayDeque<>();
-  private final Scheduler.Timer ticker;
+  private final List<ResponseCheck> responseChecks = new ArrayList<>();
   private @Nullable MeshChannel channel;
   private boolean connecting;
   private boolean monitored;
@@ -118,7 +117,6 @@
     this.configurationVersion = configurationVersion;
     this.listener = listener;
     this.lastConnectNanos = scheduler.nanoTime() - RECONNECT_DELAY_NANOS;
-    this.ticker = scheduler.repeat(TICK_INTERVAL, this::tick);
   }
 
   /** Returns the peer's address. */
@@ -134,9 +132,24 @@
     }
   }
 
-  /** Returns whether the link is open, and opened or received a frame within {@code age}. */
-  public boolean respondedWithin(Duration age) {
-    return channel != null && scheduler.nanoTime() - lastFrameNanos <= age.toNanos();
+  /**
+   * Checks whether the peer responds: it did within {@code age}, or answers a ping in time.
+   *
+   * @param timeout the longest wait for the answer
+   */
+  public void checkResponse(Duration age, Duration timeout, Consumer<Boolean> outcome) {
+    if (channel != null && scheduler.nanoTime() - lastFrameNanos <= age.toNanos()) {
+      outcome.accept(true);
+      return;
+    }
+    ResponseCheck check = new ResponseCheck(outcome);
+    responseChecks.add(check);
+    scheduler.schedule(timeout, () -> check.finish(false));
+    if (channel == null) {
+      connect();
+    } else if (pingSentNanos == 0) {
+      sendPing(channel);
+    }
   }
 
   /**
@@ -193,7 +206,6 @@
 
   /** Closes the link permanently and fails the pending calls. */
   public void close() {
-    ticker.cancel();
     monitored = false;
     MeshChannel c = channel;
     failCalls(false, true);
@@ -230,7 +242,11 @@
     transport.connect(address, new ChannelListener());
   }
 
-  private void tick() {
+  /**
+   * Sends a ping if one is due, closes the link if the last one was not answered in time, and opens
+   * a monitored link that is closed; called at short intervals.
+   */
+  void tick() {
     MeshChannel c = channel;
     if (c == null) {
       if (monitored) {
@@ -246,20 +262,24 @@
         failCalls(false, true);
       }
     } else if (now - lastFrameNanos > pingDelayNanos()) {
-      pingSentNanos = now;
-      c.send(
-          MeshFrame.newBuilder()
-              .setPing(
-                  MeshPing.newBuilder().setConfigurationVersion(configurationVersion.getAsLong()))
-              .build());
+      sendPing(c);
     }
   }
 
+  private void sendPing(MeshChannel c) {
+    pingSentNanos = scheduler.nanoTime();
+    c.send(
+        MeshFrame.newBuilder()
+            .setPing(
+                MeshPing.newBuilder().setConfigurationVersion(configurationVersion.getAsLong()))
+            .build());
+  }
+
   private long pingDelayNanos() {
     if (!calls.isEmpty()) {
       return PING_DELAY_NANOS;
     }
-    return monitored ? 2 * PING_DELAY_NANOS : Long.MAX_VALUE;
+    return monitored ? IDLE_PING_DELAY_NANOS : Long.MAX_VALUE;
   }
 
   private void failCalls(boolean refused, boolean sent) {
@@ -268,6 +288,7 @@
     List<Call> lost = new ArrayList<>(calls.values());
     calls.clear();
     unsent.clear();
+    finishResponseChecks(false);
     for (Call call : lost) {
       if (call.workHandler() != null) {
         call.workHandler().onLost(sent);
@@ -278,8 +299,16 @@
     }
   }
 
+  private void finishResponseChecks(boolean responded) {
+    if (!responseChecks.isEmpty()) {
+      List<ResponseCheck> finished = List.copyOf(responseChecks);
+      finished.forEach(check -> check.finish(responded));
+    }
+  }
+
   private void onFrame(MeshFrame frame) {
     lastFrameNanos = scheduler.nanoTime();
+    finishResponseChecks(true);
     switch (frame.getBodyCase()) {
       case ANSWER -> {
         Call call = calls.remove(frame.getAnswer().getCall());
@@ -305,6 +334,21 @@
     }
   }
 
+  /** A question whether the peer responds that has no answer yet. */
+  private final class ResponseCheck {
+    private final Consumer<Boolean> outcome;
+
+    ResponseCheck(Consumer<Boolean> outcome) {
+      this.outcome = outcome;
+    }
+
+    void finish(boolean responded) {
+      if (responseChecks.remove(this)) {
+        outcome.accept(responded);
+      }
+    }
+  }
+
   /** Handles one connection; ignores its frames and its end once another has replaced it. */
   private final class ChannelListener implements MeshTransport.Listener {
     private @Nullable MeshChannel own;
@@ -319,6 +363,7 @@
       for (MeshFrame frame = unsent.poll(); frame != null; frame = unsent.poll()) {
         opened.send(frame);
       }
+      finishResponseChecks(true);
       listener.onResponse(address);
     }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -40,7 +40,7 @@
  */
 final class MeshService implements NettyMeshTransport.MeshAcceptor {
 
-  /** Time within which a probed server must answer; less than the asking peer waits. */
+  /** Time within which a probed server or home must answer; less than the asking peer waits. */
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(350);
 
   /** A home counts as reachable if its last response is at most this old. */
@@ -141,7 +141,7 @@
               new ServerConnector.Target(
                   question.getGroup(), question.getServerId(), question.getAddress()),
               reply);
-      case HEARS_HOME -> reply.accept(election != null && canReachHome(election));
+      case HEARS_HOME -> checkHome(election, reply);
       case TAKE_HOME -> {
         if (election == null) {
           reply.accept(false);
@@ -182,11 +182,17 @@
     reply(channel, question, stop.stopped(), stop.acknowledged());
   }
 
-  private boolean canReachHome(HomeElection election) {
-    HomeRecord record = election.record();
-    return election.isHome()
-        || (record != null
-            && links.apply(record.home().address()).respondedWithin(MAXIMUM_RESPONSE_AGE));
+  private void checkHome(@Nullable HomeElection election, Consumer<Boolean> reply) {
+    HomeRecord record = election == null ? null : election.record();
+    if (election != null && election.isHome()) {
+      reply.accept(true);
+    } else if (record == null) {
+      reply.accept(false);
+    } else {
+      links
+          .apply(record.home().address())
+          .checkResponse(MAXIMUM_RESPONSE_AGE, PROBE_TIMEOUT, reply);
+    }
   }
 
   private static void reply(
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -20,6 +20,7 @@
 import org.chicorylane.internal.mesh.MeshTransport;
 import org.chicorylane.internal.mesh.NettyMeshTransport;
 import org.chicorylane.internal.mesh.PeerLink;
+import org.chicorylane.internal.mesh.PeerLinks;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.platform.ConditionalWriter;
 import org.chicorylane.internal.platform.KeyValueEntry;
@@ -31,7 +32,6 @@
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.UniqueIds;
-import org.chicorylane.internal.topology.BackendServer;
 import org.chicorylane.internal.topology.Configuration;
 import org.chicorylane.internal.topology.GroupDeclaration;
 import org.chicorylane.internal.topology.PeerInstance;
@@ -95,7 +95,7 @@
   private final LatestConfiguration configuration;
   private final ServerDirectory servers;
   private final InstanceRegistry registry;
-  private final Map<String, PeerLink> links = new HashMap<>();
+  private final PeerLinks links;
   private final Map<String, HomeElection> elections = new HashMap<>();
   private final Map<String, KeyValueEntry> records = new HashMap<>();
   private final HomeRouter router;
@@ -122,6 +122,7 @@
     Scheduler scheduler = ports.scheduler();
     this.configuration =
         new LatestConfiguration(ports.decoder(), ports.log(), this::updateElections);
+    this.links = new PeerLinks(ports.mesh(), scheduler, configuration::version, new LinkObserver());
     this.registry = new InstanceRegistry(ports.store(), scheduler, ports.log(), self);
     this.store =
         new RestorableStore(
@@ -129,7 +130,7 @@
                 ports.store(),
                 ports.storeUnavailable(),
                 registry::instances,
-                this::link,
+                links::to,
                 self.name()),
             scheduler::nanoTime,
             this::onStoreRestored);
@@ -137,8 +138,8 @@
         new ServerDirectory(
             scheduler, store.revisionTimes(), ports.log(), drainTimeout, this::updateElection);
     this.drainInquiry =
-        new DrainInquiry(scheduler, servers, registry::instances, this::link, self.name());
-    this.router = new HomeRouter(scheduler, ports.log(), elections::get, this::link, self.name());
+        new DrainInquiry(scheduler, servers, registry::instances, links::to, self.name());
+    this.router = new HomeRouter(scheduler, ports.log(), elections::get, links::to, self.name());
     this.sessions = new SessionRegistry(configuration::current, router);
     this.service =
         new MeshService(
@@ -146,7 +147,7 @@
             ports.connector(),
             elections::get,
             elections.values(),
-            this::link,
+            links::to,
             configuration,
             ports.store(),
             ports.storeUnavailable(),
@@ -168,7 +169,7 @@
             swaps,
             ports.connector(),
             ports.promoter(),
-            new MeshPeerClient(registry, this::link),
+            new MeshPeerClient(registry, links::to),
             scheduler,
             ports.log(),
             timings,
@@ -220,17 +221,21 @@
     followPrefix(ports.decoder().serverPrefix(), new ServerListener());
     followPrefix("lane/", new CoordinationListener());
     registry.register();
-    ports
-        .scheduler()
-        .repeat(
-            TICK_INTERVAL, () -> new ArrayList<>(elections.values()).forEach(HomeElection::tick));
+    ports.scheduler().repeat(TICK_INTERVAL, this::tick);
     ports.scheduler().repeat(timings.confirmInterval(), this::confirmRecords);
-    ports.scheduler().repeat(TICK_INTERVAL, this::askAboutDrainedServers);
   }
 
-  private void askAboutDrainedServers() {
-    drainInquiry.ask(
-        elections.values().stream().filter(HomeElection::isHome).map(HomeElection::group).toList());
+  /** Runs the periodic checks of all parts, on one timer. */
+  private void tick() {
+    new ArrayList<>(elections.values()).forEach(HomeElection::tick);
+    router.tick();
+    if (servers.isAnyDraining()) {
+      drainInquiry.ask(
+          elections.values().stream()
+              .filter(HomeElection::isHome)
+              .map(HomeElection::group)
+              .toList());
+    }
   }
 
   /** Returns the registry that opens clients' sessions. */
@@ -410,21 +415,7 @@
         homes.add(homeRecord.home().address());
       }
     }
-    homes.forEach(address -> link(address).setMonitored(true));
-    links.forEach(
-        (address, link) -> {
-          if (!homes.contains(address)) {
-            link.setMonitored(false);
-          }
-        });
-  }
-
-  private PeerLink link(String address) {
-    return links.computeIfAbsent(
-        address,
-        a ->
-            new PeerLink(
-                a, ports.mesh(), ports.scheduler(), configuration::version, new LinkObserver()));
+    links.monitorOnly(homes);
   }
 
   /** Passes changes of the links' state on to the elections. */
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/OutdatedStatusPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/OutdatedStatusPromotionTest.java
@@ -48,11 +48,16 @@
   private void postponeNextStatus(ModelHost host) {
     awaitStatusRequest(host, primary.id());
     fleet.advance(200);
-    ClientSession session = host.instance.sessions().open(ModelFleet.LATEST, () -> {});
-    session.run("postpone", new ClientStatement.Read("READ item"), answer -> {});
+    readAt(host);
     fleet.advance(50);
   }
 
+  /** Sends a read that the home of the group has to answer. */
+  private static void readAt(ModelHost host) {
+    ClientSession session = host.instance.sessions().open(ModelFleet.LATEST, () -> {});
+    session.run("read", new ClientStatement.Read("READ item"), answer -> {});
+  }
+
   private void writeAt(ModelHost host) {
     int before = scenario.clients.succeeded;
     scenario.clients.writeOnce(host);
@@ -94,6 +99,7 @@
     ModelHost earlier = scenario.home();
     awaitConfirmation(earlier);
     scenario.isolate(earlier);
+    readAt(fleet.hosts().stream().filter(h -> h != earlier).findFirst().orElseThrow());
     scenario.advanceUntil("a later home", 3_000, () -> scenario.homeOtherThan(earlier) != null);
     final long begunMillis = fleet.scheduler.millis();
     ModelHost later = scenario.homeOtherThan(earlier);
