Let two instances of a large zone watch the store, and relay its changes to the others

Cause: each instance has three watches, so each change of a home's record and each registration ends a poll of every instance, and a calm watch is polled again every 10 s; in an outage every instance probes the store. Change: in a zone with more than three instances the two that rank first watch the store (WatchRelays); the others ask those for the changes after a revision over the mesh (RelayedPrefix), then relays of other zones, and watch the store themselves for 5 s if six rounds of questions found nothing. A relay that loses the store refuses at once. Whoever lacks more changes than a relay keeps is sent all entries. Promises do not rest on it: a home's lease is confirmed by its own linearizable reads, as before. Instances register whether they relay, so that builds without it are not asked, and a question of an unknown kind is answered negatively instead of ending the connection with all statements on it.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/EnumNumbers.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/EnumNumbers.java
@@ -32,13 +32,18 @@
     return numbers.getOrDefault(constant, 0);
   }
 
+  /** Returns whether a constant has {@code number}. */
+  public boolean contains(int number) {
+    return number >= 0 && number < constants.length;
+  }
+
   /**
    * Returns the constant that has {@code number}.
    *
    * @throws IllegalArgumentException if there is none
    */
   public E constant(int number) {
-    if (number < 0 || number >= constants.length) {
+    if (!contains(number)) {
       throw new IllegalArgumentException("no constant has number " + number);
     }
     return constants[number];
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -80,8 +80,15 @@
     void onConfiguration(String text);
   }
 
+  /**
+   * A call without an answer yet.
+   *
+   * @param isPatient whether the peer may take long to answer, so that the link counts as idle
+   */
   private record Call(
-      @Nullable WorkResultHandler workHandler, @Nullable ReplyHandler replyHandler) {}
+      @Nullable WorkResultHandler workHandler,
+      @Nullable ReplyHandler replyHandler,
+      boolean isPatient) {}
 
   private final String address;
   private final MeshTransport transport;
@@ -159,7 +166,7 @@
    */
   public long sendWork(String group, Work work, WorkResultHandler handler) {
     long call = ++nextCall;
-    calls.put(call, new Call(handler, null));
+    calls.put(call, new Call(handler, null, false));
     send(MeshFrame.newBuilder().setWork(MeshCodec.encodeWork(call, group, work)).build());
     return call;
   }
@@ -192,12 +199,25 @@
 
   /** Asks a question. The handler gets null if no reply arrives within {@code timeout}. */
   public void ask(MeshQuestion.Builder question, Duration timeout, ReplyHandler handler) {
+    ask(question, timeout, new Call(null, handler, false));
+  }
+
+  /**
+   * Asks a question that the peer answers when something happens. The link is tested with pings as
+   * if it were monitored, until the reply arrives.
+   */
+  public void askPatiently(MeshQuestion.Builder question, Duration timeout, ReplyHandler handler) {
+    ask(question, timeout, new Call(null, handler, true));
+  }
+
+  private void ask(MeshQuestion.Builder question, Duration timeout, Call pending) {
     long call = ++nextCall;
-    calls.put(call, new Call(null, handler));
+    calls.put(call, pending);
     scheduler.schedule(
         timeout,
         () -> {
-          if (calls.remove(call) != null) {
+          ReplyHandler handler = pending.replyHandler();
+          if (calls.remove(call) != null && handler != null) {
             handler.onReply(null, false);
           }
         });
@@ -276,10 +296,12 @@
   }
 
   private long pingDelayNanos() {
-    if (!calls.isEmpty()) {
-      return PING_DELAY_NANOS;
+    for (Call call : calls.values()) {
+      if (!call.isPatient()) {
+        return PING_DELAY_NANOS;
+      }
     }
-    return monitored ? IDLE_PING_DELAY_NANOS : Long.MAX_VALUE;
+    return monitored || !calls.isEmpty() ? IDLE_PING_DELAY_NANOS : Long.MAX_VALUE;
   }
 
   private void failCalls(boolean refused, boolean sent) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.chicorylane.internal.platform.KeyValueStore;
@@ -24,6 +25,9 @@
 
   static final String KEY_PREFIX = "lane/instances/";
 
+  /** Field of an entry that tells whether the instance answers {@link PeerQuestion#STORE_WATCH}. */
+  private static final String RELAYS_FIELD = "relaysStore";
+
   /** Delay before a failed registration is sent again. */
   private static final Duration RETRY_DELAY = Duration.ofMillis(300);
 
@@ -31,9 +35,16 @@
   private final Scheduler scheduler;
   private final DecisionLog log;
   private final PeerInstance self;
-  private final TreeMap<String, PeerInstance> peers = new TreeMap<>();
+  private final TreeMap<String, Entry> peers = new TreeMap<>();
   private boolean leaving;
 
+  /**
+   * A registered instance.
+   *
+   * @param relaysStore whether its build can relay the store's changes to other instances
+   */
+  private record Entry(PeerInstance instance, boolean relaysStore) {}
+
   InstanceRegistry(KeyValueStore store, Scheduler scheduler, DecisionLog log, PeerInstance self) {
     this.log = log;
     this.store = store;
@@ -43,8 +54,21 @@
 
   /** Returns the registered instances, with this one unless it is leaving. */
   List<PeerInstance> instances() {
-    List<PeerInstance> all = new ArrayList<>(peers.values());
-    all.removeIf(p -> p.name().equals(self.name()));
+    return list(entry -> true);
+  }
+
+  /** Returns those of {@link #instances()} that can relay the store's changes. */
+  List<PeerInstance> relayingInstances() {
+    return list(Entry::relaysStore);
+  }
+
+  private List<PeerInstance> list(Predicate<Entry> condition) {
+    List<PeerInstance> all = new ArrayList<>();
+    for (Entry entry : peers.values()) {
+      if (!entry.instance().name().equals(self.name()) && condition.test(entry)) {
+        all.add(entry.instance());
+      }
+    }
     if (!leaving) {
       all.add(self);
     }
@@ -88,7 +112,7 @@
       peers.remove(name);
     } else {
       UntrustedJson.read(entry.value(), InstanceRegistry::decode, p -> logUnreadable(entry, p))
-          .ifPresent(p -> peers.put(name, p));
+          .ifPresent(e -> peers.put(name, e));
     }
   }
 
@@ -111,15 +135,18 @@
     o.addProperty("address", p.address());
     o.addProperty("zone", p.zone());
     o.addProperty("weight", p.weight());
+    o.addProperty(RELAYS_FIELD, true);
     return o.toString();
   }
 
-  private static PeerInstance decode(JsonObject o) {
-    return new PeerInstance(
-        o.get("name").getAsString(),
-        o.get("incarnation").getAsString(),
-        o.get("address").getAsString(),
-        o.get("zone").getAsString(),
-        o.get("weight").getAsInt());
+  private static Entry decode(JsonObject o) {
+    PeerInstance instance =
+        new PeerInstance(
+            o.get("name").getAsString(),
+            o.get("incarnation").getAsString(),
+            o.get("address").getAsString(),
+            o.get("zone").getAsString(),
+            o.get("weight").getAsInt());
+    return new Entry(instance, o.has(RELAYS_FIELD) && o.get(RELAYS_FIELD).getAsBoolean());
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -57,7 +58,13 @@
   private final KeyValueStore store;
   private final BooleanSupplier storeUnavailable;
   private final ServerDirectory servers;
+  private final Map<String, PrefixFollower> followers;
 
+  /**
+   * Creates a service.
+   *
+   * @param followers the followers of the store by their prefix, which relay its changes
+   */
   MeshService(
       Scheduler scheduler,
       ServerConnector connector,
@@ -67,8 +74,10 @@
       LatestConfiguration configuration,
       KeyValueStore store,
       BooleanSupplier storeUnavailable,
-      ServerDirectory servers) {
+      ServerDirectory servers,
+      Map<String, PrefixFollower> followers) {
     this.servers = servers;
+    this.followers = followers;
     this.store = store;
     this.storeUnavailable = storeUnavailable;
     this.scheduler = scheduler;
@@ -135,6 +144,11 @@
   private void onQuestion(MeshChannel channel, MeshQuestion question) {
     HomeElection election = elections.apply(question.getGroup());
     Consumer<Boolean> reply = yes -> reply(channel, question, yes, null);
+    if (!PeerQuestion.NUMBERS.contains(question.getKind())) {
+      // A question of a later build; closing the connection would end the statements on it.
+      reply.accept(false);
+      return;
+    }
     switch (PeerQuestion.NUMBERS.constant(question.getKind())) {
       case PROBE_SERVER ->
           probeServer(
@@ -167,11 +181,21 @@
             question,
             MeshReply.newBuilder().setYes(age.isPresent()).setRevision(age.orElse(0)));
       }
+      case STORE_WATCH -> watchStore(channel, question);
       case STOP_HOME -> stopHome(channel, question, election, true);
       default -> stopHome(channel, question, election, false);
     }
   }
 
+  private void watchStore(MeshChannel channel, MeshQuestion question) {
+    PrefixFollower follower = followers.get(question.getArguments(0));
+    if (follower == null) {
+      reply(channel, question, false, null);
+    } else {
+      follower.answer(Long.parseLong(question.getArguments(1)), r -> reply(channel, question, r));
+    }
+  }
+
   private static void stopHome(
       MeshChannel channel, MeshQuestion question, @Nullable HomeElection election, boolean atOnce) {
     PeerClient.StopReply stop =
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -29,7 +29,12 @@
    * Asks for how long a server has been draining at most. The reply has the time in nanoseconds as
    * its revision, and is negative if the peer does not know.
    */
-  DRAIN_AGE;
+  DRAIN_AGE,
+  /**
+   * Asks for the changes under a prefix of the key-value store after a revision, as soon as there
+   * are any. The reply is negative if the peer does not watch the store itself.
+   */
+  STORE_WATCH;
 
   /** The constants' numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -3,16 +3,24 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.chicorylane.internal.mesh.PeerLink;
+import org.chicorylane.internal.mesh.generated.MeshReply;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.ReadResult;
+import org.chicorylane.internal.platform.RestorableStore;
+import org.chicorylane.internal.platform.StoreEra;
 import org.chicorylane.internal.platform.WatchListener;
 import org.chicorylane.internal.runtime.Scheduler;
+import org.chicorylane.internal.topology.PeerInstance;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Follows all keys under a prefix: reads them all, then watches for changes, and reads them all
- * again if the store no longer has the history that the watch needs.
+ * Follows all keys under a prefix: reads them all, then learns of changes, from the store's watch
+ * if this instance is a relay, and else from a relay. Reads them all again if the history that a
+ * watch needs is lost.
  *
  * <p>Confined to the instance's thread.
  */
@@ -35,38 +43,81 @@
 
   private static final Duration MAXIMUM_RETRY_DELAY = Duration.ofSeconds(1);
 
-  private final KeyValueStore store;
+  /** Longer than a relay waits for a change. */
+  private static final Duration RELAY_TIMEOUT = Duration.ofSeconds(12);
+
+  /** Relays asked one after the other; all of the own zone and some of others. */
+  private static final int MAXIMUM_RELAYS_ASKED = 6;
+
+  /** Delay before the relays are asked again after all of them have refused or not answered. */
+  private static final Duration RELAY_RETRY_DELAY = Duration.ofSeconds(1);
+
+  /**
+   * Rounds of asking relays in vain after which this instance watches the store itself. An outage
+   * of the store usually ends within these rounds, and causes no calls of the followers.
+   */
+  private static final int MAXIMUM_ROUNDS = 6;
+
+  /** How long an instance watches the store itself because no relay answered. */
+  private static final Duration OWN_WATCH_DURATION = Duration.ofSeconds(5);
+
+  private final RestorableStore store;
   private final BooleanSupplier storeUnavailable;
   private final String prefix;
   private final Scheduler scheduler;
+  private final WatchRelays relays;
+  private final Function<String, PeerLink> links;
+  private final Duration firstFollowDelay;
   private final Listener listener;
+  private final RelayedPrefix relayed;
   private KeyValueStore.@Nullable Watch watch;
   private boolean reading;
 
   /** Whether the entries have been read at least once. */
   private boolean loaded;
 
+  /** The revision up to which the entries are known. */
+  private long revision;
+
+  /**
+   * Counts the changes of where changes come from; replies of relays to earlier questions lapse.
+   */
+  private int generation;
+
+  /** Time up to which this instance watches the store though it is no relay. */
+  private long ownWatchEndNanos;
+
   /**
    * Creates a follower that is inactive until {@link #start()}.
    *
    * @param storeUnavailable returns whether this instance's last call to the store failed
+   * @param links returns the link to an address
+   * @param firstFollowDelay the time between the first read and the first question for changes
    */
   PrefixFollower(
-      KeyValueStore store,
+      RestorableStore store,
       BooleanSupplier storeUnavailable,
       String prefix,
       Scheduler scheduler,
+      WatchRelays relays,
+      Function<String, PeerLink> links,
+      Duration firstFollowDelay,
       Listener listener) {
     this.store = store;
     this.storeUnavailable = storeUnavailable;
     this.prefix = prefix;
     this.scheduler = scheduler;
+    this.relays = relays;
+    this.links = links;
+    this.firstFollowDelay = firstFollowDelay;
     this.listener = listener;
+    this.relayed = new RelayedPrefix(scheduler);
+    this.ownWatchEndNanos = scheduler.nanoTime();
   }
 
   /**
-   * Reads all entries, with retries until a read succeeds, and watches from that revision. Does
-   * nothing while a read is in progress or a retry is due.
+   * Reads all entries, with retries until a read succeeds, and follows the changes from that
+   * revision. Does nothing while a read is in progress or a retry is due.
    */
   void start() {
     if (!reading) {
@@ -75,23 +126,60 @@
     }
   }
 
+  /** Answers a question of an instance that follows this one. */
+  void answer(long afterRevision, Consumer<MeshReply.Builder> reply) {
+    relayed.ask(afterRevision, reply);
+  }
+
+  /** Adapts to changes of the relays and of the store's availability; called periodically. */
+  void tick() {
+    if (!loaded || reading) {
+      return;
+    }
+    if (storeUnavailable.getAsBoolean()) {
+      relayed.setCurrent(false);
+      if (watch != null) {
+        start();
+      }
+      return;
+    }
+    boolean watchesStore = shouldWatchStore();
+    if (watchesStore != (watch != null)) {
+      follow();
+    }
+    relayed.setCurrent(watchesStore);
+    relayed.tick();
+  }
+
+  private boolean shouldWatchStore() {
+    return relays.isRelay() || scheduler.nanoTime() < ownWatchEndNanos;
+  }
+
   private void read(Duration retryDelay) {
     store
         .range(prefix)
         .thenAccept(
             result -> {
               if (result instanceof ReadResult.Read read) {
-                reading = false;
-                loaded = true;
-                listener.onAll(read.entries());
                 // Lets answers that have already arrived be handled before the watch is requested.
-                scheduler.schedule(Duration.ZERO, () -> watchFrom(read.revision()));
+                scheduler.schedule(loaded ? Duration.ZERO : firstFollowDelay, this::onRead);
+                loaded = true;
+                onAll(read.entries(), read.revision());
               } else {
                 scheduler.schedule(retryDelay, () -> read(nextDelay(retryDelay)));
               }
             });
   }
 
+  private void onRead() {
+    reading = false;
+    if (watch != null && storeUnavailable.getAsBoolean()) {
+      // The read came through another instance; the open watch continues when the store returns.
+      return;
+    }
+    follow();
+  }
+
   private Duration nextDelay(Duration delay) {
     if (!loaded) {
       return RETRY_DELAY;
@@ -100,14 +188,34 @@
     return doubled.compareTo(MAXIMUM_RETRY_DELAY) < 0 ? doubled : MAXIMUM_RETRY_DELAY;
   }
 
-  private void watchFrom(long revision) {
-    if (watch != null && storeUnavailable.getAsBoolean()) {
-      // The read came through another instance; the open watch continues when the store returns.
-      return;
-    }
+  private void onAll(List<KeyValueEntry> entries, long atRevision) {
+    revision = atRevision;
+    relayed.onAll(entries, atRevision);
+    listener.onAll(entries);
+  }
+
+  private void onChanges(List<WatchListener.Change> changes, long toRevision) {
+    revision = Math.max(revision, toRevision);
+    relayed.onChanges(changes, toRevision);
+    changes.forEach(c -> listener.onChange(c.entry(), c.deleted()));
+  }
+
+  /** Follows the changes after {@link #revision}, from the store or from a relay. */
+  private void follow() {
+    generation++;
     if (watch != null) {
       watch.close();
+      watch = null;
+    }
+    if (shouldWatchStore()) {
+      watchStore();
+    } else {
+      askRelay(generation, 0, 0);
     }
+  }
+
+  private void watchStore() {
+    relayed.setCurrent(true);
     watch =
         store.watch(
             prefix,
@@ -115,7 +223,10 @@
             new WatchListener() {
               @Override
               public void onChanges(List<Change> changes, long reached) {
-                changes.forEach(c -> listener.onChange(c.entry(), c.deleted()));
+                PrefixFollower.this.onChanges(changes, reached);
+                if (!shouldWatchStore()) {
+                  follow();
+                }
               }
 
               @Override
@@ -125,4 +236,67 @@
               }
             });
   }
+
+  /**
+   * Asks a relay for the changes after {@link #revision}, and the next one if it has none.
+   *
+   * @param asked the number of relays that were asked in this round
+   * @param rounds the number of rounds in which no relay answered
+   */
+  private void askRelay(int askedGeneration, int asked, int rounds) {
+    if (askedGeneration != generation) {
+      return;
+    }
+    List<PeerInstance> order = relays.inOrder();
+    if (asked >= Math.min(order.size(), MAXIMUM_RELAYS_ASKED)) {
+      scheduler.schedule(RELAY_RETRY_DELAY, () -> startRound(askedGeneration, rounds + 1));
+      return;
+    }
+    links
+        .apply(order.get(asked).address())
+        .askPatiently(
+            StoreMessages.encodeWatch(prefix, revision),
+            RELAY_TIMEOUT,
+            (reply, refused) -> {
+              if (askedGeneration != generation) {
+                return;
+              }
+              if (reply != null && reply.getYes() && applyReply(reply)) {
+                boolean isQuiet = reply.getResultsCount() == 0;
+                askRelay(askedGeneration, isQuiet ? 0 : asked, 0);
+              } else {
+                askRelay(askedGeneration, asked + 1, rounds);
+              }
+            });
+  }
+
+  private void startRound(int askedGeneration, int rounds) {
+    if (askedGeneration != generation) {
+      return;
+    }
+    if (rounds >= MAXIMUM_ROUNDS) {
+      ownWatchEndNanos = scheduler.nanoTime() + OWN_WATCH_DURATION.toNanos();
+      follow();
+    } else {
+      askRelay(askedGeneration, 0, rounds);
+    }
+  }
+
+  /**
+   * Applies a relay's reply; returns false if it does not continue what is known, such as one from
+   * before the store was restored, or of an instance that does not know the question.
+   */
+  private boolean applyReply(MeshReply reply) {
+    long reached = reply.getRevision();
+    store.onEra(StoreEra.of(reached));
+    if (StoreEra.of(reached) < store.era() || reached < revision) {
+      return false;
+    }
+    if (StoreMessages.hasAll(reply)) {
+      onAll(StoreMessages.decodeAll(reply), reply.getRevision());
+    } else {
+      onChanges(StoreMessages.decodeChanges(reply), reply.getRevision());
+    }
+    return true;
+  }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -77,8 +77,14 @@
   /** Interval at which each group's election checks for due work. */
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
-  /** Interval of reads through other instances while the store is unavailable. */
-  private static final Duration PEER_READ_INTERVAL = Duration.ofSeconds(1);
+  /** Interval at which followers adapt to the relays and to the store's availability. */
+  private static final Duration FOLLOWER_INTERVAL = Duration.ofSeconds(1);
+
+  /**
+   * Delay after the start before changes of the configuration and the servers are followed. By then
+   * the instances are known among which the relays are chosen.
+   */
+  private static final Duration FIRST_FOLLOW_DELAY = Duration.ofMillis(500);
 
   /** Rounds per confirmation by an instance that is a successor but the home of no group. */
   private static final int SUCCESSOR_CONFIRM_ROUNDS = 2;
@@ -97,6 +103,8 @@
   private final InstanceRegistry registry;
   private final PeerLinks links;
   private final Map<String, HomeElection> elections = new HashMap<>();
+  private final Map<String, PrefixFollower> followers = new HashMap<>();
+  private final WatchRelays relays;
   private final Map<String, KeyValueEntry> records = new HashMap<>();
   private final HomeRouter router;
   private final SessionRegistry sessions;
@@ -124,6 +132,7 @@
         new LatestConfiguration(ports.decoder(), ports.log(), this::updateElections);
     this.links = new PeerLinks(ports.mesh(), scheduler, configuration::version, new LinkObserver());
     this.registry = new InstanceRegistry(ports.store(), scheduler, ports.log(), self);
+    this.relays = new WatchRelays(self, registry::relayingInstances);
     this.store =
         new RestorableStore(
             new PeerFallbackStore(
@@ -151,7 +160,8 @@
             configuration,
             ports.store(),
             ports.storeUnavailable(),
-            servers);
+            servers,
+            followers);
     ConditionalWriter swaps =
         new ConditionalWriter(
             store,
@@ -217,11 +227,15 @@
 
   /** Starts to follow the store, registers the instance and starts its periodic tasks. */
   public void start() {
-    followPrefix(ports.decoder().configurationKey(), new ConfigurationListener());
-    followPrefix(ports.decoder().serverPrefix(), new ServerListener());
-    followPrefix("lane/", new CoordinationListener());
+    followPrefix(
+        ports.decoder().configurationKey(), FIRST_FOLLOW_DELAY, new ConfigurationListener());
+    followPrefix(ports.decoder().serverPrefix(), FIRST_FOLLOW_DELAY, new ServerListener());
+    followPrefix("lane/", Duration.ZERO, new CoordinationListener());
     registry.register();
     ports.scheduler().repeat(TICK_INTERVAL, this::tick);
+    ports
+        .scheduler()
+        .repeat(FOLLOWER_INTERVAL, () -> followers.values().forEach(PrefixFollower::tick));
     ports.scheduler().repeat(timings.confirmInterval(), this::confirmRecords);
   }
 
@@ -256,6 +270,11 @@
     return !draining && configuration.current() != null && coordinationLoaded && serversLoaded;
   }
 
+  /** Returns the version of the configuration in force, 0 before the first one. */
+  public long configurationVersion() {
+    return configuration.version();
+  }
+
   /** Returns whether this instance is the home of a group. */
   public boolean isHomeOf(String group) {
     HomeElection election = elections.get(group);
@@ -330,19 +349,19 @@
     ports.scheduler().schedule(TICK_INTERVAL, () -> continueDrain(startedNanos, limit, onDone));
   }
 
-  private void followPrefix(String prefix, PrefixFollower.Listener listener) {
+  private void followPrefix(String prefix, Duration delay, PrefixFollower.Listener listener) {
     PrefixFollower follower =
-        new PrefixFollower(store, ports.storeUnavailable(), prefix, ports.scheduler(), listener);
+        new PrefixFollower(
+            store,
+            ports.storeUnavailable(),
+            prefix,
+            ports.scheduler(),
+            relays,
+            links::to,
+            delay,
+            listener);
+    followers.put(prefix, follower);
     follower.start();
-    ports
-        .scheduler()
-        .repeat(
-            PEER_READ_INTERVAL,
-            () -> {
-              if (ports.storeUnavailable().getAsBoolean()) {
-                follower.start();
-              }
-            });
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/StoreMessages.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/StoreMessages.java
@@ -1,12 +1,14 @@
 package org.chicorylane.internal.proxy;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
 import org.chicorylane.internal.mesh.generated.MeshReply;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.chicorylane.internal.platform.ReadResult;
 import org.chicorylane.internal.platform.StoreTransaction;
+import org.chicorylane.internal.platform.WatchListener;
 import org.chicorylane.internal.platform.WriteResult;
 
 /**
@@ -20,6 +22,7 @@
   private static final String CONDITION = "condition";
   private static final String PUT = "put";
   private static final String DELETE = "delete";
+  private static final String ALL = "all";
   private static final String APPLIED = "applied";
   private static final String CONFLICT = "conflict";
   private static final String REFUSED = "refused";
@@ -35,6 +38,50 @@
     return question(PeerQuestion.STORE_RANGE).addArguments(prefix);
   }
 
+  /** Returns the question for the changes under {@code prefix} after {@code revision}. */
+  static MeshQuestion.Builder encodeWatch(String prefix, long revision) {
+    return question(PeerQuestion.STORE_WATCH)
+        .addArguments(prefix)
+        .addArguments(Long.toString(revision));
+  }
+
+  /** Returns the reply with all entries under a prefix, as of {@code revision}. */
+  static MeshReply.Builder encodeAll(Collection<KeyValueEntry> entries, long revision) {
+    MeshReply.Builder reply = MeshReply.newBuilder().setYes(true).setRevision(revision);
+    addEntries(reply.addResults(ALL), entries);
+    return reply;
+  }
+
+  /** Returns the reply with the changes up to {@code revision}. */
+  static MeshReply.Builder encodeChanges(List<WatchListener.Change> changes, long revision) {
+    MeshReply.Builder reply = MeshReply.newBuilder().setYes(true).setRevision(revision);
+    for (WatchListener.Change change : changes) {
+      reply.addResults(change.deleted() ? DELETE : PUT);
+      addEntries(reply, List.of(change.entry()));
+    }
+    return reply;
+  }
+
+  /** Returns whether a reply to {@link #encodeWatch} has all entries instead of changes. */
+  static boolean hasAll(MeshReply reply) {
+    return reply.getResultsCount() > 0 && reply.getResults(0).equals(ALL);
+  }
+
+  /** Returns all entries in a reply to {@link #encodeWatch}. */
+  static List<KeyValueEntry> decodeAll(MeshReply reply) {
+    return decodeEntries(reply, 1);
+  }
+
+  /** Returns the changes in a reply to {@link #encodeWatch}. */
+  static List<WatchListener.Change> decodeChanges(MeshReply reply) {
+    List<WatchListener.Change> changes = new ArrayList<>();
+    for (int i = 0; i + TEXTS_PER_ITEM < reply.getResultsCount(); i += 1 + TEXTS_PER_ITEM) {
+      boolean deleted = reply.getResults(i).equals(DELETE);
+      changes.add(new WatchListener.Change(decodeEntry(reply, i + 1), deleted));
+    }
+    return changes;
+  }
+
   /** Returns the question that asks a peer to run {@code transaction}. */
   static MeshQuestion.Builder encodeTransaction(StoreTransaction transaction) {
     MeshQuestion.Builder question = question(PeerQuestion.STORE_TRANSACT);
@@ -101,7 +148,7 @@
     return mayHaveApplied ? reply : reply.addResults(NOT_APPLIED);
   }
 
-  private static void addEntries(MeshReply.Builder reply, List<KeyValueEntry> entries) {
+  private static void addEntries(MeshReply.Builder reply, Collection<KeyValueEntry> entries) {
     for (KeyValueEntry e : entries) {
       reply.addResults(e.key()).addResults(e.value()).addResults(Long.toString(e.modRevision()));
     }
@@ -133,12 +180,15 @@
   private static List<KeyValueEntry> decodeEntries(MeshReply reply, int from) {
     List<KeyValueEntry> entries = new ArrayList<>();
     for (int i = from; i + TEXTS_PER_ITEM <= reply.getResultsCount(); i += TEXTS_PER_ITEM) {
-      entries.add(
-          new KeyValueEntry(
-              reply.getResults(i),
-              reply.getResults(i + 1),
-              Long.parseLong(reply.getResults(i + 2))));
+      entries.add(decodeEntry(reply, i));
     }
     return entries;
   }
+
+  private static KeyValueEntry decodeEntry(MeshReply reply, int from) {
+    return new KeyValueEntry(
+        reply.getResults(from),
+        reply.getResults(from + 1),
+        Long.parseLong(reply.getResults(from + 2)));
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -70,6 +70,10 @@
   boolean storeRefuses;
 
   boolean logging;
+
+  /** Number of instances in each availability zone. */
+  int zoneSize = 1;
+
   private final Map<String, ModelGroup> groupsWithoutClients = new LinkedHashMap<>();
   private final Map<String, ModelHost> hosts = new LinkedHashMap<>();
   private final Map<String, Boolean> draining = new LinkedHashMap<>();
@@ -121,6 +125,11 @@
     return name.equals(GROUP) ? group : groupsWithoutClients.get(name);
   }
 
+  /** Returns the availability zone of an instance. */
+  String zoneOf(String instance) {
+    return "zone-" + Integer.parseInt(instance.substring(1)) / zoneSize;
+  }
+
   /** Returns of how many groups the instance is the home. */
   long homesAt(ModelHost host) {
     return groupsWithoutClients.keySet().stream().filter(host.instance::isHomeOf).count()
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -66,6 +66,9 @@
 
   int storeCalls;
 
+  /** Watches of the store that this instance has open. */
+  int openWatches;
+
   /** Time at which this instance was last seen cut off from the store. */
   private long lastOutOfTouchMillis = Long.MIN_VALUE / 2;
 
@@ -94,9 +97,10 @@
     running = true;
     frozen = false;
     incarnation++;
+    openWatches = 0;
     lastCallFailed = false;
     PeerInstance self =
-        new PeerInstance(name, name + "-" + incarnation, address(), "zone-" + name, 100);
+        new PeerInstance(name, name + "-" + incarnation, address(), fleet.zoneOf(name), 100);
     instance =
         new ProxyInstance(
             self,
@@ -481,6 +485,7 @@
   @Override
   public Watch watch(String prefix, long fromRevision, WatchListener listener) {
     boolean[] closed = new boolean[1];
+    openWatches++;
     int ownIncarnation = incarnation;
     Watch[] inner = new Watch[1];
     inner[0] =
@@ -520,6 +525,9 @@
                   }
                 });
     return () -> {
+      if (!closed[0]) {
+        openWatches--;
+      }
       closed[0] = true;
       inner[0].close();
     };
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Function;
 import java.util.stream.LongStream;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.standin.platform.KeyValueEngine;
@@ -129,6 +130,30 @@
     scenario.finish();
   }
 
+  // Guards against a follower that a relay leaves behind, in a zone where two of many instances
+  // watch the store.
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void testGuaranteesHoldWhereInstancesFollowRelays(long seed) {
+    Scenario scenario = new Scenario(seed, random -> largeZone(6 + random.nextInt(4)));
+    for (int i = 0; i < ROUNDS; i++) {
+      scenario.upgradeServerAtTimes("server-" + i);
+      scenario.drainAtTimes();
+      if (scenario.random.nextInt(4) == 0) {
+        restoreStore(scenario.fleet, scenario.random);
+      }
+      inject(scenario.fleet, scenario.random);
+      scenario.advanceRound();
+    }
+    scenario.finish();
+  }
+
+  private static ModelFleet largeZone(int instances) {
+    ModelFleet fleet = new ModelFleet(instances);
+    fleet.zoneSize = instances;
+    return fleet;
+  }
+
   /** A fleet with clients under faults; created after the fleet has settled. */
   private static final class Scenario {
     private final long seed;
@@ -137,9 +162,13 @@
     private final ModelClients clients;
 
     Scenario(long seed) {
+      this(seed, random -> new ModelFleet(3 + random.nextInt(3)));
+    }
+
+    Scenario(long seed, Function<Random, ModelFleet> fleets) {
       this.seed = seed;
       random = new Random(seed);
-      fleet = new ModelFleet(3 + random.nextInt(3));
+      fleet = fleets.apply(random);
       fleet.logging = Boolean.getBoolean("fleet.log");
       clients = new ModelClients(fleet, random);
       fleet.start();
