Repeat periodic checks after one that failed, and log errors of tasks and connections

Cause: RepeatingTimer scheduled its next run only after a run that returned, and Netty keeps the error of a scheduled task in a future that nobody reads. Since the checks share one timer, one group's error reached all. A connection between instances that ends because of an error on it, such as an unreadable frame, is logged as instance-connection-failed; it was closed silently.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/NettyMeshTransport.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/NettyMeshTransport.java
@@ -18,6 +18,7 @@
 import java.net.ConnectException;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
 import org.chicorylane.internal.runtime.Addresses;
+import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.KeepAlive;
 import org.jspecify.annotations.Nullable;
 
@@ -28,10 +29,17 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 400;
 
   private final EventLoopGroup group;
+  private final DecisionLog log;
 
-  /** Creates a transport on {@code group}, which must have exactly one thread. */
-  public NettyMeshTransport(EventLoopGroup group) {
+  /**
+   * Creates a transport.
+   *
+   * @param group runs all connections; must have exactly one thread
+   * @param log receives a line for each connection that is closed because of an error on it
+   */
+  public NettyMeshTransport(EventLoopGroup group, DecisionLog log) {
     this.group = group;
+    this.log = log;
   }
 
   @Override
@@ -46,7 +54,7 @@
               @Override
               protected void initChannel(SocketChannel channel) {
                 addCodec(channel);
-                channel.pipeline().addLast(new OpenedHandler(listener));
+                channel.pipeline().addLast(new OpenedHandler(listener, log));
               }
             })
         .connect(Addresses.parse(address))
@@ -78,7 +86,7 @@
               @Override
               protected void initChannel(SocketChannel channel) {
                 addCodec(channel);
-                channel.pipeline().addLast(new AcceptedHandler(acceptor));
+                channel.pipeline().addLast(new AcceptedHandler(acceptor, log));
               }
             })
         .bind(Addresses.parse(address))
@@ -117,11 +125,23 @@
     }
   }
 
+  /** Logs an error on a connection, such as an unreadable frame, and closes the connection. */
+  private static void closeAfterError(
+      ChannelHandlerContext context, DecisionLog log, Throwable cause) {
+    log.event(DecisionLog.Priority.BELIEF, "instance-connection-failed")
+        .with("peer", context.channel().remoteAddress())
+        .with("error", cause)
+        .write();
+    context.close();
+  }
+
   /** Handles a connection on the side that opened it. */
   private static final class OpenedHandler extends SimpleChannelInboundHandler<MeshFrame> {
+    private final DecisionLog log;
     private final Listener listener;
 
-    OpenedHandler(Listener listener) {
+    OpenedHandler(Listener listener, DecisionLog log) {
+      this.log = log;
       this.listener = listener;
     }
 
@@ -142,16 +162,18 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      context.close();
+      closeAfterError(context, log, cause);
     }
   }
 
   /** Handles a connection on the side that accepted it. */
   private static final class AcceptedHandler extends SimpleChannelInboundHandler<MeshFrame> {
+    private final DecisionLog log;
     private final MeshAcceptor acceptor;
     private @Nullable MeshChannel channel;
 
-    AcceptedHandler(MeshAcceptor acceptor) {
+    AcceptedHandler(MeshAcceptor acceptor, DecisionLog log) {
+      this.log = log;
       this.acceptor = acceptor;
     }
 
@@ -171,7 +193,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      context.close();
+      closeAfterError(context, log, cause);
     }
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -241,8 +241,8 @@
 
   /** Runs the periodic checks of all parts, on one timer. */
   private void tick() {
-    new ArrayList<>(elections.values()).forEach(HomeElection::tick);
     router.tick();
+    new ArrayList<>(elections.values()).forEach(HomeElection::tick);
     if (servers.isAnyDraining()) {
       drainInquiry.ask(
           elections.values().stream()
--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/EventLoopScheduler.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/EventLoopScheduler.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -15,13 +16,17 @@
 
   private final EventLoop loop;
   private final LongSupplier clock;
+  private final Consumer<RuntimeException> onFailure;
 
   /**
    * Creates a scheduler.
    *
    * @param clock returns monotonic nanoseconds
+   * @param onFailure called with the error of a task that failed; the event loop keeps it to itself
    */
-  public EventLoopScheduler(EventLoop loop, LongSupplier clock) {
+  public EventLoopScheduler(
+      EventLoop loop, LongSupplier clock, Consumer<RuntimeException> onFailure) {
+    this.onFailure = onFailure;
     this.loop = loop;
     this.clock = clock;
   }
@@ -33,7 +38,16 @@
 
   @Override
   public Timer schedule(Duration delay, Runnable task) {
-    Future<?> future = loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    Future<?> future =
+        loop.schedule(() -> runAndReport(task), delay.toNanos(), TimeUnit.NANOSECONDS);
     return () -> future.cancel(false);
   }
+
+  private void runAndReport(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      onFailure.accept(e);
+    }
+  }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/RepeatingTimer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/RepeatingTimer.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 
-/** A timer that runs a task periodically, by scheduling it again after each run. */
+/**
+ * A timer that runs a task periodically, by scheduling it again after each run, also after one that
+ * failed.
+ */
 final class RepeatingTimer implements Scheduler.Timer {
 
   private final Scheduler scheduler;
@@ -22,9 +25,12 @@
     if (cancelled) {
       return;
     }
-    task.run();
-    if (!cancelled) {
-      next = scheduler.schedule(period, this::run);
+    try {
+      task.run();
+    } finally {
+      if (!cancelled) {
+        next = scheduler.schedule(period, this::run);
+      }
     }
   }
 
