--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -208,6 +208,7 @@
         "homes", () -> () -> elections.values().stream().filter(HomeElection::isHome).count());
     metrics.gauge("configuration.version", () -> configuration::version);
     metrics.gauge("store.away", () -> () -> ports.storeUnavailable().getAsBoolean() ? 1 : 0);
+    metrics.gauge("store.relay", () -> () -> relays.isRelay() ? 1 : 0);
     metrics.gauge("statements.queued", () -> this::countQueued);
   }
 
