--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
@@ -0,0 +1,54 @@
+package org.chicorylane.internal.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.chicorylane.internal.mesh.MeshChannel;
+import org.chicorylane.internal.mesh.generated.MeshFrame;
+import org.chicorylane.internal.mesh.generated.MeshQuestion;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests questions between instances of different builds. Guards against a question of a later build
+ * that ends the connection, and with it the statements on it.
+ */
+final class MeshServiceTest {
+
+  /** A connection that keeps the frames sent over it. */
+  private static final class RecordingChannel implements MeshChannel {
+    final List<MeshFrame> sent = new ArrayList<>();
+
+    @Override
+    public void send(MeshFrame frame) {
+      sent.add(frame);
+    }
+
+    @Override
+    public void close() {}
+  }
+
+  private final ModelFleet fleet = new ModelFleet(2);
+  private final RecordingChannel channel = new RecordingChannel();
+
+  private MeshFrame answerTo(MeshQuestion.Builder question) {
+    fleet.start();
+    MeshFrame frame = MeshFrame.newBuilder().setQuestion(question.setCall(3)).build();
+    fleet.host("i0").instance.meshAcceptor().onFrame(channel, frame);
+    return channel.sent.get(0);
+  }
+
+  @Test
+  void testQuestionOfUnknownKindIsAnsweredNegatively() {
+    MeshFrame answer = answerTo(MeshQuestion.newBuilder().setKind(99).setGroup("plans"));
+    assertThat(answer.getReply().getCall()).isEqualTo(3);
+    assertThat(answer.getReply().getYes()).isFalse();
+  }
+
+  @Test
+  void testQuestionForChangesUnderUnknownPrefixIsAnsweredNegatively() {
+    MeshFrame answer = answerTo(StoreMessages.encodeWatch("unknown/", 5));
+    assertThat(answer.getReply().getCall()).isEqualTo(3);
+    assertThat(answer.getReply().getYes()).isFalse();
+  }
+}
