Keep what a newer read has told when an older watch goes on after it

Seen by reading the change as a newcomer: while the store is away from an instance it reads through another one, and its own watch then reports changes from before that read. A relay put these over the newer entries, and gave them to followers with the revision of the read; the later changes were then not sent to them. Change: a relay skips changes up to the revision that it knows. Evidence: RelayedPrefixTest#testChangeFromBeforeTheReadDoesNotReplaceItsEntry, which failed before the change.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/RelayedPrefix.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/RelayedPrefix.java
@@ -69,9 +69,13 @@
     answerAll(this::answerOrWait);
   }
 
-  /** Applies changes, up to {@code toRevision}. */
-  void onChanges(List<WatchListener.Change> applied, long toRevision) {
-    for (WatchListener.Change change : applied) {
+  /** Applies the changes that are not known yet, up to {@code toRevision}. */
+  void onChanges(List<WatchListener.Change> reported, long toRevision) {
+    for (WatchListener.Change change : reported) {
+      if (change.entry().modRevision() <= revision) {
+        // The last read came through another instance and was newer than this watch.
+        continue;
+      }
       changes.addLast(change);
       if (change.deleted()) {
         entries.remove(change.entry().key());
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/RelayedPrefixTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/RelayedPrefixTest.java
@@ -99,4 +99,17 @@
     ask(10);
     assertThat(replies.get(1).getYes()).isFalse();
   }
+
+  // Guards against a follower that keeps an old entry: a read through another instance may be newer
+  // than the watch that goes on after it.
+  @Test
+  void testChangeFromBeforeTheReadDoesNotReplaceItsEntry() {
+    load();
+    KeyValueEntry newer = new KeyValueEntry("a", "newer", 20);
+    prefix.onAll(List.of(newer), 25);
+    prefix.onChanges(List.of(change("a", 12, false), change("b", 13, false)), 13);
+    ask(9);
+    assertThat(StoreMessages.decodeAll(replies.get(0))).containsExactly(newer);
+    assertThat(replies.get(0).getRevision()).isEqualTo(25);
+  }
 }
