--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -32,7 +32,10 @@
   /** Time without a frame after which a link with pending calls sends a ping. */
   private static final long PING_DELAY_NANOS = Duration.ofMillis(250).toNanos();
 
-  /** Time without a frame after which a monitored link without pending calls sends a ping. */
+  /**
+   * Time without a frame after which a link sends a ping that is monitored, or has only patient
+   * calls pending.
+   */
   private static final long IDLE_PING_DELAY_NANOS = Duration.ofSeconds(2).toNanos();
 
   /** Time within which the peer must answer a ping. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -74,7 +74,9 @@
       Scheduler scheduler,
       DecisionLog log) {}
 
-  /** Interval at which each group's election checks for due work. */
+  /**
+   * Interval at which the router, the elections and the inquiry about drains check for due work.
+   */
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
   /** Interval at which followers adapt to the relays and to the store's availability. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/RelayedPrefix.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/RelayedPrefix.java
@@ -26,11 +26,6 @@
   /** How long a question waits for a change. */
   private static final Duration MAXIMUM_WAIT = Duration.ofSeconds(10);
 
-  /** The reply of an instance that does not watch the store, or whose watch is interrupted. */
-  private static MeshReply.Builder refusal() {
-    return MeshReply.newBuilder().setYes(false);
-  }
-
   /** A question that waits for a change after {@code revision}. */
   private record Question(long revision, long askedNanos, Consumer<MeshReply.Builder> reply) {}
 
@@ -125,6 +120,11 @@
     }
   }
 
+  /** Returns the reply of an instance that does not watch the store, or whose watch has failed. */
+  private static MeshReply.Builder refusal() {
+    return MeshReply.newBuilder().setYes(false);
+  }
+
   private void answerAll(Consumer<Question> answer) {
     List<Question> questions = waiting;
     waiting = new ArrayList<>();
