Let relays notice that the store has fallen silent, and end a watch whose history is lost

Cause, by reading: a relay that makes no other calls learns only from its watch, after up to 11.5 s, that the store does not answer it, and holds its followers' questions until then. And a watch that loses its history while it is being opened was kept as if it were open. Change: a relay with followers calls the store once a second, and refuses their questions when that fails or while it reads everything again; whether a watch reports is kept apart from the watch.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -69,6 +69,10 @@
   private final Listener listener;
   private final RelayedPrefix relayed;
   private KeyValueStore.@Nullable Watch watch;
+
+  /** Whether {@link #watch} reports changes; it does not after its history was lost. */
+  private boolean watching;
+
   private boolean reading;
 
   /** Whether the entries have been read at least once. */
@@ -120,6 +124,7 @@
   void start() {
     if (!reading) {
       reading = true;
+      relayed.setCurrent(false);
       read();
     }
   }
@@ -129,6 +134,11 @@
     relayed.ask(afterRevision, reply);
   }
 
+  /** Returns whether other instances wait for changes from this one. */
+  boolean isFollowed() {
+    return relayed.isAsked();
+  }
+
   /** Adapts to changes of the relays and of the store's availability; called periodically. */
   void tick() {
     if (!loaded || reading) {
@@ -136,13 +146,13 @@
     }
     if (storeUnavailable.getAsBoolean()) {
       relayed.setCurrent(false);
-      if (watch != null) {
+      if (watching) {
         start();
       }
       return;
     }
     boolean watchesStore = shouldWatchStore();
-    if (watchesStore != (watch != null)) {
+    if (watchesStore != watching) {
       follow();
     }
     relayed.setCurrent(watchesStore);
@@ -171,7 +181,7 @@
 
   private void onRead() {
     reading = false;
-    if (watch != null && storeUnavailable.getAsBoolean()) {
+    if (watching && storeUnavailable.getAsBoolean()) {
       // The read came through another instance; the open watch continues when the store returns.
       return;
     }
@@ -196,6 +206,7 @@
     if (watch != null) {
       watch.close();
       watch = null;
+      watching = false;
     }
     if (shouldWatchStore()) {
       watchStore();
@@ -206,6 +217,7 @@
 
   private void watchStore() {
     relayed.setCurrent(true);
+    watching = true;
     watch =
         store.watch(
             prefix,
@@ -221,7 +233,7 @@
 
               @Override
               public void onHistoryLost() {
-                watch = null;
+                watching = false;
                 start();
               }
             });
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -236,12 +236,31 @@
     followPrefix("lane/", Duration.ZERO, new CoordinationListener());
     registry.register();
     ports.scheduler().repeat(TICK_INTERVAL, this::tick);
-    ports
-        .scheduler()
-        .repeat(FOLLOWER_INTERVAL, () -> followers.values().forEach(PrefixFollower::tick));
+    ports.scheduler().repeat(FOLLOWER_INTERVAL, this::tickFollowers);
     ports.scheduler().repeat(timings.confirmInterval(), this::confirmRecords);
   }
 
+  /**
+   * Adapts the followers. Calls the store if other instances depend on its watch here, as a watch
+   * does not tell for seconds that the store has fallen silent.
+   */
+  private void tickFollowers() {
+    followers.values().forEach(PrefixFollower::tick);
+    if (ports.storeUnavailable().getAsBoolean()
+        || followers.values().stream().noneMatch(PrefixFollower::isFollowed)) {
+      return;
+    }
+    ports
+        .store()
+        .get(ports.decoder().configurationKey())
+        .thenAccept(
+            result -> {
+              if (result instanceof ReadResult.Unavailable) {
+                followers.values().forEach(PrefixFollower::tick);
+              }
+            });
+  }
+
   /** Runs the periodic checks of all parts, on one timer. */
   private void tick() {
     router.tick();
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/RelayedPrefix.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/RelayedPrefix.java
@@ -54,6 +54,11 @@
     }
   }
 
+  /** Returns whether questions wait for a change. */
+  boolean isAsked() {
+    return !waiting.isEmpty();
+  }
+
   /** Replaces all entries after a complete read. */
   void onAll(List<KeyValueEntry> read, long atRevision) {
     entries.clear();
