Let homes watch the store themselves

Cause, by reading: a home that follows a relay learns late, or for seconds not at all, that a server drains, such as when it is cut off from the other instances but not from the store. Its own contact with the store is what counts for the rule. Change: an instance that is the home of a group watches the store, as all did before relays.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -19,8 +19,8 @@
 
 /**
  * Follows all keys under a prefix: reads them all, then learns of changes, from the store's watch
- * if this instance is a relay, and else from a relay. Reads them all again if the history that a
- * watch needs is lost.
+ * if this instance is a relay or a home, and else from a relay. Reads them all again if the history
+ * that a watch needs is lost.
  *
  * <p>Confined to the instance's thread.
  */
@@ -64,6 +64,7 @@
   private final String prefix;
   private final Scheduler scheduler;
   private final WatchRelays relays;
+  private final BooleanSupplier isHome;
   private final Function<String, PeerLink> links;
   private final Duration firstFollowDelay;
   private final Listener listener;
@@ -93,6 +94,8 @@
    * Creates a follower that is inactive until {@link #start()}.
    *
    * @param storeUnavailable returns whether this instance's last call to the store failed
+   * @param isHome returns whether this instance is the home of a group, and so depends on what a
+   *     relay may learn late, such as that a server drains
    * @param links returns the link to an address
    * @param firstFollowDelay the time between the first read and the first question for changes
    */
@@ -102,6 +105,7 @@
       String prefix,
       Scheduler scheduler,
       WatchRelays relays,
+      BooleanSupplier isHome,
       Function<String, PeerLink> links,
       Duration firstFollowDelay,
       Listener listener) {
@@ -110,6 +114,7 @@
     this.prefix = prefix;
     this.scheduler = scheduler;
     this.relays = relays;
+    this.isHome = isHome;
     this.links = links;
     this.firstFollowDelay = firstFollowDelay;
     this.listener = listener;
@@ -160,7 +165,7 @@
   }
 
   private boolean shouldWatchStore() {
-    return relays.isRelay() || scheduler.nanoTime() < ownWatchEndNanos;
+    return relays.isRelay() || isHome.getAsBoolean() || scheduler.nanoTime() < ownWatchEndNanos;
   }
 
   private void read() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -379,6 +379,7 @@
             prefix,
             ports.scheduler(),
             relays,
+            () -> elections.values().stream().anyMatch(HomeElection::isHome),
             links::to,
             delay,
             listener);
