Names and order that the linter asks for

Change: the private overload of ask is named sendQuestion, the lost calls are listed next to their use (still before the response checks end, so that a call made by one of those is kept), and one test name lost its double capital. Evidence: mvn verify without tests passes.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -202,7 +202,7 @@
 
   /** Asks a question. The handler gets null if no reply arrives within {@code timeout}. */
   public void ask(MeshQuestion.Builder question, Duration timeout, ReplyHandler handler) {
-    ask(question, timeout, new Call(null, handler, false));
+    sendQuestion(question, timeout, new Call(null, handler, false));
   }
 
   /**
@@ -210,10 +210,10 @@
    * if it were monitored, until the reply arrives.
    */
   public void askPatiently(MeshQuestion.Builder question, Duration timeout, ReplyHandler handler) {
-    ask(question, timeout, new Call(null, handler, true));
+    sendQuestion(question, timeout, new Call(null, handler, true));
   }
 
-  private void ask(MeshQuestion.Builder question, Duration timeout, Call pending) {
+  private void sendQuestion(MeshQuestion.Builder question, Duration timeout, Call pending) {
     long call = ++nextCall;
     calls.put(call, pending);
     scheduler.schedule(
@@ -310,9 +310,9 @@
   private void failCalls(boolean refused, boolean sent) {
     channel = null;
     pingSentNanos = 0;
+    unsent.clear();
     List<Call> lost = new ArrayList<>(calls.values());
     calls.clear();
-    unsent.clear();
     finishResponseChecks(false);
     for (Call call : lost) {
       if (call.workHandler() != null) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/WatchRelaysTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/WatchRelaysTest.java
@@ -61,7 +61,7 @@
   }
 
   @Test
-  void testLossOfARelayChangesOnlyItsZone() {
+  void testLossOfOneRelayChangesOnlyItsZone() {
     List<PeerInstance> fleet = fleet(5, 19);
     List<PeerInstance> before = relaysAmong(fleet);
     List<PeerInstance> rest = new ArrayList<>(fleet);
