Let a leaving home wait for the answer to its promotion call

Cause: a home that shuts down handed its groups over at once, and its process ended, while its call was on its way. Change: a leaving home sends no further promotion call, and hands the group over (and ends) once its call has been answered, or 3 s after it was sent. The handing over moved from HomeElection into HomeHandover. Cost: a group whose primary is being replaced over a broken path at the moment of a planned stop waits up to 3 s more.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -87,9 +87,6 @@
   /** How long open transactions may continue at an instance that is no longer the home. */
   private static final Duration RETIREMENT_TIMEOUT = Duration.ofSeconds(3);
 
-  /** Minimum time as the home before the group is handed over to balance the load. */
-  private static final Duration MIN_HOME_DURATION = Duration.ofSeconds(4);
-
   /** Delay before the next attempt to replace a lost home. */
   private static final Duration REPLACE_RETRY_DELAY = Duration.ofMillis(300);
 
@@ -100,6 +97,7 @@
   private final String group;
   private final Context context;
   private final Runnable onHomeChanged;
+  private final HomeHandover handover;
   private @Nullable HomeRecord record;
   private long revision;
 
@@ -138,9 +136,6 @@
   /** Time at which the group was first seen without a record; 0 before that. */
   private long noHomeSinceNanos;
 
-  private long lastHandOverNanos;
-  private long homeSinceNanos;
-
   /** This instance does not stand in under a record up to this revision. */
   private long barredUpToRevision = -1;
 
@@ -154,6 +149,7 @@
     this.context = context;
     this.onHomeChanged = onHomeChanged;
     this.eraWaitStartNanos = context.store().eraSeenNanos();
+    this.handover = new HomeHandover(this, context);
   }
 
   /** Returns the last record that was read or written, null if there is none yet. */
@@ -201,9 +197,9 @@
     pools().forEach(p -> p.abandonAll(owner));
   }
 
-  /** Returns whether no client work is running here. */
+  /** Returns whether no client work is running here, and no promotion call waits for its answer. */
   public boolean isIdle() {
-    return pools().stream().allMatch(GroupPool::isIdle);
+    return !isPromotionUnanswered() && pools().stream().allMatch(GroupPool::isIdle);
   }
 
   private List<GroupPool> pools() {
@@ -506,11 +502,12 @@
     if (isStandingIn()) {
       retirePool("this instance leaves");
     }
-    if (!isHome()) {
-      return;
-    }
-    List<PeerInstance> candidates = candidates(context.self().name());
-    handOver(candidates, 0);
+    handover.leave();
+  }
+
+  /** Returns whether this instance is shutting down. */
+  boolean isLeaving() {
+    return leaving;
   }
 
   /** Runs the periodic checks; called at short intervals. */
@@ -539,65 +536,12 @@
     if (currentSupervisor != null) {
       currentSupervisor.tick();
     }
-    if (supervisor != null && now() - confirmedNanos > context.timings().validity().toNanos() / 2) {
-      handOverUnconfirmed();
-    } else {
-      rebalance();
-    }
-  }
-
-  /** Hands the group to an instance with fewer groups if that instance reaches all its servers. */
-  private void rebalance() {
-    PrimarySupervisor currentSupervisor = supervisor;
     GroupPool p = pool;
-    if (currentSupervisor == null
-        || p == null
-        || !context.balancer().isDue(now())
-        || now() - homeSinceNanos < MIN_HOME_DURATION.toNanos()
-        || !isRecentlyConfirmed()
-        || !currentSupervisor.isSteady()
-        || !servers.stream().allMatch(s -> p.canReach(s.id()))) {
-      return;
-    }
-    ToIntFunction<String> otherHomes = otherHomes();
-    context
-        .balancer()
-        .chooseReceiver(
-            Candidates.rank(group, context.peerClient().instances(), otherHomes), otherHomes, now())
-        .ifPresent(this::handOverIfReachable);
-  }
-
-  private void handOverIfReachable(PeerInstance receiver) {
-    List<String> pendingServers = new ArrayList<>(servers.stream().map(BackendServer::id).toList());
-    for (BackendServer s : servers) {
-      context
-          .peerClient()
-          .probeServer(
-              receiver,
-              new ServerConnector.Target(group, s.id(), s.address()),
-              reply -> {
-                if (reply == PeerClient.PeerReply.YES
-                    && pendingServers.remove(s.id())
-                    && pendingServers.isEmpty()) {
-                  log("home-spreading").with("to", receiver.name()).write();
-                  handOver(List.of(receiver), 0);
-                }
-              });
+    if (supervisor != null && p != null) {
+      handover.tick(p, supervisor, now() - confirmedNanos);
     }
   }
 
-  /**
-   * Hands the group to an instance that can write the record, before this instance's lease ends.
-   */
-  private void handOverUnconfirmed() {
-    if (now() - lastHandOverNanos < context.timings().confirmInterval().toNanos()) {
-      return;
-    }
-    lastHandOverNanos = now();
-    log("home-unconfirmed").with("age_ms", (now() - confirmedNanos) / 1_000_000).write();
-    handOver(candidates(context.self().name()).stream().limit(3).toList(), 0);
-  }
-
   /**
    * Replaces the record by compare-and-swap at the current revision. A success renews the lease.
    *
@@ -644,6 +588,12 @@
     return now() - confirmedNanos < 2 * context.timings().confirmInterval().toNanos();
   }
 
+  /** Returns whether a promotion that was ordered here may still be on its way. */
+  boolean isPromotionUnanswered() {
+    PrimarySupervisor s = supervisor;
+    return s != null && s.isPromotionUnanswered();
+  }
+
   /** Returns how many replicas must confirm a commit of the primary. */
   int confirmingReplicas() {
     return declaration == null ? 0 : declaration.confirmingReplicas();
@@ -673,7 +623,7 @@
   }
 
   /** Returns the number of groups other than this one by the name of their home. */
-  private ToIntFunction<String> otherHomes() {
+  ToIntFunction<String> otherHomes() {
     Map<String, Integer> homes = context.homeCounter().countHomes(group);
     return name -> homes.getOrDefault(name, 0);
   }
@@ -817,7 +767,7 @@
 
   private void startAsHome() {
     lostSinceNanos = 0;
-    homeSinceNanos = now();
+    handover.onHomeBegun(now());
     GroupPool p = pool == null ? openPool() : pool;
     HomeRecord r = record;
     if (r != null) {
@@ -867,7 +817,8 @@
     return p;
   }
 
-  private void retirePool(String reason) {
+  /** Stops taking new work here; what runs may finish. */
+  void retirePool(String reason) {
     GroupPool p = pool;
     if (p != null) {
       pool = null;
@@ -894,25 +845,6 @@
     }
   }
 
-  /** Asks the candidates in order, from {@code index} on, to take over until one does. */
-  private void handOver(List<PeerInstance> candidates, int index) {
-    if (index >= candidates.size() || !isHome()) {
-      return;
-    }
-    context
-        .peerClient()
-        .requestTakeover(
-            candidates.get(index),
-            group,
-            reply -> {
-              if (reply == PeerClient.PeerReply.YES) {
-                retirePool("handed over to " + candidates.get(index).name());
-              } else {
-                handOver(candidates, index + 1);
-              }
-            });
-  }
-
   private long now() {
     return context.scheduler().nanoTime();
   }
--- /dev/null
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeHandover.java
@@ -0,0 +1,152 @@
+package org.chicorylane.internal.election;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToIntFunction;
+import org.chicorylane.internal.passthrough.ServerConnector;
+import org.chicorylane.internal.pool.GroupPool;
+import org.chicorylane.internal.topology.BackendServer;
+import org.chicorylane.internal.topology.PeerInstance;
+
+/**
+ * Hands a group over from its home to another instance: when this instance shuts down, when it can
+ * no longer confirm its lease, and when it is the home of more groups than the other one.
+ *
+ * <p>Confined to the instance's thread.
+ */
+final class HomeHandover {
+
+  /** Minimum time as the home before the group is handed over to balance the load. */
+  private static final Duration MIN_HOME_DURATION = Duration.ofSeconds(4);
+
+  /** Interval at which a leaving home checks whether its promotion call was answered. */
+  private static final Duration ANSWER_CHECK_INTERVAL = Duration.ofMillis(50);
+
+  /** Instances asked to take over a group whose lease cannot be confirmed. */
+  private static final int MAXIMUM_UNCONFIRMED_CANDIDATES = 3;
+
+  private final HomeElection election;
+  private final HomeElection.Context context;
+  private long lastUnconfirmedNanos;
+  private long homeSinceNanos;
+
+  HomeHandover(HomeElection election, HomeElection.Context context) {
+    this.election = election;
+    this.context = context;
+  }
+
+  /** Records that this instance has become the home. */
+  void onHomeBegun(long nowNanos) {
+    homeSinceNanos = nowNanos;
+  }
+
+  /**
+   * Hands the group over because this instance shuts down. A promotion call without an answer is
+   * waited for first: the next home sends its own call with a higher token, which must not arrive
+   * before this one.
+   */
+  void leave() {
+    if (!election.isHome()) {
+      return;
+    }
+    if (election.isPromotionUnanswered()) {
+      context.scheduler().schedule(ANSWER_CHECK_INTERVAL, this::leave);
+      return;
+    }
+    handOver(election.candidates(context.self().name()), 0);
+  }
+
+  /**
+   * Hands the group over if that is due.
+   *
+   * @param confirmedAgeNanos age of the last read or write that renewed the lease
+   */
+  void tick(GroupPool pool, PrimarySupervisor supervisor, long confirmedAgeNanos) {
+    if (confirmedAgeNanos > context.timings().validity().toNanos() / 2) {
+      handOverUnconfirmed(confirmedAgeNanos);
+    } else if (mayRebalance(pool, supervisor)) {
+      rebalance();
+    }
+  }
+
+  /**
+   * Hands the group to an instance that can write the record, before this instance's lease ends.
+   */
+  private void handOverUnconfirmed(long confirmedAgeNanos) {
+    if (now() - lastUnconfirmedNanos < context.timings().confirmInterval().toNanos()) {
+      return;
+    }
+    lastUnconfirmedNanos = now();
+    election.log("home-unconfirmed").with("age_ms", confirmedAgeNanos / 1_000_000).write();
+    handOver(
+        election.candidates(context.self().name()).stream()
+            .limit(MAXIMUM_UNCONFIRMED_CANDIDATES)
+            .toList(),
+        0);
+  }
+
+  private boolean mayRebalance(GroupPool pool, PrimarySupervisor supervisor) {
+    return context.balancer().isDue(now())
+        && now() - homeSinceNanos >= MIN_HOME_DURATION.toNanos()
+        && election.isRecentlyConfirmed()
+        && supervisor.isSteady()
+        && election.servers().stream().allMatch(s -> pool.canReach(s.id()));
+  }
+
+  /** Hands the group to an instance with fewer groups if that instance reaches all its servers. */
+  private void rebalance() {
+    ToIntFunction<String> otherHomes = election.otherHomes();
+    context
+        .balancer()
+        .chooseReceiver(
+            Candidates.rank(election.group(), context.peerClient().instances(), otherHomes),
+            otherHomes,
+            now())
+        .ifPresent(this::handOverIfReachable);
+  }
+
+  private void handOverIfReachable(PeerInstance receiver) {
+    List<BackendServer> servers = election.servers();
+    List<String> pendingServers = new ArrayList<>(servers.stream().map(BackendServer::id).toList());
+    for (BackendServer s : servers) {
+      context
+          .peerClient()
+          .probeServer(
+              receiver,
+              new ServerConnector.Target(election.group(), s.id(), s.address()),
+              reply -> {
+                if (reply == PeerClient.PeerReply.YES
+                    && pendingServers.remove(s.id())
+                    && pendingServers.isEmpty()) {
+                  election.log("home-spreading").with("to", receiver.name()).write();
+                  handOver(List.of(receiver), 0);
+                }
+              });
+    }
+  }
+
+  /** Asks the candidates in order, from {@code index} on, to take over until one does. */
+  private void handOver(List<PeerInstance> candidates, int index) {
+    if (index >= candidates.size() || !election.isHome()) {
+      return;
+    }
+    PeerInstance candidate = candidates.get(index);
+    context
+        .peerClient()
+        .requestTakeover(
+            candidate,
+            election.group(),
+            reply -> {
+              if (reply == PeerClient.PeerReply.YES) {
+                election.retirePool("handed over to " + candidate.name());
+              } else {
+                handOver(candidates, index + 1);
+              }
+            });
+  }
+
+  private long now() {
+    return context.scheduler().nanoTime();
+  }
+}
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -150,6 +150,11 @@
         && r.promoting() == null;
   }
 
+  /** Returns whether a promotion that was ordered here may still be on its way. */
+  boolean isPromotionUnanswered() {
+    return orders.isUnanswered(now());
+  }
+
   /**
    * Stops the supervision because this instance no longer serves as the home. Pending callbacks
    * have no effect.
@@ -826,7 +831,10 @@
   }
 
   private void requestPromotion(String target, long token, long generation) {
-    if (generation != stepGeneration || step != Step.PROMOTING || !election.mayWork(now())) {
+    if (generation != stepGeneration
+        || step != Step.PROMOTING
+        || !election.mayWork(now())
+        || election.isLeaving()) {
       return;
     }
     orders.onSent(target, now());
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionOrders.java
@@ -17,7 +17,8 @@
 
   /**
    * Time after which an accepted order is assumed to have been carried out or to have failed, if
-   * the platform then answers that the server does not run.
+   * the platform then answers that the server does not run. A leaving home waits that long for an
+   * order that was not answered.
    */
   static final Duration EFFECT_LIMIT = Duration.ofSeconds(3);
 
@@ -103,6 +104,15 @@
     sent++;
   }
 
+  /**
+   * Returns whether an order that this home sent may still be on its way, so that an order of
+   * another home would overtake it.
+   */
+  boolean isUnanswered(long nowNanos) {
+    boolean isRecent = nowNanos - lastSentNanos <= EFFECT_LIMIT.toNanos();
+    return target != null && sent > accepted && isRecent;
+  }
+
   /** Records that the order is sent again to a server that does not answer. */
   void onRepeat() {
     repeated = true;
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionOrdersTest.java
@@ -108,4 +108,20 @@
     orders.onRepeat();
     assertThat(orders.state(seconds(5)).repeatDue()).isFalse();
   }
+
+  @Test
+  void testAnsweredOrderIsNotOnItsWay() {
+    orders.onSent("b", seconds(1));
+    assertThat(orders.isUnanswered(seconds(1))).isTrue();
+    orders.onOutcome("b", Promoter.Outcome.ACCEPTED, seconds(1));
+    assertThat(orders.isUnanswered(seconds(1))).isFalse();
+  }
+
+  @Test
+  void testOrderWithoutAnswerCountsAsOnItsWayForThreeSeconds() {
+    orders.onSent("b", seconds(1));
+    orders.onOutcome("b", Promoter.Outcome.UNKNOWN, seconds(2));
+    assertThat(orders.isUnanswered(seconds(4))).isTrue();
+    assertThat(orders.isUnanswered(seconds(5))).isFalse();
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelPromotionService.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelPromotionService.java
@@ -35,6 +35,9 @@
   private long highestSentToken;
   private long highestExecutedToken;
 
+  /** Tokens of the calls that have arrived at the platform, in order of arrival. */
+  final List<Long> arrivedTokens = new ArrayList<>();
+
   /** Ids of the servers for which a call was accepted, in order of the acceptances. */
   final List<String> accepted = new ArrayList<>();
 
@@ -103,6 +106,7 @@
 
   private Promoter.Outcome execute(
       ModelGroup group, String serverId, long token, Duration untilLeads) {
+    arrivedTokens.add(token);
     ModelServer server = group.server(serverId);
     boolean runs = server != null && server.running && !server.unresponsive;
     if (!runs || (checksTokens && token < highestExecutedToken)) {
