--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LeavingHomePromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LeavingHomePromotionTest.java
@@ -18,7 +18,7 @@
   /** Shuts the home down 200 ms after it has sent a call that arrives only after {@code delay}. */
   private void stopHomeDuringPromotion(Duration delay) {
     scenario.begin();
-    ModelHost home = scenario.home();
+    final ModelHost home = scenario.home();
     ModelPromotionService service = fleet.promotionService;
     service.checksTokens = false;
     service.untilExecuted = delay;
@@ -31,7 +31,7 @@
 
   // Guards against a call that the next home overtakes with a higher token, as in soak seed 37.
   @Test
-  void testNextHomeDoesNotOvertakeTheCallOfALeavingHome() {
+  void testNextHomeDoesNotOvertakeTheCallOfLeavingHome() {
     stopHomeDuringPromotion(Duration.ofMillis(2_600));
     fleet.advance(8_000);
     assertWithMessage("tokens in order of arrival")
@@ -42,9 +42,9 @@
   }
 
   @Test
-  void testNextHomePromotesAfterTheCallOfALeavingHomeWasLost() {
+  void testNextHomePromotesAfterTheCallOfLeavingHomeWasLost() {
     scenario.begin();
-    ModelHost home = scenario.home();
+    final ModelHost home = scenario.home();
     fleet.promotionService.losesCalls = true;
     fleet.group.primary().crash();
     scenario.advanceUntilLogged("promotion-call", 4_000);
