Do not take an instance or server for lost because of one's own stall, and move the groups of a stalling home

The log shows all four homes at work 2.7 s after the power was back, then 80 times home-lost, 15 times server-lost and homes that changed to epoch 3 and 4 for six seconds; each change ended the work under way. Cause: time-outs of 300 and 450 ms ran on while an instance's own thread was stalled for longer than that, so answers that waited to be read counted as missing; and a home that has just started cold cannot answer within 450 ms.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -29,6 +29,7 @@
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.UniqueIds;
@@ -57,6 +58,7 @@
    *
    * @param storeUnavailable returns whether this instance's last call to the store failed
    * @param drainLimit tells for how long a draining server may be sent new work
+   * @param attention tells whether this instance is too slow to judge others or to take groups
    */
   public record Context(
       HomeRecord.Holder self,
@@ -68,6 +70,7 @@
       Promoter promoter,
       PeerClient peerClient,
       Scheduler scheduler,
+      AttentionClock attention,
       DecisionLog log,
       ElectionTimings timings,
       HomeCounter homeCounter,
@@ -481,7 +484,7 @@
   /**
    * Claims the home's role at the request of the current home. Declines while the store does not
    * answer this instance: a claim that the store applied only after an outage would replace a home
-   * that can then continue.
+   * that can then continue. Declines also while this instance is stalling.
    *
    * @param outcome called with whether this instance is the home now
    */
@@ -489,6 +492,7 @@
     if ((isHome() && !isStandingIn())
         || leaving
         || claimInProgress
+        || context.attention().isStalling()
         || context.storeUnavailable().getAsBoolean()) {
       outcome.accept(isHome() && !isStandingIn());
       return;
@@ -658,6 +662,11 @@
       replaceLostHome("the home's process is not running");
       return;
     }
+    if (context.attention().isStalling()) {
+      // Others can tell better whether the home is silent, and serve the group better.
+      lostSinceNanos = 0;
+      return;
+    }
     List<PeerInstance> others =
         candidates(lost.name()).stream()
             .filter(p -> !p.name().equals(context.self().name()))
@@ -799,6 +808,7 @@
             group,
             context.connector(),
             context.scheduler(),
+            context.attention(),
             context.log(),
             this::mayWork,
             context.drainLimit(),
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeHandover.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeHandover.java
@@ -23,12 +23,16 @@
   /** Interval at which a leaving home checks whether its promotion call was answered. */
   private static final Duration ANSWER_CHECK_INTERVAL = Duration.ofMillis(50);
 
-  /** Instances asked to take over a group whose lease cannot be confirmed. */
-  private static final int MAXIMUM_UNCONFIRMED_CANDIDATES = 3;
+  /** Instances asked at a time to take over a group that this instance cannot serve well. */
+  private static final int MAXIMUM_CANDIDATES_ASKED = 3;
+
+  /** Interval at which a home that is stalling asks others to take over. */
+  private static final Duration STALLING_INTERVAL = Duration.ofSeconds(2);
 
   private final HomeElection election;
   private final HomeElection.Context context;
   private long lastUnconfirmedNanos;
+  private long lastStallingNanos;
   private long homeSinceNanos;
 
   HomeHandover(HomeElection election, HomeElection.Context context) {
@@ -65,6 +69,8 @@
   void tick(GroupPool pool, PrimarySupervisor supervisor, long confirmedAgeNanos) {
     if (confirmedAgeNanos > context.timings().validity().toNanos() / 2) {
       handOverUnconfirmed(confirmedAgeNanos);
+    } else if (context.attention().isStalling()) {
+      handOverStalling(supervisor);
     } else if (mayRebalance(pool, supervisor)) {
       rebalance();
     }
@@ -79,9 +85,25 @@
     }
     lastUnconfirmedNanos = now();
     election.log("home-unconfirmed").with("age_ms", confirmedAgeNanos / 1_000_000).write();
+    handOverToBest();
+  }
+
+  /** Hands the group to an instance that is not stalling, as its callers wait for this one. */
+  private void handOverStalling(PrimarySupervisor supervisor) {
+    if (now() - homeSinceNanos < MIN_HOME_DURATION.toNanos()
+        || now() - lastStallingNanos < STALLING_INTERVAL.toNanos()
+        || !supervisor.isSteady()) {
+      return;
+    }
+    lastStallingNanos = now();
+    election.log("home-stalling").write();
+    handOverToBest();
+  }
+
+  private void handOverToBest() {
     handOver(
         election.candidates(context.self().name()).stream()
-            .limit(MAXIMUM_UNCONFIRMED_CANDIDATES)
+            .limit(MAXIMUM_CANDIDATES_ASKED)
             .toList(),
         0);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -17,6 +17,7 @@
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
 import org.chicorylane.internal.mesh.generated.MeshReply;
 import org.chicorylane.internal.pool.Work;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.jspecify.annotations.Nullable;
 
@@ -41,6 +42,12 @@
   /** Time within which the peer must answer a ping. */
   private static final long PING_TIMEOUT_NANOS = Duration.ofMillis(450).toNanos();
 
+  /** Time within which a peer must answer a ping that has just started or taken over a group. */
+  private static final long STARTING_PING_TIMEOUT_NANOS = Duration.ofMillis(1_500).toNanos();
+
+  /** Time after the start of a peer's new work during which it may answer pings late. */
+  private static final long STARTING_NANOS = Duration.ofSeconds(5).toNanos();
+
   /** Minimum time between two attempts to connect. */
   private static final long RECONNECT_DELAY_NANOS = Duration.ofMillis(100).toNanos();
 
@@ -96,6 +103,7 @@
   private final String address;
   private final MeshTransport transport;
   private final Scheduler scheduler;
+  private final AttentionClock attention;
   private final LongSupplier configurationVersion;
   private final LinkListener listener;
   private final Map<Long, Call> calls = new HashMap<>();
@@ -106,27 +114,39 @@
   private boolean monitored;
   private long nextCall;
   private long lastFrameNanos;
+
+  /** Attentive time at which a ping was sent that has no answer yet. */
   private long pingSentNanos;
+
+  private boolean pingSent;
+
+  /** Time up to which the peer counts as starting. */
+  private long startingEndNanos;
+
   private long lastConnectNanos;
 
   /**
    * Creates a link that is not open yet.
    *
    * @param address the peer's host and port
+   * @param attention measures how long the peer has been silent
    * @param configurationVersion returns the version of this instance's configuration
    */
   public PeerLink(
       String address,
       MeshTransport transport,
       Scheduler scheduler,
+      AttentionClock attention,
       LongSupplier configurationVersion,
       LinkListener listener) {
     this.address = address;
     this.transport = transport;
     this.scheduler = scheduler;
+    this.attention = attention;
     this.configurationVersion = configurationVersion;
     this.listener = listener;
     this.lastConnectNanos = scheduler.nanoTime() - RECONNECT_DELAY_NANOS;
+    this.startingEndNanos = scheduler.nanoTime();
   }
 
   /** Returns the peer's address. */
@@ -142,6 +162,14 @@
     }
   }
 
+  /**
+   * Lets the peer answer pings late for a while, because it has just become the home of a group. A
+   * process that has also just started is slow, and another one in its place would be as well.
+   */
+  public void expectLateAnswers() {
+    startingEndNanos = scheduler.nanoTime() + STARTING_NANOS;
+  }
+
   /**
    * Checks whether the peer responds: it did within {@code age}, or answers a ping in time.
    *
@@ -157,7 +185,7 @@
     scheduler.schedule(timeout, () -> check.finish(false));
     if (channel == null) {
       connect();
-    } else if (pingSentNanos == 0) {
+    } else if (!pingSent) {
       sendPing(channel);
     }
   }
@@ -278,8 +306,9 @@
       return;
     }
     long now = scheduler.nanoTime();
-    if (pingSentNanos > 0) {
-      if (now - pingSentNanos > PING_TIMEOUT_NANOS) {
+    if (pingSent) {
+      long timeoutNanos = now < startingEndNanos ? STARTING_PING_TIMEOUT_NANOS : PING_TIMEOUT_NANOS;
+      if (attention.nanoTime() - pingSentNanos > timeoutNanos) {
         c.close();
         listener.onLost(address, false);
         failCalls(false, true);
@@ -290,7 +319,8 @@
   }
 
   private void sendPing(MeshChannel c) {
-    pingSentNanos = scheduler.nanoTime();
+    pingSent = true;
+    pingSentNanos = attention.nanoTime();
     c.send(
         MeshFrame.newBuilder()
             .setPing(
@@ -309,7 +339,7 @@
 
   private void failCalls(boolean refused, boolean sent) {
     channel = null;
-    pingSentNanos = 0;
+    pingSent = false;
     unsent.clear();
     List<Call> lost = new ArrayList<>(calls.values());
     calls.clear();
@@ -348,7 +378,7 @@
         }
       }
       case PONG -> {
-        pingSentNanos = 0;
+        pingSent = false;
         listener.onResponse(address);
         listener.onPeerConfigurationVersion(this, frame.getPong().getConfigurationVersion());
       }
@@ -384,7 +414,7 @@
       connecting = false;
       channel = opened;
       lastFrameNanos = scheduler.nanoTime();
-      pingSentNanos = 0;
+      pingSent = false;
       for (MeshFrame frame = unsent.poll(); frame != null; frame = unsent.poll()) {
         opened.send(frame);
       }
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLinks.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLinks.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.Scheduler;
 
 /**
@@ -25,6 +26,7 @@
 
   private final MeshTransport transport;
   private final Scheduler scheduler;
+  private final AttentionClock attention;
   private final LongSupplier configurationVersion;
   private final PeerLink.LinkListener listener;
   private final Map<String, PeerLink> links = new HashMap<>();
@@ -32,16 +34,19 @@
   /**
    * Creates an empty collection of links.
    *
+   * @param attention measures how long a peer has been silent
    * @param configurationVersion returns the version of this instance's configuration
    * @param listener receives the events of all links
    */
   public PeerLinks(
       MeshTransport transport,
       Scheduler scheduler,
+      AttentionClock attention,
       LongSupplier configurationVersion,
       PeerLink.LinkListener listener) {
     this.transport = transport;
     this.scheduler = scheduler;
+    this.attention = attention;
     this.configurationVersion = configurationVersion;
     this.listener = listener;
     scheduler.repeat(TICK_INTERVAL, () -> new ArrayList<>(links.values()).forEach(PeerLink::tick));
@@ -50,7 +55,8 @@
   /** Returns the link to the peer at {@code address}, a host and port. */
   public PeerLink to(String address) {
     return links.computeIfAbsent(
-        address, a -> new PeerLink(a, transport, scheduler, configurationVersion, listener));
+        address,
+        a -> new PeerLink(a, transport, scheduler, attention, configurationVersion, listener));
   }
 
   /** Monitors the links to {@code addresses}, and no other links. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -16,6 +16,7 @@
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.TransactionState;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.BackendServer;
@@ -116,6 +117,7 @@
   /**
    * Creates a pool without servers.
    *
+   * @param attention measures how long a server has been silent
    * @param mayServe returns whether, at a time in nanoseconds, this instance is confirmed as the
    *     home and may serve statements
    * @param drainLimit tells for how long a draining server may be sent new work
@@ -124,6 +126,7 @@
       String group,
       ServerConnector connector,
       Scheduler scheduler,
+      AttentionClock attention,
       DecisionLog log,
       LongPredicate mayServe,
       DrainLimit drainLimit,
@@ -138,7 +141,8 @@
     this.listener = listener;
     this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
     this.monitor =
-        new ServerMonitor(group, connector, scheduler, log, metrics, listener, new MonitoredPool());
+        new ServerMonitor(
+            group, connector, scheduler, attention, log, metrics, listener, new MonitoredPool());
     this.lastPrimaryAnswerNanos = scheduler.nanoTime();
     this.checkTimer = scheduler.repeat(CHECK_INTERVAL, this::checkPeriodically);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -42,6 +42,10 @@
   boolean openingControl;
   boolean statusPending;
   long statusSentNanos;
+
+  /** Time by the {@code AttentionClock} at which the last status request was sent. */
+  long statusSentAttentiveNanos;
+
   long lastContactNanos;
   LogPosition position = LogPosition.ZERO;
   long lagMillis = UNKNOWN_LAG_MILLIS;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -7,6 +7,7 @@
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.jspecify.annotations.Nullable;
@@ -54,6 +55,7 @@
   private final String group;
   private final ServerConnector connector;
   private final Scheduler scheduler;
+  private final AttentionClock attention;
   private final DecisionLog log;
   private final PoolMetrics metrics;
   private final PoolListener listener;
@@ -63,6 +65,7 @@
       String group,
       ServerConnector connector,
       Scheduler scheduler,
+      AttentionClock attention,
       DecisionLog log,
       PoolMetrics metrics,
       PoolListener listener,
@@ -70,6 +73,7 @@
     this.group = group;
     this.connector = connector;
     this.scheduler = scheduler;
+    this.attention = attention;
     this.log = log;
     this.metrics = metrics;
     this.listener = listener;
@@ -87,7 +91,7 @@
       if (s.control == null) {
         openControl(s);
       } else if (s.statusPending) {
-        if (now - s.statusSentNanos > STATUS_TIMEOUT_NANOS) {
+        if (attention.nanoTime() - s.statusSentAttentiveNanos > STATUS_TIMEOUT_NANOS) {
           markLost(s, ServerLoss.SILENT, "no answer to a status question for 300 ms");
         }
       } else if (now - s.lastContactNanos > (s.inFlight > 0 ? BUSY_STATUS_NANOS : IDLE_STATUS_NANOS)
@@ -176,6 +180,7 @@
     s.statusPending = true;
     long sent = scheduler.nanoTime();
     s.statusSentNanos = sent;
+    s.statusSentAttentiveNanos = attention.nanoTime();
     control.send(
         new ServerCommand.Status(),
         new ServerLink.AnswerHandler() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -29,6 +29,7 @@
 import org.chicorylane.internal.platform.WriteResult;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.ServerDirectory;
 import org.jspecify.annotations.Nullable;
@@ -50,6 +51,7 @@
   private static final String STORE_UNAVAILABLE = "the store does not answer this instance either";
 
   private final Scheduler scheduler;
+  private final AttentionClock attention;
   private final ServerConnector connector;
   private final Function<String, @Nullable HomeElection> elections;
   private final Collection<HomeElection> allElections;
@@ -63,10 +65,12 @@
   /**
    * Creates a service.
    *
+   * @param attention tells whether this instance is too slow to tell that another process is silent
    * @param followers the followers of the store by their prefix, which relay its changes
    */
   MeshService(
       Scheduler scheduler,
+      AttentionClock attention,
       ServerConnector connector,
       Function<String, @Nullable HomeElection> elections,
       Collection<HomeElection> allElections,
@@ -81,6 +85,7 @@
     this.store = store;
     this.storeUnavailable = storeUnavailable;
     this.scheduler = scheduler;
+    this.attention = attention;
     this.connector = connector;
     this.elections = elections;
     this.allElections = allElections;
@@ -154,8 +159,8 @@
           probeServer(
               new ServerConnector.Target(
                   question.getGroup(), question.getServerId(), question.getAddress()),
-              reply);
-      case HEARS_HOME -> checkHome(election, reply);
+              testimony(reply));
+      case HEARS_HOME -> checkHome(election, testimony(reply));
       case TAKE_HOME -> {
         if (election == null) {
           reply.accept(false);
@@ -187,6 +192,15 @@
     }
   }
 
+  /** Returns a reply that withholds a no of an instance that is too slow to know. */
+  private Consumer<Boolean> testimony(Consumer<Boolean> reply) {
+    return yes -> {
+      if (yes || !attention.isStalling()) {
+        reply.accept(yes);
+      }
+    };
+  }
+
   private void watchStore(MeshChannel channel, MeshQuestion question) {
     PrefixFollower follower = followers.get(question.getArguments(0));
     if (follower == null) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -29,6 +29,7 @@
 import org.chicorylane.internal.platform.RestorableStore;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolMetrics;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.UniqueIds;
@@ -99,6 +100,7 @@
 
   private final PeerInstance self;
   private final Ports ports;
+  private final AttentionClock attention;
   private final ElectionTimings timings = ElectionTimings.defaults();
   private final LatestConfiguration configuration;
   private final ServerDirectory servers;
@@ -132,7 +134,10 @@
     Scheduler scheduler = ports.scheduler();
     this.configuration =
         new LatestConfiguration(ports.decoder(), ports.log(), this::updateElections);
-    this.links = new PeerLinks(ports.mesh(), scheduler, configuration::version, new LinkObserver());
+    this.attention = new AttentionClock(scheduler, TICK_INTERVAL);
+    this.links =
+        new PeerLinks(
+            ports.mesh(), scheduler, attention, configuration::version, new LinkObserver());
     this.registry = new InstanceRegistry(ports.store(), scheduler, ports.log(), self);
     this.relays = new WatchRelays(self, registry::relayingInstances);
     this.store =
@@ -155,6 +160,7 @@
     this.service =
         new MeshService(
             scheduler,
+            attention,
             ports.connector(),
             elections::get,
             elections.values(),
@@ -183,6 +189,7 @@
             ports.promoter(),
             new MeshPeerClient(registry, links::to),
             scheduler,
+            attention,
             ports.log(),
             timings,
             this::countHomes,
@@ -263,6 +270,7 @@
 
   /** Runs the periodic checks of all parts, on one timer. */
   private void tick() {
+    attention.check();
     router.tick();
     new ArrayList<>(elections.values()).forEach(HomeElection::tick);
     if (servers.isAnyDraining()) {
@@ -445,6 +453,11 @@
 
   private void onHomeChanged(String group) {
     monitorHomes();
+    HomeElection election = elections.get(group);
+    HomeRecord homeRecord = election == null ? null : election.record();
+    if (homeRecord != null && !homeRecord.home().name().equals(self.name())) {
+      links.to(homeRecord.home().address()).expectLateAnswers();
+    }
     router.onHomeChanged(group);
   }
 
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/mesh/PeerLinkTest.java
@@ -0,0 +1,104 @@
+package org.chicorylane.internal.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.chicorylane.internal.mesh.generated.MeshFrame;
+import org.chicorylane.internal.mesh.generated.MeshQuestion;
+import org.chicorylane.internal.runtime.AttentionClock;
+import org.chicorylane.internal.runtime.VirtualScheduler;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a peer that does not answer counts as lost. */
+final class PeerLinkTest {
+
+  private static final Duration INTERVAL = Duration.ofMillis(50);
+
+  private final VirtualScheduler scheduler = new VirtualScheduler();
+  private final AttentionClock attention = new AttentionClock(scheduler, INTERVAL);
+  private final List<String> lost = new ArrayList<>();
+  private final List<MeshFrame> sent = new ArrayList<>();
+  private final PeerLink link =
+      new PeerLink("peer:1", this::connect, scheduler, attention, () -> 0, new Listener());
+
+  private void connect(String address, MeshTransport.Listener listener) {
+    listener.onOpen(
+        new MeshChannel() {
+          @Override
+          public void send(MeshFrame frame) {
+            sent.add(frame);
+          }
+
+          @Override
+          public void close() {
+            listener.onClosed();
+          }
+        });
+  }
+
+  /** Asks a question that is not answered, and waits until a ping was sent. */
+  private void askInVain() {
+    link.ask(MeshQuestion.newBuilder(), Duration.ofSeconds(30), (reply, refused) -> {});
+    runAttentively(Duration.ofMillis(300));
+    assertThat(sent.stream().filter(MeshFrame::hasPing)).hasSize(1);
+  }
+
+  private void runAttentively(Duration duration) {
+    for (Duration run = Duration.ZERO; run.compareTo(duration) < 0; run = run.plus(INTERVAL)) {
+      scheduler.advance(INTERVAL);
+      attention.check();
+      link.tick();
+    }
+  }
+
+  @Test
+  void testSilentPeerIsLost() {
+    askInVain();
+    runAttentively(Duration.ofMillis(550));
+    assertThat(lost).containsExactly("peer:1");
+  }
+
+  // Restart of everything: cold instances took each other for lost, as they read answers late.
+  @Test
+  void testStallOfThisInstanceIsNotTakenForSilenceOfThePeer() {
+    askInVain();
+    scheduler.advance(Duration.ofMillis(900));
+    attention.check();
+    link.tick();
+    assertThat(lost).isEmpty();
+  }
+
+  @Test
+  void testPeerThatHasJustBecomeTheHomeMayAnswerLate() {
+    link.expectLateAnswers();
+    askInVain();
+    runAttentively(Duration.ofMillis(1_000));
+    assertThat(lost).isEmpty();
+  }
+
+  @Test
+  void testPeerThatHasJustBecomeTheHomeAndIsSilentIsLost() {
+    link.expectLateAnswers();
+    askInVain();
+    runAttentively(Duration.ofMillis(1_600));
+    assertThat(lost).containsExactly("peer:1");
+  }
+
+  private final class Listener implements PeerLink.LinkListener {
+    @Override
+    public void onLost(String address, boolean refused) {
+      lost.add(address);
+    }
+
+    @Override
+    public void onResponse(String address) {}
+
+    @Override
+    public void onPeerConfigurationVersion(PeerLink peer, long version) {}
+
+    @Override
+    public void onConfiguration(String text) {}
+  }
+}
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -394,6 +394,19 @@
     assertThat(fixture.answers).hasSize(10);
   }
 
+  // Restart of everything: cold homes took all of their servers for lost at once.
+  @Test
+  void testStallOfTheHomeIsNotTakenForSilenceOfItsServers() {
+    fixture.submit(PoolFixture.read("warm"));
+    fixture.advance(60);
+    fixture.group.server("server-b").unresponsive = true;
+    fixture.stalled = true;
+    fixture.advance(900);
+    fixture.group.server("server-b").unresponsive = false;
+    fixture.stalled = false;
+    assertThat(fixture.lost).isEmpty();
+  }
+
   @Test
   void testUnresponsiveServerIsReportedLostAndReadsAreRetried() {
     fixture.submit(PoolFixture.read("warm"));
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -12,6 +12,7 @@
 import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.VirtualScheduler;
 import org.chicorylane.internal.topology.Freshness;
@@ -20,6 +21,8 @@
 /** A pool with three model servers, in virtual time; "server-a" is the primary. */
 final class PoolFixture {
 
+  private static final Duration ATTENTION_INTERVAL = Duration.ofMillis(50);
+
   final VirtualScheduler scheduler = new VirtualScheduler();
   final ModelGroup group = new ModelGroup(scheduler, "plans", 3);
   final Map<String, Answer> answers = new HashMap<>();
@@ -28,17 +31,29 @@
   final List<String> lost = new ArrayList<>();
   boolean mayServe = true;
 
+  /** Whether the pool's thread is stalled: the checks of its attention are missing. */
+  boolean stalled;
+
   /** The time in which draining servers may be sent new work. */
   Duration drainLeft = Duration.ofSeconds(7);
 
   final GroupPool pool;
 
   PoolFixture() {
+    AttentionClock attention = new AttentionClock(scheduler, ATTENTION_INTERVAL);
+    scheduler.repeat(
+        ATTENTION_INTERVAL,
+        () -> {
+          if (!stalled) {
+            attention.check();
+          }
+        });
     pool =
         new GroupPool(
             "plans",
             group,
             scheduler,
+            attention,
             DecisionLog.none(),
             now -> mayServe,
             server -> server.draining() ? drainLeft.toNanos() : Long.MAX_VALUE,
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -61,6 +61,9 @@
   boolean storeUnreachable;
   boolean losesStoreAnswers;
 
+  /** Fault: all that this process does happens this much later; zero if it is not slow. */
+  Duration slowness = Duration.ZERO;
+
   /** Delay after which writes to the store take effect, without an answer; null if they do not. */
   @Nullable Duration storeWriteDelay;
 
@@ -159,8 +162,17 @@
   private void execute(Runnable task) {
     if (frozen) {
       heldTasks.add(task);
-    } else {
+    } else if (slowness.isZero()) {
       task.run();
+    } else {
+      int ownIncarnation = incarnation;
+      fleet.scheduler.schedule(
+          slowness,
+          () -> {
+            if (running && ownIncarnation == incarnation) {
+              task.run();
+            }
+          });
     }
   }
 
