Prefer large instances as homes, and move groups from small to much larger ones

What binds: 80 of the 95 instances of the large site have 0.36 of a core and a tenth of the others' links, and the first ones to start take the groups. After a restart of everything such a home is saturated by cold code for seconds. Cause: candidates were ranked by groups/weight, which is 0 for all instances without a group, so a small one was as good as a large one but for the rendezvous; and the only group of an instance never moved. Change: ranked by (groups + 1)/weight; a group also moves to an instance that will have at most half of the load. Instances of one size behave as before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/Candidates.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/Candidates.java
@@ -8,9 +8,8 @@
 import org.chicorylane.internal.topology.PeerInstance;
 
 /**
- * Ranks the candidates for the home of a group: ascending by the number of groups they already
- * serve relative to their weight. Ties are broken by weighted rendezvous hashing, which prefers
- * larger instances more often.
+ * Ranks the candidates for the home of a group: ascending by the number of groups that they would
+ * then serve, relative to their weight. Ties are broken by weighted rendezvous hashing.
  */
 final class Candidates {
 
@@ -49,7 +48,7 @@
   }
 
   private static double load(PeerInstance peer, ToIntFunction<String> otherHomes) {
-    return (double) otherHomes.applyAsInt(peer.name()) / peer.weight();
+    return (otherHomes.applyAsInt(peer.name()) + 1.0) / peer.weight();
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeBalancer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeBalancer.java
@@ -7,12 +7,13 @@
 import org.chicorylane.internal.topology.PeerInstance;
 
 /**
- * Decides when an instance that is the home of several groups hands one over to a less loaded
- * instance. This restores the balance after a fault has moved many homes to one instance.
+ * Decides when a home hands a group over to a less loaded instance. This restores the balance after
+ * a fault has moved many homes to one instance, or to small ones.
  *
  * <p>A group moves only if the load that remains on this instance is at least the load that the
- * receiver will have with the group. Two instances that see the same homes therefore never move a
- * group back and forth.
+ * receiver will have with the group, or if the receiver will have at most half of the load that
+ * this instance has with it. Two instances that see the same homes therefore never move a group
+ * back and forth.
  *
  * <p>All groups of an instance share one balancer. Confined to the instance's thread.
  */
@@ -21,6 +22,9 @@
   /** Interval between checks; long enough for all instances to learn of the last handover. */
   private static final Duration CHECK_INTERVAL = Duration.ofSeconds(3);
 
+  /** A group moves to a larger instance if that one's load is smaller by this factor. */
+  private static final double LARGER_INSTANCE_FACTOR = 2;
+
   private final String self;
   private boolean hasChecked;
   private long lastCheckNanos;
@@ -54,9 +58,12 @@
     if (own.isEmpty() || other.isEmpty()) {
       return Optional.empty();
     }
-    double ownLoad = load(otherHomes.applyAsInt(self), own.get());
+    int ownOtherHomes = otherHomes.applyAsInt(self);
     double receiverLoad = load(otherHomes.applyAsInt(other.get().name()) + 1, other.get());
-    return ownLoad >= receiverLoad ? other : Optional.empty();
+    boolean isBalancing = load(ownOtherHomes, own.get()) >= receiverLoad;
+    boolean isMuchLarger =
+        load(ownOtherHomes + 1, own.get()) >= LARGER_INSTANCE_FACTOR * receiverLoad;
+    return isBalancing || isMuchLarger ? other : Optional.empty();
   }
 
   private static double load(int homes, PeerInstance instance) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/CandidatesTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/CandidatesTest.java
@@ -44,6 +44,15 @@
     assertThat(first).isLessThan(40);
   }
 
+  @Test
+  void testLargeInstanceRanksBeforeSmallOnesUntilItIsAsLoaded() {
+    List<PeerInstance> all = instances(4, 350);
+    assertThat(Candidates.rank("g", all, n -> n.equals("i0") ? 2 : 0).get(0).name())
+        .isEqualTo("i0");
+    assertThat(Candidates.rank("g", all, n -> n.equals("i0") ? 3 : 0).get(0).name())
+        .isNotEqualTo("i0");
+  }
+
   @Test
   void testLoadOfEachInstanceIsReadOnce() {
     List<String> read = new ArrayList<>();
