Keep the calls of a silent home for 1.5 s while its replacement is already being decided

Cause: one time-out decided both that a home may be lost and that its running work is given up. Change: after 450 ms without a frame the home is reported as lost, as before, so others are asked and it is replaced if they do not hear it either; its calls fail 1.5 s after the ping, or at once when another home is recorded. Any frame counts as a sign of life, not only the answer to a ping.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -39,11 +39,14 @@
    */
   private static final long IDLE_PING_DELAY_NANOS = Duration.ofSeconds(2).toNanos();
 
-  /** Time within which the peer must answer a ping. */
+  /** Time within which the peer must answer a ping, or send anything, to count as responding. */
   private static final long PING_TIMEOUT_NANOS = Duration.ofMillis(450).toNanos();
 
-  /** Time within which a peer must answer a ping that has just started or taken over a group. */
-  private static final long STARTING_PING_TIMEOUT_NANOS = Duration.ofMillis(1_500).toNanos();
+  /**
+   * Time after a ping without an answer after which the link is closed and its calls have failed.
+   * Until then a peer that is only slow can still answer them.
+   */
+  private static final long CLOSE_TIMEOUT_NANOS = Duration.ofMillis(1_500).toNanos();
 
   /** Time after the start of a peer's new work during which it may answer pings late. */
   private static final long STARTING_NANOS = Duration.ofSeconds(5).toNanos();
@@ -74,7 +77,8 @@
   /** Receives the events of links. */
   public interface LinkListener {
     /**
-     * Called when connecting failed or the peer did not answer a ping.
+     * Called when connecting failed or the peer did not answer a ping. In the second case the link
+     * is still open, and its calls may be answered late.
      *
      * @param refused whether the peer refused the connection, so that its process is not running
      */
@@ -120,6 +124,9 @@
 
   private boolean pingSent;
 
+  /** Whether the peer was reported as lost because it did not answer that ping. */
+  private boolean silent;
+
   /** Time up to which the peer counts as starting. */
   private long startingEndNanos;
 
@@ -154,11 +161,17 @@
     return address;
   }
 
-  /** Sets whether the link is kept open and tested with pings while no call is pending. */
+  /**
+   * Sets whether the link is kept open and tested with pings while no call is pending. A link that
+   * is no longer monitored is closed if its peer is silent, so that its calls can be sent
+   * elsewhere.
+   */
   public void setMonitored(boolean monitor) {
     monitored = monitor;
     if (monitored) {
       connect();
+    } else if (silent) {
+      closeSilent();
     }
   }
 
@@ -307,17 +320,33 @@
     }
     long now = scheduler.nanoTime();
     if (pingSent) {
-      long timeoutNanos = now < startingEndNanos ? STARTING_PING_TIMEOUT_NANOS : PING_TIMEOUT_NANOS;
-      if (attention.nanoTime() - pingSentNanos > timeoutNanos) {
-        c.close();
-        listener.onLost(address, false);
-        failCalls(false, true);
-      }
+      checkSilence();
     } else if (now - lastFrameNanos > pingDelayNanos()) {
       sendPing(c);
     }
   }
 
+  /** Reports a peer that does not answer as lost, and closes the link some time later. */
+  private void checkSilence() {
+    long silenceNanos = attention.nanoTime() - pingSentNanos;
+    boolean isStarting = scheduler.nanoTime() < startingEndNanos;
+    if (!silent && silenceNanos > (isStarting ? CLOSE_TIMEOUT_NANOS : PING_TIMEOUT_NANOS)) {
+      silent = true;
+      listener.onLost(address, false);
+    }
+    if (silent && silenceNanos > CLOSE_TIMEOUT_NANOS) {
+      closeSilent();
+    }
+  }
+
+  private void closeSilent() {
+    MeshChannel c = channel;
+    failCalls(false, true);
+    if (c != null) {
+      c.close();
+    }
+  }
+
   private void sendPing(MeshChannel c) {
     pingSent = true;
     pingSentNanos = attention.nanoTime();
@@ -340,6 +369,7 @@
   private void failCalls(boolean refused, boolean sent) {
     channel = null;
     pingSent = false;
+    silent = false;
     unsent.clear();
     List<Call> lost = new ArrayList<>(calls.values());
     calls.clear();
@@ -363,6 +393,11 @@
 
   private void onFrame(MeshFrame frame) {
     lastFrameNanos = scheduler.nanoTime();
+    pingSent = false;
+    if (silent) {
+      silent = false;
+      listener.onResponse(address);
+    }
     finishResponseChecks(true);
     switch (frame.getBodyCase()) {
       case ANSWER -> {
@@ -378,7 +413,6 @@
         }
       }
       case PONG -> {
-        pingSent = false;
         listener.onResponse(address);
         listener.onPeerConfigurationVersion(this, frame.getPong().getConfigurationVersion());
       }
@@ -415,6 +449,7 @@
       channel = opened;
       lastFrameNanos = scheduler.nanoTime();
       pingSent = false;
+      silent = false;
       for (MeshFrame frame = unsent.poll(); frame != null; frame = unsent.poll()) {
         opened.send(frame);
       }
