Let homes watch only the servers themselves, not the records and the configuration

Cause: each home kept its three watches beside the relays; on the large site 14 homes and 10 relays, and the registrations and records that change after a restart of everything ended all of them. Evidence: WatchRelayFleetTest counts the watches: 24 before, at most 18 now with its 6 homes.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -19,8 +19,8 @@
 
 /**
  * Follows all keys under a prefix: reads them all, then learns of changes, from the store's watch
- * if this instance is a relay or a home, and else from a relay. Reads them all again if the history
- * that a watch needs is lost.
+ * if this instance is a relay or must not depend on one, and else from a relay. Reads them all
+ * again if the history that a watch needs is lost.
  *
  * <p>Confined to the instance's thread.
  */
@@ -64,7 +64,7 @@
   private final String prefix;
   private final Scheduler scheduler;
   private final WatchRelays relays;
-  private final BooleanSupplier isHome;
+  private final BooleanSupplier mustWatch;
   private final Function<String, PeerLink> links;
   private final Duration firstFollowDelay;
   private final Listener listener;
@@ -94,8 +94,7 @@
    * Creates a follower that is inactive until {@link #start()}.
    *
    * @param storeUnavailable returns whether this instance's last call to the store failed
-   * @param isHome returns whether this instance is the home of a group, and so depends on what a
-   *     relay may learn late, such as that a server drains
+   * @param mustWatch returns whether this instance must not depend on what a relay may learn late
    * @param links returns the link to an address
    * @param firstFollowDelay the time between the first read and the first question for changes
    */
@@ -105,7 +104,7 @@
       String prefix,
       Scheduler scheduler,
       WatchRelays relays,
-      BooleanSupplier isHome,
+      BooleanSupplier mustWatch,
       Function<String, PeerLink> links,
       Duration firstFollowDelay,
       Listener listener) {
@@ -114,7 +113,7 @@
     this.prefix = prefix;
     this.scheduler = scheduler;
     this.relays = relays;
-    this.isHome = isHome;
+    this.mustWatch = mustWatch;
     this.links = links;
     this.firstFollowDelay = firstFollowDelay;
     this.listener = listener;
@@ -165,7 +164,7 @@
   }
 
   private boolean shouldWatchStore() {
-    return relays.isRelay() || isHome.getAsBoolean() || scheduler.nanoTime() < ownWatchEndNanos;
+    return relays.isRelay() || mustWatch.getAsBoolean() || scheduler.nanoTime() < ownWatchEndNanos;
   }
 
   private void read() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -238,9 +238,14 @@
   /** Starts to follow the store, registers the instance and starts its periodic tasks. */
   public void start() {
     followPrefix(
-        ports.decoder().configurationKey(), FIRST_FOLLOW_DELAY, new ConfigurationListener());
-    followPrefix(ports.decoder().serverPrefix(), FIRST_FOLLOW_DELAY, new ServerListener());
-    followPrefix("lane/", Duration.ZERO, new CoordinationListener());
+        ports.decoder().configurationKey(),
+        FIRST_FOLLOW_DELAY,
+        () -> false,
+        new ConfigurationListener());
+    // A home sends work to servers until it learns that they drain. Its own record it reads itself.
+    followPrefix(
+        ports.decoder().serverPrefix(), FIRST_FOLLOW_DELAY, this::isAnyHome, new ServerListener());
+    followPrefix("lane/", Duration.ZERO, () -> false, new CoordinationListener());
     registry.register();
     ports.scheduler().repeat(TICK_INTERVAL, this::tick);
     ports.scheduler().repeat(FOLLOWER_INTERVAL, this::tickFollowers);
@@ -379,7 +384,12 @@
     ports.scheduler().schedule(TICK_INTERVAL, () -> continueDrain(startedNanos, limit, onDone));
   }
 
-  private void followPrefix(String prefix, Duration delay, PrefixFollower.Listener listener) {
+  private boolean isAnyHome() {
+    return elections.values().stream().anyMatch(HomeElection::isHome);
+  }
+
+  private void followPrefix(
+      String prefix, Duration delay, BooleanSupplier mustWatch, PrefixFollower.Listener listener) {
     PrefixFollower follower =
         new PrefixFollower(
             store,
@@ -387,7 +397,7 @@
             prefix,
             ports.scheduler(),
             relays,
-            () -> elections.values().stream().anyMatch(HomeElection::isHome),
+            mustWatch,
             links::to,
             delay,
             listener);
@@ -401,7 +411,7 @@
    */
   private void confirmRecords() {
     confirmRound++;
-    boolean home = elections.values().stream().anyMatch(HomeElection::isHome);
+    boolean home = isAnyHome();
     boolean successor = elections.values().stream().anyMatch(HomeElection::isSuccessor);
     if (confirming || !(home || (successor && confirmRound % SUCCESSOR_CONFIRM_ROUNDS == 0))) {
       return;
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/WatchRelayFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/WatchRelayFleetTest.java
@@ -78,6 +78,17 @@
     finish();
   }
 
+  // Registrations and records change often after a restart of everything; each ends all watches.
+  @Test
+  void testHomesThatAreNoRelaysWatchOnlyTheServers() {
+    begin();
+    long homes = fleet.hosts().stream().filter(h -> fleet.homesAt(h) > 0).count();
+    int watches = fleet.hosts().stream().mapToInt(h -> h.openWatches).sum();
+    assertThat(watches).isAtLeast(4 * 3);
+    assertThat(watches).isAtMost((int) (4 * 3 + homes));
+    finish();
+  }
+
   @Test
   void testChangeReachesAllInstancesAtOnce() {
     begin();
