--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/SlowInstanceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/SlowInstanceTest.java
@@ -39,7 +39,7 @@
     scenario.finish();
   }
 
-  // A barrier that stayed closed: one slow machine must not hold up the callers of others.
+  // One slow instance must not hold up the callers of all others.
   @Test
   void testHomeThatTurnsSlowIsReplaced() {
     scenario.begin();
