--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeHandover.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeHandover.java
@@ -10,8 +10,8 @@
 import org.chicorylane.internal.topology.PeerInstance;
 
 /**
- * Hands a group over from its home to another instance: when this instance shuts down, when it can
- * no longer confirm its lease, and when it is the home of more groups than the other one.
+ * Hands a group over from its home to another instance: when this instance shuts down, can no
+ * longer confirm its lease, is stalling, or has more groups for its size than the other one.
  *
  * <p>Confined to the instance's thread.
  */
