Client accounts: keys resolve to accounts, connections to servers belong to one

What callers saw: where the configuration declares accounts, every statement ran under a name that no account has. Cause: the product knew no accounts; a client's key was ignored and servers were told the proxy's own name. Without accounts in the configuration nothing changes on the wire.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.passthrough.AccessMode;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ClientStatement;
@@ -37,6 +38,7 @@
 
   private final SessionHost host;
   private final String database;
+  private final @Nullable AccountAccess access;
   private final Map<String, String> values = new LinkedHashMap<>();
   private final Map<String, StatementTemplate> prepared = new HashMap<>();
   private TransactionState state = TransactionState.IDLE;
@@ -54,9 +56,15 @@
 
   private boolean closed;
 
-  ClientSession(SessionHost host, String database) {
+  ClientSession(SessionHost host, String database, @Nullable AccountAccess access) {
     this.host = host;
     this.database = database;
+    this.access = access;
+  }
+
+  /** Returns the access under which the session runs, null if it needs none. */
+  @Nullable AccountAccess access() {
+    return access;
   }
 
   /** Returns whether the session has neither a running statement nor an open transaction. */
@@ -239,7 +247,8 @@
             readOnly && inTransaction,
             route.priority(),
             (int) route.targetLatency().toMillis(),
-            (int) route.statementTimeout().toMillis());
+            (int) route.statementTimeout().toMillis(),
+            access);
     host.router().submit(route.group(), work, routed, inDoubtIfLost, handler);
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
@@ -4,6 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.chicorylane.internal.account.AccountAccess;
+import org.chicorylane.internal.account.ClientAccount;
+import org.chicorylane.internal.account.KeyFingerprint;
+import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.topology.Configuration;
 import org.chicorylane.internal.topology.DatabaseRoute;
 import org.jspecify.annotations.Nullable;
@@ -31,25 +35,34 @@
   }
 
   /**
-   * Returns whether a configuration has been read. Without one, an unknown database can't be told
-   * from a known one.
-   */
-  public boolean hasConfiguration() {
-    return configuration.get() != null;
-  }
-
-  /**
-   * Opens a session. Returns null if no database has this name.
+   * Opens a session.
    *
+   * @param key the key that the client presented, empty if none; ignored where no accounts are
+   *     declared
    * @param closeConnection closes the client's connection; called when the instance shuts down
    */
-  public @Nullable ClientSession open(String database, Runnable closeConnection) {
+  public OpenResult open(String database, String key, Runnable closeConnection) {
+    Configuration c = configuration.get();
+    if (c == null) {
+      return new OpenResult.Refused(
+          FailureCode.OVERLOADED, "no configuration yet; retry after 500 ms");
+    }
+    AccountAccess access = null;
+    if (c.accounts() != null) {
+      KeyFingerprint fingerprint = KeyFingerprint.of(key);
+      ClientAccount account = c.accounts().findByKey(fingerprint);
+      if (account == null) {
+        return new OpenResult.Refused(
+            FailureCode.UNKNOWN_KEY, "no account has key " + fingerprint.hex());
+      }
+      access = new AccountAccess(account.name(), fingerprint);
+    }
     if (route(database) == null) {
-      return null;
+      return new OpenResult.Refused(FailureCode.UNKNOWN_DATABASE, "no database " + database);
     }
-    ClientSession session = new ClientSession(this, database);
+    ClientSession session = new ClientSession(this, database, access);
     sessions.put(session, closeConnection);
-    return session;
+    return new OpenResult.Opened(session);
   }
 
   /** Ends the session of a connection that has closed. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
@@ -2,6 +2,8 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.chicorylane.internal.account.AccountAccess;
+import org.chicorylane.internal.account.KeyFingerprint;
 import org.chicorylane.internal.mesh.generated.MeshAnswer;
 import org.chicorylane.internal.mesh.generated.MeshPosition;
 import org.chicorylane.internal.mesh.generated.MeshWork;
@@ -52,6 +54,9 @@
     if (work.sessionFloor() != null) {
       builder.setSessionFloor(encodePosition(work.sessionFloor()));
     }
+    if (work.access() != null) {
+      builder.setAccount(work.access().account()).setAccountKey(work.access().key().hex());
+    }
     work.values()
         .forEach(
             (name, value) -> {
@@ -85,7 +90,10 @@
         message.getReadOnly(),
         message.getPriority(),
         message.getTargetMillis(),
-        message.getBudgetMillis());
+        message.getBudgetMillis(),
+        message.getAccount().isEmpty()
+            ? null
+            : new AccountAccess(message.getAccount(), new KeyFingerprint(message.getAccountKey())));
   }
 
   static MeshAnswer encodeAnswer(long call, Answer answer) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/FailureCode.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/FailureCode.java
@@ -27,7 +27,9 @@
   /** The statement is too large. */
   TOO_LARGE(true),
   /** The statement cannot be parsed or is not allowed in the current transaction state. */
-  MALFORMED(true);
+  MALFORMED(true),
+  /** The client's key gives access to no account. */
+  UNKNOWN_KEY(true);
 
   private final boolean hasNoEffect;
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerConnector.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerConnector.java
@@ -20,8 +20,16 @@
    * @param group the server's database group
    * @param serverId the id that the server must have
    * @param address host and port
+   * @param account the client account whose statements the connection runs; null for a connection
+   *     that runs none, and where no accounts are declared
    */
-  record Target(String group, String serverId, String address) {}
+  record Target(String group, String serverId, String address, @Nullable String account) {
+
+    /** Creates a target for a connection that belongs to no client account. */
+    public Target(String group, String serverId, String address) {
+      this(group, serverId, address, null);
+    }
+  }
 
   /** Why a connection could not be opened. */
   enum ConnectFailure {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -500,11 +500,18 @@
     LogPosition floor =
         item.work.canRunOnReplica() ? floors.floorFor(item.work, item.arrivedNanos) : null;
     PoolServer best =
-        ServerChoice.choose(servers.values(), item, floor, halt, floors, now, connections::hasIdle);
+        ServerChoice.choose(
+            servers.values(),
+            item,
+            floor,
+            halt,
+            floors,
+            now,
+            server -> connections.hasIdle(server, item.work.account()));
     if (best == null) {
       return false;
     }
-    PooledConnection c = connections.takeIdle(best, item.work.values());
+    PooledConnection c = connections.takeIdle(best, item.work.account(), item.work.values());
     if (c == null) {
       return false;
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -64,8 +64,11 @@
     this.drainLimit = drainLimit;
   }
 
-  ServerConnector.Target target() {
-    return new ServerConnector.Target(backend.group(), backend.id(), backend.address());
+  /**
+   * Returns the target of a connection, which runs the statements of {@code account} if not null.
+   */
+  ServerConnector.Target target(@Nullable String account) {
+    return new ServerConnector.Target(backend.group(), backend.id(), backend.address(), account);
   }
 
   boolean isUsable() {
@@ -102,6 +105,11 @@
     slowness += SLOWNESS_WEIGHT * (nanos / expectedNanos - slowness);
   }
 
+  /** Returns whether a connection of {@code account} is idle. */
+  boolean hasIdle(String account) {
+    return idle.stream().anyMatch(c -> c.account.equals(account));
+  }
+
   void updatePosition(@Nullable LogPosition reported) {
     if (reported != null) {
       position = reported;
@@ -114,14 +122,17 @@
   }
 
   /**
-   * Removes and returns the idle connection that needs the fewest commands to set {@code values};
-   * of several, the one used last. Returns null if no connection is idle.
+   * Removes and returns the idle connection of {@code account} that needs the fewest commands to
+   * set {@code values}; of several, the one used last. Returns null if no connection is idle.
    */
-  @Nullable PooledConnection takeIdle(Map<String, String> values) {
+  @Nullable PooledConnection takeIdle(String account, Map<String, String> values) {
     PooledConnection best = null;
     int bestCost = Integer.MAX_VALUE;
     for (Iterator<PooledConnection> i = idle.descendingIterator(); i.hasNext(); ) {
       PooledConnection c = i.next();
+      if (!c.account.equals(account)) {
+        continue;
+      }
       int cost = c.setupCost(values);
       if (cost < bestCost) {
         best = c;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
@@ -17,15 +17,20 @@
 
   final PoolServer server;
   final ServerLink link;
+
+  /** The client account whose statements the connection runs, empty where none are declared. */
+  final String account;
+
   private final Map<String, String> values = new HashMap<>();
   private final Map<StatementTemplate, String> prepared = new HashMap<>();
   private int preparedCount;
   boolean closed;
   @Nullable PoolTransaction transaction;
 
-  PooledConnection(PoolServer server, ServerLink link) {
+  PooledConnection(PoolServer server, ServerLink link, String account) {
     this.server = server;
     this.link = link;
+    this.account = account;
   }
 
   /** Returns an upper bound on the commands needed to set the session's values; 0 if none are. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -58,38 +58,51 @@
     maxPerServer = Math.max(2, connectionsPerServer - RESERVED_CONNECTIONS);
   }
 
-  /** Returns whether the server has an idle connection; opens one ahead if not. */
-  boolean hasIdle(PoolServer s) {
-    if (!s.idle.isEmpty()) {
+  /** Returns whether the account has an idle connection to the server; opens one ahead if not. */
+  boolean hasIdle(PoolServer s, String account) {
+    if (s.hasIdle(account)) {
       return true;
     }
-    open(s);
+    open(s, account);
     return false;
   }
 
   /**
-   * Removes and returns the idle connection that is best prepared for {@code values}. Returns null
-   * if none is idle, and opens one then.
+   * Removes and returns the account's idle connection that is best prepared for {@code values}.
+   * Returns null if none is idle, and opens one then.
    */
-  @Nullable PooledConnection takeIdle(PoolServer s, Map<String, String> values) {
-    PooledConnection idle = s.takeIdle(values);
+  @Nullable PooledConnection takeIdle(PoolServer s, String account, Map<String, String> values) {
+    PooledConnection idle = s.takeIdle(account, values);
     if (idle == null) {
-      open(s);
+      open(s, account);
     }
     return idle;
   }
 
-  /** Opens a connection, unless the server has enough or cannot be used. */
-  private void open(PoolServer s) {
-    if (s.opening >= MAX_CONCURRENT_OPENS
-        || s.connections.size() + s.opening >= maxPerServer
-        || s.unreachable
-        || s.removed
-        || closing) {
+  /**
+   * Opens a connection, unless the server has enough or cannot be used. A server with enough
+   * connections gives up the idle one of another account that was used least recently.
+   */
+  private void open(PoolServer s, String account) {
+    if (s.opening >= MAX_CONCURRENT_OPENS || s.unreachable || s.removed || closing) {
+      return;
+    }
+    if (s.connections.size() + s.opening >= maxPerServer && !closeLeastRecentlyUsed(s, account)) {
       return;
     }
     s.opening++;
-    connector.connect(s.target(), new OpenListener(s));
+    String owner = account.isEmpty() ? null : account;
+    connector.connect(s.target(owner), new OpenListener(s, account));
+  }
+
+  private boolean closeLeastRecentlyUsed(PoolServer s, String exceptAccount) {
+    for (PooledConnection c : s.idle) {
+      if (!c.account.equals(exceptAccount)) {
+        close(c);
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -147,10 +160,12 @@
   /** Handles the events of one connection. */
   private final class OpenListener implements ServerConnector.Listener {
     private final PoolServer server;
+    private final String account;
     private @Nullable PooledConnection connection;
 
-    OpenListener(PoolServer server) {
+    OpenListener(PoolServer server, String account) {
       this.server = server;
+      this.account = account;
     }
 
     @Override
@@ -160,7 +175,7 @@
         link.close();
         return;
       }
-      connection = new PooledConnection(server, link);
+      connection = new PooledConnection(server, link, account);
       server.connections.add(connection);
       server.idle.addLast(connection);
       server.lastContactNanos = scheduler.nanoTime();
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -116,7 +116,7 @@
     }
     s.openingControl = true;
     s.retryAtNanos = now + RECONNECT_INTERVAL_NANOS;
-    connector.connect(s.target(), new ControlListener(s));
+    connector.connect(s.target(null), new ControlListener(s));
   }
 
   /** Listener for the control connection, over which a server is monitored and sent commands. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.pool;
 
 import java.util.Map;
+import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.passthrough.AccessMode;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.position.LogPosition;
@@ -26,6 +27,7 @@
  * @param priority the priority; lower values are served first, 0 before all others
  * @param targetMillis the time in milliseconds within which the client wants an answer
  * @param budgetMillis the time in milliseconds after which the client gives up
+ * @param access the client account under which the work runs; null if no accounts are declared
  */
 public record Work(
     WorkKind kind,
@@ -41,7 +43,13 @@
     boolean readOnly,
     int priority,
     int targetMillis,
-    int budgetMillis) {
+    int budgetMillis,
+    @Nullable AccountAccess access) {
+
+  /** Returns the name of the account under which the work runs, empty if it runs under none. */
+  public String account() {
+    return access == null ? "" : access.account();
+  }
 
   /** Returns whether the statement itself changes data; false for a commit. */
   public boolean isWrite() {
@@ -77,6 +85,7 @@
         readOnly,
         priority,
         Math.max(0, targetMillis - millis),
-        Math.max(1, budgetMillis - millis));
+        Math.max(1, budgetMillis - millis),
+        access);
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.chicorylane.internal.account.AccountRules;
 import org.chicorylane.internal.election.ElectionTimings;
 import org.chicorylane.internal.election.HomeBalancer;
 import org.chicorylane.internal.election.HomeElection;
@@ -100,6 +101,7 @@
 
   private final PeerInstance self;
   private final Ports ports;
+  private final AccountRules accountRules;
   private final AttentionClock attention;
   private final ElectionTimings timings = ElectionTimings.defaults();
   private final LatestConfiguration configuration;
@@ -129,7 +131,19 @@
    * @param drainTimeout the time in which a draining server takes new work
    */
   public ProxyInstance(PeerInstance self, Ports ports, Duration drainTimeout) {
+    this(self, ports, drainTimeout, AccountRules.NONE);
+  }
+
+  /**
+   * Creates an instance that is inactive until {@link #start()}.
+   *
+   * @param drainTimeout the time in which a draining server takes new work
+   * @param accountRules what the deployment demands of client accounts
+   */
+  public ProxyInstance(
+      PeerInstance self, Ports ports, Duration drainTimeout, AccountRules accountRules) {
     this.self = self;
+    this.accountRules = accountRules;
     this.ports = ports;
     Scheduler scheduler = ports.scheduler();
     this.configuration =
@@ -219,6 +233,7 @@
     metrics.gauge("store.away", () -> () -> ports.storeUnavailable().getAsBoolean() ? 1 : 0);
     metrics.gauge("store.relay", () -> () -> relays.isRelay() ? 1 : 0);
     metrics.gauge("statements.queued", () -> this::countQueued);
+    metrics.gauge("accounts.required", () -> () -> accountRules.required() ? 1 : 0);
   }
 
   private int countQueued() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/topology/Configuration.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/topology/Configuration.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Map;
+import org.chicorylane.internal.account.ClientAccounts;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One version of the operators' configuration.
@@ -13,13 +15,15 @@
  * @param groups the database groups by name
  * @param transactionIdleLimit the idle time after which a transaction may be ended
  * @param maximumStatementBytes the largest accepted size of a statement in bytes
+ * @param accounts the client accounts, null if sessions need none
  */
 public record Configuration(
     long version,
     Map<String, DatabaseRoute> routes,
     Map<String, GroupDeclaration> groups,
     Duration transactionIdleLimit,
-    int maximumStatementBytes) {
+    int maximumStatementBytes,
+    @Nullable ClientAccounts accounts) {
 
   /** Copies the maps. */
   public Configuration {
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ModelGroup;
@@ -144,6 +145,7 @@
     private int priority = 1;
     private int target = 250;
     private int budget = 800;
+    private @Nullable AccountAccess access;
 
     Builder(String id, WorkKind kind, Freshness freshness) {
       this.id = id;
@@ -183,6 +185,11 @@
       return this;
     }
 
+    Builder access(AccountAccess newAccess) {
+      access = newAccess;
+      return this;
+    }
+
     Builder budget(int millis) {
       budget = millis;
       return this;
@@ -204,7 +211,8 @@
           readOnly,
           priority,
           target,
-          budget);
+          budget,
+          access);
     }
   }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -40,7 +40,8 @@
             false,
             priority,
             targetMillis,
-            2_000);
+            2_000,
+            null);
     WorkHandler ignored =
         new WorkHandler() {
           @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/DrainTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/DrainTest.java
@@ -22,8 +22,7 @@
   private void runAtEndOfDrain(ClientStatement statement) {
     fleet.start();
     ModelHost host = fleet.hosts().get(2);
-    final ClientSession session =
-        host.instance.sessions().open(ModelFleet.LATEST, () -> events.add("closed"));
+    final ClientSession session = host.openSession(ModelFleet.LATEST, () -> events.add("closed"));
     host.instance.drain(LIMIT, () -> events.add("stopped"));
     fleet.advance(LIMIT.toMillis() - 60);
     ModelFleet.SERVERS.stream().map(fleet.group::server).forEach(DrainTest::silence);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelClients.java
@@ -60,7 +60,7 @@
   /** Sends one write over a new session at an instance, also after {@link #stop()}. */
   void writeOnce(ModelHost host) {
     String id = "w" + requests++;
-    ClientSession session = host.instance.sessions().open(ModelFleet.LATEST, () -> {});
+    ClientSession session = host.openSession(ModelFleet.LATEST, () -> {});
     session.run(
         id,
         new ClientStatement.Write("WRITE item data"),
@@ -180,7 +180,7 @@
         session = null;
         host = running.isEmpty() ? null : running.get(random.nextInt(running.size()));
         if (host != null && host.instance != null) {
-          session = host.instance.sessions().open(database, this::disconnect);
+          session = host.openSession(database, this::disconnect);
           sessions++;
         }
       }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -265,7 +265,8 @@
         .keySet()
         .forEach(name -> groups.put(name, new GroupDeclaration(name, 23, 1)));
     return Optional.of(
-        new Configuration(Long.parseLong(text), routes, groups, Duration.ofSeconds(3), 1 << 20));
+        new Configuration(
+            Long.parseLong(text), routes, groups, Duration.ofSeconds(3), 1 << 20, null));
   }
 
   private static DatabaseRoute route(String database, Freshness freshness) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -13,6 +13,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.chicorylane.internal.election.Promoter;
+import org.chicorylane.internal.entry.ClientSession;
+import org.chicorylane.internal.entry.OpenResult;
 import org.chicorylane.internal.mesh.MeshChannel;
 import org.chicorylane.internal.mesh.MeshTransport;
 import org.chicorylane.internal.mesh.NettyMeshTransport;
@@ -547,4 +549,10 @@
 
   @Override
   public void close() {}
+
+  /** Opens a session without a key; returns null if the instance refuses it. */
+  @Nullable ClientSession openSession(String database, Runnable closeConnection) {
+    OpenResult result = instance.sessions().open(database, "", closeConnection);
+    return result instanceof OpenResult.Opened opened ? opened.session() : null;
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/OutdatedStatusPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/OutdatedStatusPromotionTest.java
@@ -54,7 +54,7 @@
 
   /** Sends a read that the home of the group has to answer. */
   private static void readAt(ModelHost host) {
-    ClientSession session = host.instance.sessions().open(ModelFleet.LATEST, () -> {});
+    ClientSession session = host.openSession(ModelFleet.LATEST, () -> {});
     session.run("read", new ClientStatement.Read("READ item"), answer -> {});
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetTest.java
@@ -295,7 +295,7 @@
     begin();
     ModelHost home = fleet.home().orElseThrow();
     ModelHost entry = fleet.hosts().stream().filter(h -> h != home).findFirst().orElseThrow();
-    ClientSession session = entry.instance.sessions().open(ModelFleet.OWN, () -> {});
+    ClientSession session = entry.openSession(ModelFleet.OWN, () -> {});
     List<Answer> answers = new ArrayList<>();
     session.run("begin", new ClientStatement.Begin(false), answers::add);
     fleet.advance(100);
