Withdrawn keys: homes run an account's work only by a confirmed configuration

What callers saw: a key that operators took away kept working in sessions that were open, and at instances that had not learned of the change.

Cause: the key was compared once, when the session was opened, against whatever configuration the entry had.

Change: the home of a group checks the access of each statement and commit against its newest configuration, and only while a read of the configuration that was answered is younger than the withdrawal bound. It reads once a second while it is a home and accounts are declared, through another instance if the store does not answer it, and asks the other homes for their confirmations while its own is old. An entry refuses statements of sessions whose access is gone and rolls back their transactions; a home that refuses a key sends its configuration to the entry. Without declared accounts, or without a bound, nothing is read, asked or checked.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.ToIntFunction;
+import org.chicorylane.internal.account.AccountGate;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -28,6 +29,7 @@
 import org.chicorylane.internal.pool.ServerLoss;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
+import org.chicorylane.internal.pool.WorkKind;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -59,6 +61,7 @@
    * @param storeUnavailable returns whether this instance's last call to the store failed
    * @param drainLimit tells for how long a draining server may be sent new work
    * @param attention tells whether this instance is too slow to judge others or to take groups
+   * @param gate decides which client accounts' work may run
    */
   public record Context(
       HomeRecord.Holder self,
@@ -76,7 +79,8 @@
       HomeCounter homeCounter,
       HomeBalancer balancer,
       UniqueIds ids,
-      PoolMetrics metrics) {}
+      PoolMetrics metrics,
+      AccountGate gate) {}
 
   /** Counts the groups of which each instance is the home. */
   public interface HomeCounter {
@@ -177,19 +181,44 @@
       if (p == null) {
         handler.onNotHome();
       } else {
-        p.submit(owner, work, handler);
+        submit(p, owner, work, handler);
       }
       return;
     }
     for (GroupPool each : pools()) {
       if (each.hasTransaction(owner, work.transaction())) {
-        each.submit(owner, work, handler);
+        submit(each, owner, work, handler);
         return;
       }
     }
     handler.onAnswer(TRANSACTION_ABORTED);
   }
 
+  /** Runs work in {@code target} if its access is granted; otherwise ends its transaction. */
+  private void submit(GroupPool target, Object owner, Work work, WorkHandler handler) {
+    AccountGate.Verdict verdict = context.gate().check(work.access(), work.requestId());
+    boolean continues = work.inTransaction() && !work.begins();
+    if (verdict == AccountGate.Verdict.GRANTED) {
+      target.submit(owner, work, handler);
+    } else if (verdict == AccountGate.Verdict.STARTING && !continues) {
+      handler.onNotHome();
+    } else if (continues) {
+      target.abandon(owner, work.transaction());
+      boolean isWithdrawn = verdict == AccountGate.Verdict.WITHDRAWN;
+      handler.onAnswer(
+          Answer.failure(
+              isWithdrawn ? verdict.code() : FailureCode.ABORTED,
+              verdict.text(),
+              work.kind() == WorkKind.COMMIT ? TransactionState.IDLE : TransactionState.FAILED));
+    } else {
+      handler.onAnswer(
+          Answer.failure(
+              verdict.code(),
+              verdict.text(),
+              work.begins() ? TransactionState.FAILED : TransactionState.IDLE));
+    }
+  }
+
   /** Rolls back a transaction that arrived over {@code owner}. */
   public void abandon(Object owner, long transaction) {
     pools().forEach(p -> p.abandon(owner, transaction));
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -82,9 +82,12 @@
           runningHandler = null;
           if (!closed && running != null) {
             running.accept(answer);
+            checkAccess();
           }
         };
-    if (statement instanceof ClientStatement.Malformed malformed) {
+    if (!host.isGranted(access) && !(statement instanceof ClientStatement.Rollback)) {
+      onDone.accept(refuseWithdrawn(statement instanceof ClientStatement.Commit));
+    } else if (statement instanceof ClientStatement.Malformed malformed) {
       onDone.accept(failMalformed(malformed.problem()));
     } else if (statement instanceof ClientStatement.Rollback) {
       onDone.accept(rollback());
@@ -129,6 +132,27 @@
     running.accept(Answer.failure(code, reason, state));
   }
 
+  /**
+   * Rolls back the open transaction if the session's access was withdrawn and no statement is
+   * running. Later statements are refused.
+   */
+  void checkAccess() {
+    if (runningHandler == null && state == TransactionState.OPEN && !host.isGranted(access)) {
+      endTransaction(true);
+      state = TransactionState.FAILED;
+    }
+  }
+
+  private Answer refuseWithdrawn(boolean isCommit) {
+    boolean wasInTransaction = state != TransactionState.IDLE;
+    endTransaction(true);
+    if (wasInTransaction && !isCommit) {
+      state = TransactionState.FAILED;
+    }
+    return Answer.failure(
+        FailureCode.UNKNOWN_KEY, "the key gives access to no account any more", state);
+  }
+
   /** Ends the session and rolls back its transaction. */
   public void close() {
     closed = true;
@@ -302,6 +326,11 @@
   }
 
   private Answer withState(Answer answer) {
+    if (answer.failure() == FailureCode.UNKNOWN_KEY && host.isGranted(access)) {
+      // The home has another configuration; this instance has the newer one, or is about to get it.
+      return Answer.failure(
+          FailureCode.OVERLOADED, "the accounts have just changed; retry after 500 ms", state);
+    }
     return new Answer(
         answer.rows(),
         answer.signature(),
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionHost.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionHost.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.entry;
 
+import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.topology.DatabaseRoute;
 import org.jspecify.annotations.Nullable;
 
@@ -9,6 +10,9 @@
   /** Returns the route of a database, or null if no route has this name. */
   @Nullable DatabaseRoute route(String database);
 
+  /** Returns whether the newest configuration grants {@code access}, null if there is none. */
+  boolean isGranted(@Nullable AccountAccess access);
+
   /** Returns the router that sends statements to the homes of their groups. */
   HomeRouter router();
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.account.ClientAccount;
+import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.account.KeyFingerprint;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.topology.Configuration;
@@ -87,6 +88,11 @@
     return sessions.size();
   }
 
+  /** Rolls back the idle transactions of sessions that the configuration no longer grants. */
+  public void onConfiguration() {
+    new ArrayList<>(sessions.keySet()).forEach(ClientSession::checkAccess);
+  }
+
   /** Returns the number of open sessions. */
   public int count() {
     return sessions.size();
@@ -98,6 +104,13 @@
     return c == null ? null : c.routes().get(database);
   }
 
+  @Override
+  public boolean isGranted(@Nullable AccountAccess access) {
+    Configuration c = configuration.get();
+    ClientAccounts accounts = c == null ? null : c.accounts();
+    return accounts == null || (access != null && accounts.isGranted(access));
+  }
+
   @Override
   public HomeRouter router() {
     return router;
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +22,7 @@
 import org.chicorylane.internal.mesh.generated.MeshReply;
 import org.chicorylane.internal.mesh.generated.MeshWork;
 import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
@@ -61,12 +63,17 @@
   private final BooleanSupplier storeUnavailable;
   private final ServerDirectory servers;
   private final Map<String, PrefixFollower> followers;
+  private final ConfigurationConfirmer confirmer;
+
+  /** The version of the configuration that was sent last over each connection, after a refusal. */
+  private final Map<MeshChannel, Long> sentVersions = new HashMap<>();
 
   /**
    * Creates a service.
    *
    * @param attention tells whether this instance is too slow to tell that another process is silent
    * @param followers the followers of the store by their prefix, which relay its changes
+   * @param confirmer tells the age of this instance's confirmation of the configuration
    */
   MeshService(
       Scheduler scheduler,
@@ -79,7 +86,9 @@
       KeyValueStore store,
       BooleanSupplier storeUnavailable,
       ServerDirectory servers,
-      Map<String, PrefixFollower> followers) {
+      Map<String, PrefixFollower> followers,
+      ConfigurationConfirmer confirmer) {
+    this.confirmer = confirmer;
     this.servers = servers;
     this.followers = followers;
     this.store = store;
@@ -114,6 +123,7 @@
 
   @Override
   public void onClosed(MeshChannel channel) {
+    sentVersions.remove(channel);
     allElections.forEach(election -> election.abandonAll(channel));
   }
 
@@ -129,6 +139,9 @@
         new WorkHandler() {
           @Override
           public void onAnswer(Answer answer) {
+            if (answer.failure() == FailureCode.UNKNOWN_KEY) {
+              sendConfiguration(channel);
+            }
             channel.send(MeshMessages.answerFrame(work.getCall(), answer));
           }
 
@@ -139,6 +152,14 @@
         });
   }
 
+  /** Sends the configuration to an entry that accepts a key which this home does not. */
+  private void sendConfiguration(MeshChannel channel) {
+    Long sent = sentVersions.put(channel, configuration.version());
+    if (sent == null || sent < configuration.version()) {
+      channel.send(MeshMessages.configurationFrame(configuration.text()));
+    }
+  }
+
   private void onPing(MeshChannel channel, MeshPing ping) {
     channel.send(MeshMessages.pongFrame(ping.getSequence(), configuration.version()));
     if (ping.getConfigurationVersion() < configuration.version()) {
@@ -186,6 +207,7 @@
             question,
             MeshReply.newBuilder().setYes(age.isPresent()).setRevision(age.orElse(0)));
       }
+      case CONFIRMATION_AGE -> reply(channel, question, confirmer.answer(question));
       case STORE_WATCH -> watchStore(channel, question);
       case STOP_HOME -> stopHome(channel, question, election, true);
       default -> stopHome(channel, question, election, false);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -34,7 +34,13 @@
    * Asks for the changes under a prefix of the key-value store after a revision, as soon as there
    * are any. The reply is negative if the peer does not watch the store itself.
    */
-  STORE_WATCH;
+  STORE_WATCH,
+  /**
+   * Asks for the age of the peer's confirmation of the configuration. The reply has the age in
+   * nanoseconds as its revision, and the configuration if it is newer than the version that the
+   * question gives; it is negative if the peer has no confirmation.
+   */
+  CONFIRMATION_AGE;
 
   /** The constants' numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -10,7 +10,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.chicorylane.internal.account.AccountGate;
 import org.chicorylane.internal.account.AccountRules;
+import org.chicorylane.internal.account.ClientAccounts;
+import org.chicorylane.internal.account.ConfigurationFreshness;
 import org.chicorylane.internal.election.ElectionTimings;
 import org.chicorylane.internal.election.HomeBalancer;
 import org.chicorylane.internal.election.HomeElection;
@@ -39,6 +42,7 @@
 import org.chicorylane.internal.topology.PeerInstance;
 import org.chicorylane.internal.topology.ServerDirectory;
 import org.chicorylane.internal.topology.TopologyDecoder;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An instance of the proxy: the entry for its clients' sessions, the home of some groups, and a
@@ -115,6 +119,8 @@
   private final HomeRouter router;
   private final SessionRegistry sessions;
   private final MeshService service;
+  private final ConfigurationFreshness freshness;
+  private final ConfigurationConfirmer confirmer;
   private final DrainInquiry drainInquiry;
   private final RestorableStore store;
   private final HomeElection.Context context;
@@ -147,7 +153,7 @@
     this.ports = ports;
     Scheduler scheduler = ports.scheduler();
     this.configuration =
-        new LatestConfiguration(ports.decoder(), ports.log(), this::updateElections);
+        new LatestConfiguration(ports.decoder(), ports.log(), this::onConfiguration);
     this.attention = new AttentionClock(scheduler, TICK_INTERVAL);
     this.links =
         new PeerLinks(
@@ -171,6 +177,18 @@
         new DrainInquiry(scheduler, servers, registry::instances, links::to, self.name());
     this.router = new HomeRouter(scheduler, ports.log(), elections::get, links::to, self.name());
     this.sessions = new SessionRegistry(configuration::current, router);
+    this.freshness = new ConfigurationFreshness(scheduler::nanoTime, accountRules);
+    this.confirmer =
+        new ConfigurationConfirmer(
+            scheduler,
+            store,
+            ports.decoder().configurationKey(),
+            configuration,
+            freshness,
+            this::decidesOnKeys,
+            this::otherHomes,
+            links::to,
+            self.name());
     this.service =
         new MeshService(
             scheduler,
@@ -183,7 +201,8 @@
             ports.store(),
             ports.storeUnavailable(),
             servers,
-            followers);
+            followers,
+            confirmer);
     ConditionalWriter swaps =
         new ConditionalWriter(
             store,
@@ -209,7 +228,9 @@
             this::countHomes,
             new HomeBalancer(self.name()),
             new UniqueIds(self.incarnation()),
-            new PoolMetrics(metrics));
+            new PoolMetrics(metrics),
+            new AccountGate(
+                this::accounts, configuration::version, freshness, ports.log(), metrics));
     publishGauges();
   }
 
@@ -234,6 +255,17 @@
     metrics.gauge("store.relay", () -> () -> relays.isRelay() ? 1 : 0);
     metrics.gauge("statements.queued", () -> this::countQueued);
     metrics.gauge("accounts.required", () -> () -> accountRules.required() ? 1 : 0);
+    metrics.gauge("accounts.confirmation_age_ms", () -> freshness::ageMillis);
+  }
+
+  private @Nullable ClientAccounts accounts() {
+    Configuration c = configuration.current();
+    return c == null ? null : c.accounts();
+  }
+
+  /** Returns whether this instance decides on clients' keys now. */
+  private boolean decidesOnKeys() {
+    return accounts() != null && isAnyHome();
   }
 
   private int countQueued() {
@@ -292,6 +324,7 @@
   private void tick() {
     attention.check();
     router.tick();
+    confirmer.tick();
     new ArrayList<>(elections.values()).forEach(HomeElection::tick);
     if (servers.isAnyDraining()) {
       drainInquiry.ask(
@@ -448,6 +481,11 @@
             });
   }
 
+  private void onConfiguration() {
+    updateElections();
+    sessions.onConfiguration();
+  }
+
   /** Applies the configuration and the present servers to the groups' elections. */
   private void updateElections() {
     Configuration c = configuration.current();
@@ -478,6 +516,7 @@
 
   private void onHomeChanged(String group) {
     monitorHomes();
+    confirmer.tick();
     HomeElection election = elections.get(group);
     HomeRecord homeRecord = election == null ? null : election.record();
     if (homeRecord != null && !homeRecord.home().name().equals(self.name())) {
@@ -488,6 +527,11 @@
 
   /** Monitors the links to the homes of all groups, and no other links. */
   private void monitorHomes() {
+    links.monitorOnly(otherHomes());
+  }
+
+  /** Returns the addresses of the homes of all groups, except this instance's. */
+  private Set<String> otherHomes() {
     Set<String> homes = new HashSet<>();
     for (HomeElection election : elections.values()) {
       HomeRecord homeRecord = election.record();
@@ -495,7 +539,7 @@
         homes.add(homeRecord.home().address());
       }
     }
-    links.monitorOnly(homes);
+    return homes;
   }
 
   /** Passes changes of the links' state on to the elections. */
