Connections of accounts: one opening for a waiting statement, and the idle connection that saves least is closed

What callers saw: where accounts are declared, a statement without a connection opened one at each replica that had none, up to three at a time for every event, and a burst of one account closed the connections of the small ones. Cause: openings were not tied to statements, and the idle connection of another account used least recently was closed. Change: a statement that has to wait opens at most one connection at a time, in the queue's order, where room is cheapest. A refused opening is tried elsewhere at once or again after 25 to 400 ms, and the statement is refused with a time to come back when that is after its deadline; a silent one does not keep the statement from opening another. The expected wait counts the opening. GroupPool.closeIdleOf closes the idle connections of a withdrawn account. Without accounts the pool does what it did before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -139,7 +139,8 @@
     this.mayServe = mayServe;
     this.drainLimit = drainLimit;
     this.listener = listener;
-    this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
+    this.connections =
+        new ServerConnections(connector, scheduler, servers.values(), new ConnectionListener());
     this.monitor =
         new ServerMonitor(
             group, connector, scheduler, attention, log, metrics, listener, new MonitoredPool());
@@ -334,6 +335,11 @@
     queue.removeMatching(item -> item.transaction != null && item.transaction.abandoned);
   }
 
+  /** Closes the idle connections of a client account, which may run no further statements. */
+  public void closeIdleOf(String account) {
+    connections.closeIdleOf(account);
+  }
+
   /** Returns whether the transaction is open in this pool. */
   public boolean hasTransaction(Object owner, long number) {
     return transactions.containsKey(new PoolTransaction.Key(owner, number));
@@ -408,20 +414,26 @@
         item.work.canRunOnReplica() ? floors.floorFor(item.work, item.arrivedNanos) : null;
     double slots = 0;
     double replicaSlots = 0;
+    long connectionWait = Long.MAX_VALUE;
     for (PoolServer s : servers.values()) {
       if (s.primary && halt.allows(item.work) && s.acceptsNewWork()) {
         slots += s.effectiveSlots();
+        connectionWait =
+            Math.min(connectionWait, connections.expectedWaitMillis(s, item.work.account()));
       } else if (!s.primary
           && floor != null
           && ServerChoice.isFresh(s, floor, floors, now)
           && s.acceptsNewWork()) {
         replicaSlots += s.effectiveSlots();
+        connectionWait =
+            Math.min(connectionWait, connections.expectedWaitMillis(s, item.work.account()));
       }
     }
     if (item.work.canRunOnReplica()) {
       readsNeedPrimary = replicaSlots == 0;
     }
-    return queue.expectedWaitMillis(item, slots + replicaSlots, readsNeedPrimary, now);
+    long wait = queue.expectedWaitMillis(item, slots + replicaSlots, readsNeedPrimary, now);
+    return wait < 0 ? wait : Math.max(wait, connectionWait);
   }
 
   /** Dispatches the queued statements that servers can take now, in order. */
@@ -499,22 +511,15 @@
     }
     LogPosition floor =
         item.work.canRunOnReplica() ? floors.floorFor(item.work, item.arrivedNanos) : null;
+    ServerConnections.Request request = connections.request(item);
     PoolServer best =
-        ServerChoice.choose(
-            servers.values(),
-            item,
-            floor,
-            halt,
-            floors,
-            now,
-            server -> connections.hasIdle(server, item.work.account()));
-    if (best == null) {
-      return false;
-    }
-    PooledConnection c = connections.takeIdle(best, item.work.account(), item.work.values());
-    if (c == null) {
+        ServerChoice.choose(servers.values(), item, floor, halt, floors, now, request);
+    PooledConnection c = best == null ? null : connections.takeIdle(best, item.work);
+    if (best == null || c == null) {
+      connections.openFor(request, best);
       return false;
     }
+    connections.openAhead(request, best);
     if (t != null) {
       t.connection = c;
       c.transaction = t;
@@ -1006,6 +1011,18 @@
       monitor.markLost(server, ServerLoss.REFUSED, detail);
     }
 
+    @Override
+    public void onOpenFailed(QueuedWork item, Duration retryAfter) {
+      dispatchQueued();
+      scheduler.schedule(retryAfter, GroupPool.this::dispatchQueued);
+      long wait = expectedWaitMillis(item);
+      double answeredNanos = scheduler.nanoTime() + wait * 1e6 + item.serviceNanos;
+      boolean isTooLate = answeredNanos > item.deadlineNanos();
+      if (wait > 0 && isTooLate && !queue.removeMatching(other -> other == item).isEmpty()) {
+        refuse(item, "no server accepts a connection of its account", wait);
+      }
+    }
+
     @Override
     public void onClosed(PooledConnection connection) {
       removeTransactionOf(connection);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
@@ -36,6 +37,20 @@
   /** Number of connections that are being opened. */
   int opening;
 
+  /** Number of connections that are being opened, by account; none where the number is 0. */
+  final Map<String, Integer> openingByAccount = new HashMap<>();
+
+  /** Earliest time of the next attempt to open a connection for an account. */
+  long openNotBeforeNanos;
+
+  /** Failures in a row to open a connection for an account. */
+  int openFailures;
+
+  /**
+   * Number of connections with which the server, which other callers use too, refused another one.
+   */
+  int refusedAtConnections = Integer.MAX_VALUE;
+
   final Set<PooledConnection> connections = new HashSet<>();
   final Deque<PooledConnection> idle = new ArrayDeque<>();
   @Nullable ServerLink control;
@@ -110,6 +125,28 @@
     return idle.stream().anyMatch(c -> c.account.equals(account));
   }
 
+  /** Returns the number of connections of {@code account}, those being opened included. */
+  int countOf(String account) {
+    int count = openingByAccount.getOrDefault(account, 0);
+    for (PooledConnection c : connections) {
+      if (c.account.equals(account)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Returns the number of connections of {@code account} that transactions hold. */
+  int pinnedOf(String account) {
+    int count = 0;
+    for (PooledConnection c : connections) {
+      if (c.transaction != null && c.account.equals(account)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   void updatePosition(@Nullable LogPosition reported) {
     if (reported != null) {
       position = reported;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
@@ -25,6 +25,13 @@
   private final Map<StatementTemplate, String> prepared = new HashMap<>();
   private int preparedCount;
   boolean closed;
+
+  /** Time at which the connection was opened, or taken last. */
+  long changedNanos;
+
+  /** Whether the connection has been taken since it was opened. */
+  boolean taken;
+
   @Nullable PoolTransaction transaction;
 
   PooledConnection(PoolServer server, ServerLink link, String account) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -28,8 +28,8 @@
    * Returns the server that should run the work now; null if the work has to wait.
    *
    * @param floor the position that a replica must hold; null if only the primary may run the work
-   * @param hasConnection returns whether a server has an idle connection, and opens one ahead if
-   *     not
+   * @param hasConnection returns whether a replica that could run the work has an idle connection
+   *     for it; the predicate may remember those that have none
    */
   static @Nullable PoolServer choose(
       Collection<PoolServer> servers,
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -1,19 +1,35 @@
 package org.chicorylane.internal.pool;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.TransactionState;
+import org.chicorylane.internal.pool.ConnectionShares.Side;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.jspecify.annotations.Nullable;
 
 /**
  * The connections over which a pool's servers run statements: opens them before they are needed,
- * hands out idle ones, and closes those that cannot be used again.
+ * hands out idle ones, and closes those that cannot be used again. Where client accounts are
+ * declared, each connection belongs to one account, and {@link ConnectionShares} decides whose idle
+ * connection is closed for another.
+ *
+ * <pre>{@code
+ * Request request = connections.request(item);
+ * PoolServer best = ServerChoice.choose(servers, item, floor, halt, floors, now, request);
+ * PooledConnection c = best == null ? null : connections.takeIdle(best, item.work);
+ * if (c == null) {
+ *   connections.openFor(request, best);
+ * }
+ * }</pre>
  *
  * <p>Confined to the instance's thread.
  */
@@ -28,6 +44,24 @@
   /** Connections to one server opened at the same time; each takes up a slot for a while. */
   private static final int MAX_CONCURRENT_OPENS = 3;
 
+  /** Time for which a connection that was opened for a statement is kept for it. */
+  private static final long KEPT_FOR_STATEMENT_NANOS = Duration.ofMillis(200).toNanos();
+
+  /** Time that opening a connection is expected to take before one has been opened. */
+  private static final double INITIAL_OPEN_NANOS = 15e6;
+
+  /** Weight of the newest opening in the average time that one takes. */
+  private static final double NEWEST_WEIGHT = 0.1;
+
+  /** An opening that takes longer than this many average ones does not keep others back. */
+  private static final double OVERDUE_FACTOR = 4;
+
+  /** Time after a failed opening in which no other one is tried; doubles with each failure. */
+  private static final long OPEN_RETRY_NANOS = Duration.ofMillis(25).toNanos();
+
+  /** Doublings of the time after a failed opening. */
+  private static final int MAX_RETRY_DOUBLINGS = 4;
+
   /** Receives the events of all connections. */
   interface Listener {
 
@@ -37,6 +71,13 @@
     /** Called when a server's address refused a connection. */
     void onRefused(PoolServer server, String detail);
 
+    /**
+     * Called when a connection for a waiting statement could not be opened.
+     *
+     * @param retryAfter the time after which one to the same server may be tried again
+     */
+    void onOpenFailed(QueuedWork item, Duration retryAfter);
+
     /** Called after a connection was closed by the server or the network. */
     void onClosed(PooledConnection connection);
   }
@@ -44,10 +85,27 @@
   private final ServerConnector connector;
   private final Scheduler scheduler;
   private final Listener listener;
+  private final Collection<PoolServer> servers;
+  private final ConnectionShares shares = new ConnectionShares();
+
+  /** The statements for which a connection is being opened, with their last opening. */
+  private final Map<QueuedWork, OpenListener> awaited = new HashMap<>();
+
+  private double openNanos = INITIAL_OPEN_NANOS;
   private int maxPerServer = 16;
   private boolean closing;
 
-  ServerConnections(ServerConnector connector, Scheduler scheduler, Listener listener) {
+  /**
+   * Creates an object without connections.
+   *
+   * @param servers a view of the pool's current servers
+   */
+  ServerConnections(
+      ServerConnector connector,
+      Scheduler scheduler,
+      Collection<PoolServer> servers,
+      Listener listener) {
+    this.servers = servers;
     this.connector = connector;
     this.scheduler = scheduler;
     this.listener = listener;
@@ -58,53 +116,272 @@
     maxPerServer = Math.max(2, connectionsPerServer - RESERVED_CONNECTIONS);
   }
 
-  /** Returns whether the account has an idle connection to the server; opens one ahead if not. */
-  boolean hasIdle(PoolServer s, String account) {
-    if (s.hasIdle(account)) {
-      return true;
+  /** Returns a search for a connection on which {@code item} can run. */
+  Request request(QueuedWork item) {
+    return new Request(item);
+  }
+
+  /**
+   * One search for a connection: the condition that a server has an idle connection for the
+   * statement, and the servers that could run it but have none.
+   */
+  final class Request implements Predicate<PoolServer> {
+    private final QueuedWork item;
+    private final String account;
+    private final List<PoolServer> lacking = new ArrayList<>(2);
+
+    Request(QueuedWork item) {
+      this.item = item;
+      this.account = item.work.account();
+    }
+
+    @Override
+    public boolean test(PoolServer s) {
+      if (s.hasIdle(account)) {
+        return true;
+      }
+      if (account.isEmpty()) {
+        openShared(s);
+      } else {
+        lacking.add(s);
+      }
+      return false;
     }
-    open(s, account);
-    return false;
   }
 
   /**
-   * Removes and returns the account's idle connection that is best prepared for {@code values}.
-   * Returns null if none is idle, and opens one then.
+   * Removes and returns the idle connection of the work's account that is best prepared for its
+   * values. Returns null if none is idle.
    */
-  @Nullable PooledConnection takeIdle(PoolServer s, String account, Map<String, String> values) {
-    PooledConnection idle = s.takeIdle(account, values);
+  @Nullable PooledConnection takeIdle(PoolServer s, Work work) {
+    String account = work.account();
+    PooledConnection idle = s.takeIdle(account, work.values());
     if (idle == null) {
-      open(s, account);
+      if (account.isEmpty()) {
+        openShared(s);
+      }
+      return null;
+    }
+    idle.taken = true;
+    idle.changedNanos = scheduler.nanoTime();
+    if (!account.isEmpty()) {
+      shares.onTaken(Side.of(s), account, idle.changedNanos);
     }
     return idle;
   }
 
   /**
-   * Opens a connection, unless the server has enough or cannot be used. A server with enough
-   * connections gives up the idle one of another account that was used least recently.
+   * Opens a connection for a statement that has none and must wait, unless one is being opened for
+   * it, one of its account's will be free sooner, or it would come too late. Statements must be
+   * passed in the order of the queue.
+   *
+   * @param chosen the server that the statement would run on if it had a connection; null if none
    */
-  private void open(PoolServer s, String account) {
-    if (s.opening >= MAX_CONCURRENT_OPENS || s.unreachable || s.removed || closing) {
+  void openFor(Request request, @Nullable PoolServer chosen) {
+    QueuedWork item = request.item;
+    long now = scheduler.nanoTime();
+    OpenListener earlier = awaited.get(item);
+    if (request.account.isEmpty() || (earlier != null && !earlier.isOverdue(now))) {
       return;
     }
-    if (s.connections.size() + s.opening >= maxPerServer && !closeLeastRecentlyUsed(s, account)) {
+    List<PoolServer> candidates = request.lacking;
+    if (candidates.isEmpty()) {
+      if (chosen == null) {
+        return;
+      }
+      candidates = List.of(chosen);
+    }
+    if (now + openNanos + item.serviceNanos > item.deadlineNanos()) {
       return;
     }
-    s.opening++;
-    String owner = account.isEmpty() ? null : account;
-    connector.connect(s.target(owner), new OpenListener(s, account));
+    Side side = Side.of(candidates.get(0));
+    int count = countOf(side, request.account);
+    boolean isUrgent = !hasUsable(side, request.account) || now - item.arrivedNanos > openNanos;
+    if (!isUrgent && !shares.isWorthAnother(side, request.account, count, now)) {
+      return;
+    }
+    double gain =
+        isUrgent
+            ? Double.POSITIVE_INFINITY
+            : shares.gainPerSecond(side, request.account, count + 1, now);
+    PoolServer best = null;
+    double bestLoss = 0;
+    for (PoolServer s : candidates) {
+      boolean isAwaited = earlier != null && earlier.server == s;
+      if (isAwaited || (item.late && s.opening > 0) || !mayOpen(s, request.account, now)) {
+        continue;
+      }
+      double loss = lossOfMakingRoom(s, request.account, now);
+      boolean isBetter =
+          best == null
+              || loss < bestLoss
+              || (loss == bestLoss && s.expectedAnswerTime() < best.expectedAnswerTime());
+      if (loss < gain && isBetter) {
+        best = s;
+        bestLoss = loss;
+      }
+    }
+    if (best != null) {
+      open(best, request.account, item);
+    }
   }
 
-  private boolean closeLeastRecentlyUsed(PoolServer s, String exceptAccount) {
-    for (PooledConnection c : s.idle) {
-      if (!c.account.equals(exceptAccount)) {
-        close(c);
+  /**
+   * Opens a connection for later reads of the account to a replica that would have answered sooner
+   * than {@code chosen} but has no idle connection of the account.
+   */
+  void openAhead(Request request, PoolServer chosen) {
+    long now = scheduler.nanoTime();
+    for (PoolServer s : request.lacking) {
+      int count = countOf(Side.of(s), request.account);
+      boolean isIdle = s.opening == 0 && s.inFlight < s.slots() - 1;
+      if (isIdle
+          && s.expectedAnswerTime() <= chosen.expectedAnswerTime()
+          && shares.isWorthAnother(Side.of(s), request.account, count, now)
+          && mayOpen(s, request.account, now)
+          && 2 * lossOfMakingRoom(s, request.account, now)
+              < shares.gainPerSecond(Side.of(s), request.account, count + 1, now)) {
+        open(s, request.account, null);
+        return;
+      }
+    }
+  }
+
+  /**
+   * Returns the expected time in milliseconds until work of the account has a connection to the
+   * server; 0 if one is idle or no accounts are declared.
+   */
+  long expectedWaitMillis(PoolServer s, String account) {
+    if (account.isEmpty() || s.hasIdle(account)) {
+      return 0;
+    }
+    long now = scheduler.nanoTime();
+    double nanos = openNanos * (1 + s.opening / MAX_CONCURRENT_OPENS);
+    return (long) ((Math.max(0, s.openNotBeforeNanos - now) + nanos) / 1e6);
+  }
+
+  /** Returns the number of the account's connections to the servers of a side. */
+  private int countOf(Side side, String account) {
+    int count = 0;
+    for (PoolServer s : servers) {
+      if (s.isUsable() && Side.of(s) == side) {
+        count += s.countOf(account);
+      }
+    }
+    return count;
+  }
+
+  /** Returns whether the account has a connection that no transaction holds, or opens one. */
+  private boolean hasUsable(Side side, String account) {
+    for (PoolServer s : servers) {
+      if (s.acceptsNewWork() && Side.of(s) == side && s.countOf(account) > s.pinnedOf(account)) {
         return true;
       }
     }
     return false;
   }
 
+  private int limitOf(PoolServer s) {
+    return Math.min(maxPerServer, s.refusedAtConnections);
+  }
+
+  /** Returns whether the server's slots, and the account's bound, leave room for an opening. */
+  private boolean mayOpen(PoolServer s, String account, long now) {
+    boolean hasSlot = s.opening == 0 || s.inFlight + s.opening < ServerChoice.maxInFlight(s);
+    return !closing
+        && s.isUsable()
+        && s.opening < MAX_CONCURRENT_OPENS
+        && hasSlot
+        && now >= s.openNotBeforeNanos
+        && s.countOf(account)
+            < ConnectionShares.maxOfAccount(s.slots(), s.pinnedOf(account), limitOf(s));
+  }
+
+  /**
+   * Returns the statements per second that would find no idle connection if the server made room
+   * for another one; infinity if it cannot.
+   */
+  private double lossOfMakingRoom(PoolServer s, String account, long now) {
+    if (s.connections.size() + s.opening < limitOf(s)) {
+      return 0;
+    }
+    PooledConnection c = leastValued(s, account, now);
+    return c == null ? Double.POSITIVE_INFINITY : valueOf(c, now);
+  }
+
+  private double valueOf(PooledConnection c, long now) {
+    if (c.account.isEmpty()) {
+      return 0;
+    }
+    Side side = Side.of(c.server);
+    return shares.gainPerSecond(side, c.account, countOf(side, c.account), now);
+  }
+
+  /**
+   * Returns the idle connection of another account that is worth the least; of several, the one
+   * used least recently. Returns null if none can be closed.
+   */
+  private @Nullable PooledConnection leastValued(PoolServer s, String exceptAccount, long now) {
+    PooledConnection least = null;
+    double leastValue = Double.POSITIVE_INFINITY;
+    for (PooledConnection c : s.idle) {
+      boolean isKept = !c.taken && now - c.changedNanos < KEPT_FOR_STATEMENT_NANOS;
+      if (isKept || c.account.equals(exceptAccount)) {
+        continue;
+      }
+      double value = valueOf(c, now);
+      if (least == null || value < leastValue) {
+        least = c;
+        leastValue = value;
+      }
+    }
+    return least;
+  }
+
+  /** Opens a connection of no account, unless the server has enough or cannot be used. */
+  private void openShared(PoolServer s) {
+    if (s.opening >= MAX_CONCURRENT_OPENS || s.unreachable || s.removed || closing) {
+      return;
+    }
+    open(s, "", null);
+  }
+
+  /**
+   * Opens a connection, unless the server has enough. A server with enough connections gives up the
+   * idle one of another account that is worth the least.
+   *
+   * @param item the statement that waits for the connection; null if none does
+   */
+  private void open(PoolServer s, String account, @Nullable QueuedWork item) {
+    if (s.connections.size() + s.opening >= limitOf(s)) {
+      PooledConnection least = leastValued(s, account, scheduler.nanoTime());
+      if (least == null) {
+        return;
+      }
+      close(least);
+    }
+    s.opening++;
+    s.openingByAccount.merge(account, 1, Integer::sum);
+    String owner = account.isEmpty() ? null : account;
+    OpenListener opening = new OpenListener(s, account, item);
+    if (item != null) {
+      awaited.put(item, opening);
+    }
+    connector.connect(s.target(owner), opening);
+  }
+
+  /** Closes the idle connections of an account to all servers, and forgets its demand. */
+  void closeIdleOf(String account) {
+    for (PoolServer s : servers) {
+      for (PooledConnection c : List.copyOf(s.idle)) {
+        if (c.account.equals(account)) {
+          close(c);
+        }
+      }
+    }
+    shares.forget(account);
+  }
+
   /**
    * Makes a connection idle. Closes it instead if it cannot be reused: the pool is shutting down, a
    * transaction is still open on it, or the server accepts no new work.
@@ -115,6 +392,10 @@
     if (c.closed) {
       return;
     }
+    if (!c.account.isEmpty()) {
+      long heldNanos = scheduler.nanoTime() - c.changedNanos;
+      shares.onGivenBack(Side.of(c.server), c.account, heldNanos);
+    }
     if (closing || last.state() != TransactionState.IDLE || !c.server.acceptsNewWork()) {
       close(c);
       return;
@@ -144,6 +425,7 @@
     ServerLink control = s.control;
     s.control = null;
     s.statusPending = false;
+    s.refusedAtConnections = Integer.MAX_VALUE;
     if (control != null) {
       control.close();
     }
@@ -161,34 +443,69 @@
   private final class OpenListener implements ServerConnector.Listener {
     private final PoolServer server;
     private final String account;
+    private final @Nullable QueuedWork item;
+    private final long startedNanos = scheduler.nanoTime();
     private @Nullable PooledConnection connection;
 
-    OpenListener(PoolServer server, String account) {
+    OpenListener(PoolServer server, String account, @Nullable QueuedWork item) {
       this.server = server;
       this.account = account;
+      this.item = item;
+    }
+
+    /** Returns whether the opening takes so long that another server may be tried meanwhile. */
+    boolean isOverdue(long now) {
+      return now - startedNanos > OVERDUE_FACTOR * openNanos;
+    }
+
+    private void end() {
+      server.opening--;
+      server.openingByAccount.computeIfPresent(account, (a, n) -> n == 1 ? null : n - 1);
+      if (item != null) {
+        awaited.remove(item, this);
+      }
     }
 
     @Override
     public void onOpen(ServerLink link, @Nullable LogPosition position) {
-      server.opening--;
+      end();
       if (closing || server.removed) {
         link.close();
         return;
       }
+      long now = scheduler.nanoTime();
+      openNanos += NEWEST_WEIGHT * (now - startedNanos - openNanos);
+      server.openFailures = 0;
+      if (server.connections.size() + 1 >= server.refusedAtConnections) {
+        server.refusedAtConnections++;
+      }
       connection = new PooledConnection(server, link, account);
+      connection.changedNanos = now;
       server.connections.add(connection);
       server.idle.addLast(connection);
-      server.lastContactNanos = scheduler.nanoTime();
+      server.lastContactNanos = now;
       server.updatePosition(position);
       listener.onOpened();
     }
 
     @Override
     public void onFailure(ServerConnector.ConnectFailure failure, String detail) {
-      server.opening--;
+      end();
+      Duration retryAfter = Duration.ZERO;
+      if (!account.isEmpty()) {
+        int doublings = Math.min(server.openFailures++, MAX_RETRY_DOUBLINGS);
+        retryAfter = Duration.ofNanos(OPEN_RETRY_NANOS << doublings);
+        server.openNotBeforeNanos = scheduler.nanoTime() + retryAfter.toNanos();
+        if (failure == ServerConnector.ConnectFailure.REJECTED) {
+          server.refusedAtConnections = Math.max(1, server.connections.size());
+        }
+      }
       if (failure == ServerConnector.ConnectFailure.REFUSED) {
         listener.onRefused(server, detail);
       }
+      if (item != null) {
+        listener.onOpenFailed(item, retryAfter);
+      }
     }
 
     @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -6,15 +6,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ModelGroup;
+import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
+import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.runtime.VirtualScheduler;
 import org.chicorylane.internal.topology.Freshness;
 import org.jspecify.annotations.Nullable;
@@ -41,6 +44,11 @@
   final GroupPool pool;
 
   PoolFixture() {
+    this((connector, scheduler) -> connector);
+  }
+
+  /** Creates a pool that opens connections by what {@code wrapper} makes of the model group. */
+  PoolFixture(BiFunction<ServerConnector, Scheduler, ServerConnector> wrapper) {
     AttentionClock attention = new AttentionClock(scheduler, ATTENTION_INTERVAL);
     scheduler.repeat(
         ATTENTION_INTERVAL,
@@ -52,7 +60,7 @@
     pool =
         new GroupPool(
             "plans",
-            group,
+            wrapper.apply(group, scheduler),
             scheduler,
             attention,
             DecisionLog.none(),
