Client accounts: their rates hold over all instances together

What callers saw: the rate of an account was declared and not enforced. Change: each database group has an equal share of each account's rate and burst, which its home spends alone, and starts to spend empty and only once no earlier home can run statements. Homes lend each other what they do not use, for 250 ms. A statement is charged when it is sent, and refused as overloaded without having run; statements of open transactions may overdraw.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -26,6 +26,7 @@
 import org.chicorylane.internal.pool.PoolMetrics;
 import org.chicorylane.internal.pool.PrimaryHalt;
 import org.chicorylane.internal.pool.ServerLoss;
+import org.chicorylane.internal.pool.StatementQuota;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
@@ -59,6 +60,7 @@
    * @param storeUnavailable returns whether this instance's last call to the store failed
    * @param drainLimit tells for how long a draining server may be sent new work
    * @param attention tells whether this instance is too slow to judge others or to take groups
+   * @param quota limits what the homes send to servers
    */
   public record Context(
       HomeRecord.Holder self,
@@ -76,6 +78,7 @@
       HomeCounter homeCounter,
       HomeBalancer balancer,
       UniqueIds ids,
+      StatementQuota quota,
       PoolMetrics metrics) {}
 
   /** Counts the groups of which each instance is the home. */
@@ -170,6 +173,15 @@
     return pool != null;
   }
 
+  /**
+   * Returns whether this instance is the recorded home, its lease is valid, and no earlier home can
+   * still run statements.
+   */
+  public boolean isOnlyHome() {
+    PrimarySupervisor s = supervisor;
+    return s != null && mayWork(now()) && s.havePriorHomesStopped();
+  }
+
   /** Runs work that arrived over {@code owner}, or reports that this instance is not the home. */
   public void submit(Object owner, Work work, WorkHandler handler) {
     GroupPool p = pool;
@@ -812,6 +824,7 @@
             context.log(),
             this::mayWork,
             context.drainLimit(),
+            context.quota(),
             context.metrics(),
             listener);
     pool = p;
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -336,6 +336,12 @@
     }
   }
 
+  /** Returns whether no earlier home of the group can still run statements. */
+  boolean havePriorHomesStopped() {
+    HomeRecord r = election.record();
+    return r != null && exclusion.havePriorHomesStopped(r);
+  }
+
   void tick() {
     HomeRecord r = election.record();
     if (r == null) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -85,6 +85,7 @@
   private final DecisionLog log;
   private final LongPredicate mayServe;
   private final DrainLimit drainLimit;
+  private final StatementQuota quota;
   private final PoolListener listener;
   private final PoolMetrics metrics;
   private final Map<String, PoolServer> servers = new HashMap<>();
@@ -121,6 +122,7 @@
    * @param mayServe returns whether, at a time in nanoseconds, this instance is confirmed as the
    *     home and may serve statements
    * @param drainLimit tells for how long a draining server may be sent new work
+   * @param quota limits what is sent to the servers
    */
   public GroupPool(
       String group,
@@ -130,6 +132,7 @@
       DecisionLog log,
       LongPredicate mayServe,
       DrainLimit drainLimit,
+      StatementQuota quota,
       PoolMetrics metrics,
       PoolListener listener) {
     this.metrics = metrics;
@@ -138,6 +141,7 @@
     this.log = log;
     this.mayServe = mayServe;
     this.drainLimit = drainLimit;
+    this.quota = quota;
     this.listener = listener;
     this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
     this.monitor =
@@ -297,6 +301,11 @@
     }
     double serviceNanos = serviceTimes.expectedNanos(work);
     QueuedWork item = new QueuedWork(work, handler, now, nextSequence++, transaction, serviceNanos);
+    StatementQuota.Refusal overQuota = isNewWork(item) ? quota.checkNew(work) : null;
+    if (overQuota != null) {
+      refuse(item, overQuota.reason(), overQuota.retryMillis());
+      return;
+    }
     long wait = expectedWaitMillis(item);
     if (wait < 0 && now - lastPrimaryAnswerNanos > PRIMARY_OUTAGE_NANOS) {
       long down = (now - lastPrimaryAnswerNanos) / 1_000_000;
@@ -494,6 +503,9 @@
       if (c.server.inFlight >= ServerChoice.maxInFlight(c.server)) {
         return false;
       }
+      if (!isWithinQuota(item)) {
+        return true;
+      }
       run(item, c, null, now);
       return true;
     }
@@ -515,6 +527,10 @@
     if (c == null) {
       return false;
     }
+    if (!isWithinQuota(item)) {
+      connections.giveBack(c, Answer.success(TransactionState.IDLE));
+      return true;
+    }
     if (t != null) {
       t.connection = c;
       c.transaction = t;
@@ -523,6 +539,16 @@
     return true;
   }
 
+  /** Charges a statement that is about to be sent. If that fails, refuses it and returns false. */
+  private boolean isWithinQuota(QueuedWork item) {
+    StatementQuota.Refusal refusal = quota.take(item.work, isNewWork(item));
+    if (refusal == null) {
+      return true;
+    }
+    scheduler.schedule(Duration.ZERO, () -> refuse(item, refusal.reason(), refusal.retryMillis()));
+    return false;
+  }
+
   /** Sends a statement over a connection, after the commands that prepare the connection. */
   private void run(QueuedWork item, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.inFlight++;
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -29,6 +29,7 @@
 import org.chicorylane.internal.platform.WriteResult;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.quota.FleetQuota;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.ServerDirectory;
@@ -61,12 +62,14 @@
   private final BooleanSupplier storeUnavailable;
   private final ServerDirectory servers;
   private final Map<String, PrefixFollower> followers;
+  private final FleetQuota quota;
 
   /**
    * Creates a service.
    *
    * @param attention tells whether this instance is too slow to tell that another process is silent
    * @param followers the followers of the store by their prefix, which relay its changes
+   * @param quota lends other instances tokens of client accounts
    */
   MeshService(
       Scheduler scheduler,
@@ -79,7 +82,9 @@
       KeyValueStore store,
       BooleanSupplier storeUnavailable,
       ServerDirectory servers,
-      Map<String, PrefixFollower> followers) {
+      Map<String, PrefixFollower> followers,
+      FleetQuota quota) {
+    this.quota = quota;
     this.servers = servers;
     this.followers = followers;
     this.store = store;
@@ -187,6 +192,12 @@
             MeshReply.newBuilder().setYes(age.isPresent()).setRevision(age.orElse(0)));
       }
       case STORE_WATCH -> watchStore(channel, question);
+      case QUOTA_GRANT ->
+          reply(
+              channel,
+              question,
+              QuotaLoans.encodeReply(
+                  quota.lend(QuotaLoans.decodeAmounts(question.getArgumentsList()))));
       case STOP_HOME -> stopHome(channel, question, election, true);
       default -> stopHome(channel, question, election, false);
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -34,7 +34,13 @@
    * Asks for the changes under a prefix of the key-value store after a revision, as soon as there
    * are any. The reply is negative if the peer does not watch the store itself.
    */
-  STORE_WATCH;
+  STORE_WATCH,
+  /**
+   * Asks for tokens of client accounts that the peer does not need. The arguments are the accounts,
+   * each followed by the tokens that are wanted; the results are the accounts, each followed by the
+   * tokens that are lent.
+   */
+  QUOTA_GRANT;
 
   /** The constants' numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -30,6 +30,7 @@
 import org.chicorylane.internal.platform.RestorableStore;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolMetrics;
+import org.chicorylane.internal.quota.FleetQuota;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -115,6 +116,7 @@
   private final HomeRouter router;
   private final SessionRegistry sessions;
   private final MeshService service;
+  private final FleetQuota quota;
   private final DrainInquiry drainInquiry;
   private final RestorableStore store;
   private final HomeElection.Context context;
@@ -171,6 +173,15 @@
         new DrainInquiry(scheduler, servers, registry::instances, links::to, self.name());
     this.router = new HomeRouter(scheduler, ports.log(), elections::get, links::to, self.name());
     this.sessions = new SessionRegistry(configuration::current, router);
+    this.quota =
+        new FleetQuota(
+            accountRules.quota(),
+            configuration::current,
+            new QuotaHomes(),
+            new QuotaLoans(links::to),
+            scheduler,
+            ports.log(),
+            metrics);
     this.service =
         new MeshService(
             scheduler,
@@ -183,7 +194,8 @@
             ports.store(),
             ports.storeUnavailable(),
             servers,
-            followers);
+            followers,
+            quota);
     ConditionalWriter swaps =
         new ConditionalWriter(
             store,
@@ -209,6 +221,7 @@
             this::countHomes,
             new HomeBalancer(self.name()),
             new UniqueIds(self.incarnation()),
+            quota,
             new PoolMetrics(metrics));
     publishGauges();
   }
@@ -293,6 +306,7 @@
     attention.check();
     router.tick();
     new ArrayList<>(elections.values()).forEach(HomeElection::tick);
+    quota.tick();
     if (servers.isAnyDraining()) {
       drainInquiry.ask(
           elections.values().stream()
@@ -498,6 +512,26 @@
     links.monitorOnly(homes);
   }
 
+  /** Tells the quota which instances hold shares of the accounts' limits. */
+  private final class QuotaHomes implements FleetQuota.Homes {
+    @Override
+    public int heldGroups() {
+      return (int) elections.values().stream().filter(HomeElection::isOnlyHome).count();
+    }
+
+    @Override
+    public Map<String, Integer> otherHomes() {
+      Map<String, Integer> others = new HashMap<>();
+      for (HomeElection election : elections.values()) {
+        HomeRecord homeRecord = election.record();
+        if (homeRecord != null && !homeRecord.home().name().equals(self.name())) {
+          others.merge(homeRecord.home().address(), 1, Integer::sum);
+        }
+      }
+      return others;
+    }
+  }
+
   /** Passes changes of the links' state on to the elections. */
   private final class LinkObserver implements PeerLink.LinkListener {
     @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -58,6 +58,7 @@
             DecisionLog.none(),
             now -> mayServe,
             server -> server.draining() ? drainLeft.toNanos() : Long.MAX_VALUE,
+            StatementQuota.UNLIMITED,
             new PoolMetrics(new MetricRegistry()),
             new PoolListener() {
               @Override
