--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -27,6 +27,7 @@
 import org.chicorylane.internal.pool.PoolMetrics;
 import org.chicorylane.internal.pool.PrimaryHalt;
 import org.chicorylane.internal.pool.ServerLoss;
+import org.chicorylane.internal.pool.StatementQuota;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.pool.WorkKind;
@@ -62,6 +63,7 @@
    * @param drainLimit tells for how long a draining server may be sent new work
    * @param attention tells whether this instance is too slow to judge others or to take groups
    * @param gate decides which client accounts' work may run
+   * @param quota limits what the homes send to servers
    */
   public record Context(
       HomeRecord.Holder self,
@@ -80,7 +82,8 @@
       HomeBalancer balancer,
       UniqueIds ids,
       PoolMetrics metrics,
-      AccountGate gate) {}
+      AccountGate gate,
+      StatementQuota quota) {}
 
   /** Counts the groups of which each instance is the home. */
   public interface HomeCounter {
@@ -174,6 +177,15 @@
     return pool != null;
   }
 
+  /**
+   * Returns whether this instance is the recorded home, its lease is valid, and no earlier home can
+   * still run statements.
+   */
+  public boolean isOnlyHome() {
+    PrimarySupervisor s = supervisor;
+    return s != null && mayWork(now()) && s.havePriorHomesStopped();
+  }
+
   /** Runs work that arrived over {@code owner}, or reports that this instance is not the home. */
   public void submit(Object owner, Work work, WorkHandler handler) {
     GroupPool p = pool;
@@ -841,6 +853,7 @@
             context.log(),
             this::mayWork,
             context.drainLimit(),
+            context.quota(),
             context.metrics(),
             listener);
     pool = p;
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -31,6 +31,7 @@
 import org.chicorylane.internal.platform.WriteResult;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.quota.FleetQuota;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.chicorylane.internal.topology.ServerDirectory;
@@ -68,12 +69,15 @@
   /** The version of the configuration that was sent last over each connection, after a refusal. */
   private final Map<MeshChannel, Long> sentVersions = new HashMap<>();
 
+  private final FleetQuota quota;
+
   /**
    * Creates a service.
    *
    * @param attention tells whether this instance is too slow to tell that another process is silent
    * @param followers the followers of the store by their prefix, which relay its changes
    * @param confirmer tells the age of this instance's confirmation of the configuration
+   * @param quota lends other instances tokens of client accounts
    */
   MeshService(
       Scheduler scheduler,
@@ -87,8 +91,10 @@
       BooleanSupplier storeUnavailable,
       ServerDirectory servers,
       Map<String, PrefixFollower> followers,
-      ConfigurationConfirmer confirmer) {
+      ConfigurationConfirmer confirmer,
+      FleetQuota quota) {
     this.confirmer = confirmer;
+    this.quota = quota;
     this.servers = servers;
     this.followers = followers;
     this.store = store;
@@ -209,6 +215,12 @@
       }
       case CONFIRMATION_AGE -> reply(channel, question, confirmer.answer(question));
       case STORE_WATCH -> watchStore(channel, question);
+      case QUOTA_GRANT ->
+          reply(
+              channel,
+              question,
+              QuotaLoans.encodeReply(
+                  quota.lend(QuotaLoans.decodeAmounts(question.getArgumentsList()))));
       case STOP_HOME -> stopHome(channel, question, election, true);
       default -> stopHome(channel, question, election, false);
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PeerQuestion.java
@@ -40,7 +40,13 @@
    * nanoseconds as its revision, and the configuration if it is newer than the version that the
    * question gives; it is negative if the peer has no confirmation.
    */
-  CONFIRMATION_AGE;
+  CONFIRMATION_AGE,
+  /**
+   * Asks for tokens of client accounts that the peer does not need. The arguments are the accounts,
+   * each followed by the tokens that are wanted; the results are the accounts, each followed by the
+   * tokens that are lent.
+   */
+  QUOTA_GRANT;
 
   /** The constants' numbers in messages. */
   static final EnumNumbers<PeerQuestion> NUMBERS = EnumNumbers.of(PeerQuestion.class);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -33,6 +33,7 @@
 import org.chicorylane.internal.platform.RestorableStore;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolMetrics;
+import org.chicorylane.internal.quota.FleetQuota;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -121,6 +122,7 @@
   private final MeshService service;
   private final ConfigurationFreshness freshness;
   private final ConfigurationConfirmer confirmer;
+  private final FleetQuota quota;
   private final DrainInquiry drainInquiry;
   private final RestorableStore store;
   private final HomeElection.Context context;
@@ -189,6 +191,15 @@
             this::otherHomes,
             links::to,
             self.name());
+    this.quota =
+        new FleetQuota(
+            accountRules.quota(),
+            configuration::current,
+            new QuotaHomes(),
+            new QuotaLoans(links::to),
+            scheduler,
+            ports.log(),
+            metrics);
     this.service =
         new MeshService(
             scheduler,
@@ -202,7 +213,8 @@
             ports.storeUnavailable(),
             servers,
             followers,
-            confirmer);
+            confirmer,
+            quota);
     ConditionalWriter swaps =
         new ConditionalWriter(
             store,
@@ -230,7 +242,8 @@
             new UniqueIds(self.incarnation()),
             new PoolMetrics(metrics),
             new AccountGate(
-                this::accounts, configuration::version, freshness, ports.log(), metrics));
+                this::accounts, configuration::version, freshness, ports.log(), metrics),
+            quota);
     publishGauges();
   }
 
@@ -326,6 +339,7 @@
     router.tick();
     confirmer.tick();
     new ArrayList<>(elections.values()).forEach(HomeElection::tick);
+    quota.tick();
     if (servers.isAnyDraining()) {
       drainInquiry.ask(
           elections.values().stream()
@@ -542,6 +556,26 @@
     return homes;
   }
 
+  /** Tells the quota which instances hold shares of the accounts' limits. */
+  private final class QuotaHomes implements FleetQuota.Homes {
+    @Override
+    public int heldGroups() {
+      return (int) elections.values().stream().filter(HomeElection::isOnlyHome).count();
+    }
+
+    @Override
+    public Map<String, Integer> otherHomes() {
+      Map<String, Integer> others = new HashMap<>();
+      for (HomeElection election : elections.values()) {
+        HomeRecord homeRecord = election.record();
+        if (homeRecord != null && !homeRecord.home().name().equals(self.name())) {
+          others.merge(homeRecord.home().address(), 1, Integer::sum);
+        }
+      }
+      return others;
+    }
+  }
+
   /** Passes changes of the links' state on to the elections. */
   private final class LinkObserver implements PeerLink.LinkListener {
     @Override
