--- a/chicorylane/src/main/java/org/chicorylane/internal/account/AccountGate.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/account/AccountGate.java
@@ -27,7 +27,7 @@
 public final class AccountGate {
 
   /** Time after the start as a home within which the first confirmation usually arrives. */
-  private static final Duration STARTING = Duration.ofMillis(400);
+  private static final Duration STARTING = Duration.ofMillis(200);
 
   /** The outcome of a check. */
   public enum Verdict {
