--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import org.chicorylane.internal.account.AccountRules;
 import org.chicorylane.internal.mesh.MeshChannel;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
@@ -51,4 +54,31 @@
     assertThat(answer.getReply().getCall()).isEqualTo(3);
     assertThat(answer.getReply().getYes()).isFalse();
   }
+
+  private MeshQuestion.Builder questionForConfirmation(long version) {
+    fleet.accountRules = new AccountRules(true, Duration.ofSeconds(5), true, null);
+    fleet.putAccounts(Map.of("key-0", "account-0"));
+    return MeshQuestion.newBuilder()
+        .setKind(PeerQuestion.NUMBERS.number(PeerQuestion.CONFIRMATION_AGE))
+        .addArguments(Long.toString(version));
+  }
+
+  @Test
+  void testInstanceWithoutConfirmationSaysSo() {
+    MeshQuestion.Builder question = questionForConfirmation(0);
+    fleet.putConfiguration(3);
+    assertThat(answerTo(question).getReply().getYes()).isFalse();
+  }
+
+  @Test
+  void testConfirmationBringsNewerConfiguration() {
+    MeshQuestion.Builder question = questionForConfirmation(1);
+    fleet.hosts().forEach(ModelHost::start);
+    fleet.advance(3_000);
+    MeshFrame frame = MeshFrame.newBuilder().setQuestion(question.setCall(3)).build();
+    fleet.home().orElseThrow().instance.meshAcceptor().onFrame(channel, frame);
+    assertThat(channel.sent.get(0).getReply().getRevision()).isAtMost(1_100_000_000);
+    assertThat(channel.sent.get(0).getReply().getResultsList())
+        .containsExactly("2 key-0=account-0 accounts");
+  }
 }
