Connections of accounts: metrics and log lines; openings resume after refusals; schedules without overlapping statements

What callers saw: after a refused opening (another home still held connections) the pool counted on no more connections than it had until openings succeeded, and with all of them in use it opened none. Cause: the bound learned from a refusal had no end. It now ends after twice the time of the retry. Change: counters of openings, failed openings, evictions, withdrawals and statements that waited for a connection; log lines for connections closed for another account and for failed openings; the statement line tells connection_wait_ms and the server's connections and idle ones. The expected wait counts no opening where the account has a connection in use that no transaction holds. Tests: AccountConnectionsRandomisedTest sent statements of a transaction while an earlier one was unanswered, which a session never does.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -140,7 +140,8 @@
     this.drainLimit = drainLimit;
     this.listener = listener;
     this.connections =
-        new ServerConnections(connector, scheduler, servers.values(), new ConnectionListener());
+        new ServerConnections(
+            connector, scheduler, log, metrics, servers.values(), new ConnectionListener());
     this.monitor =
         new ServerMonitor(
             group, connector, scheduler, attention, log, metrics, listener, new MonitoredPool());
@@ -944,10 +945,15 @@
             .with("attempts", item.attempts);
     if (sentNanos > 0) {
       line.with("waited_ms", (sentNanos - item.arrivedNanos) / 1_000_000);
+      if (item.lackedConnectionNanos > 0) {
+        line.with("connection_wait_ms", (sentNanos - item.lackedConnectionNanos) / 1_000_000);
+      }
     }
     if (server != null) {
       line.with("server", server.backend.id())
           .with("server_busy", server.inFlight)
+          .with("server_connections", server.connections.size())
+          .with("server_idle", server.idle.size())
           .with("server_position", server.position);
       if (server.backend.draining()) {
         line.with("drain_left_ms", drainLimit.remainingNanos(server.backend) / 1_000_000);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -63,6 +63,26 @@
     count("commits.confirmed_late");
   }
 
+  /** Records that a connection of a client account was opened. */
+  void recordConnectionOpened() {
+    count("connections.opened");
+  }
+
+  /** Records that a connection of a client account could not be opened. */
+  void recordConnectionFailed() {
+    count("connections.failed");
+  }
+
+  /** Records that the pool closed an idle connection. */
+  void recordConnectionClosed(ConnectionClose reason) {
+    count("connections." + reason.label());
+  }
+
+  /** Records that a statement has to wait for a connection of its account. */
+  void recordConnectionWait() {
+    count("connections.waits");
+  }
+
   private void count(String name) {
     counters.computeIfAbsent(name, registry::counter).inc();
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -46,10 +46,11 @@
   /** Failures in a row to open a connection for an account. */
   int openFailures;
 
-  /**
-   * Number of connections with which the server, which other callers use too, refused another one.
-   */
-  int refusedAtConnections = Integer.MAX_VALUE;
+  /** Number of connections with which the server, which has other callers, refused another one. */
+  int refusedAtConnections;
+
+  /** Time until which the server is not expected to accept more connections than that. */
+  long refusedUntilNanos = Long.MIN_VALUE;
 
   final Set<PooledConnection> connections = new HashSet<>();
   final Deque<PooledConnection> idle = new ArrayDeque<>();
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
@@ -26,7 +26,7 @@
   private int preparedCount;
   boolean closed;
 
-  /** Time at which the connection was opened, or taken last. */
+  /** Time at which the connection was opened, taken or given back last. */
   long changedNanos;
 
   /** Whether the connection has been taken since it was opened. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
@@ -42,6 +42,9 @@
   /** Whether the target time can no longer be met. Affects the order. */
   boolean late;
 
+  /** Time at which no connection of the account was idle; 0 if the work always found one. */
+  long lackedConnectionNanos;
+
   int attempts;
   long notBeforeNanos;
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -13,6 +13,7 @@
 import org.chicorylane.internal.passthrough.TransactionState;
 import org.chicorylane.internal.pool.ConnectionShares.Side;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.jspecify.annotations.Nullable;
 
@@ -84,6 +85,8 @@
 
   private final ServerConnector connector;
   private final Scheduler scheduler;
+  private final DecisionLog log;
+  private final PoolMetrics metrics;
   private final Listener listener;
   private final Collection<PoolServer> servers;
   private final ConnectionShares shares = new ConnectionShares();
@@ -103,8 +106,12 @@
   ServerConnections(
       ServerConnector connector,
       Scheduler scheduler,
+      DecisionLog log,
+      PoolMetrics metrics,
       Collection<PoolServer> servers,
       Listener listener) {
+    this.log = log;
+    this.metrics = metrics;
     this.servers = servers;
     this.connector = connector;
     this.scheduler = scheduler;
@@ -191,6 +198,10 @@
       }
       candidates = List.of(chosen);
     }
+    if (item.lackedConnectionNanos == 0) {
+      item.lackedConnectionNanos = now;
+      metrics.recordConnectionWait();
+    }
     if (now + openNanos + item.serviceNanos > item.deadlineNanos()) {
       return;
     }
@@ -249,10 +260,11 @@
 
   /**
    * Returns the expected time in milliseconds until work of the account has a connection to the
-   * server; 0 if one is idle or no accounts are declared.
+   * server; 0 if it has one that no transaction holds, or no accounts are declared.
    */
   long expectedWaitMillis(PoolServer s, String account) {
-    if (account.isEmpty() || s.hasIdle(account)) {
+    int inUse = s.countOf(account) - s.openingByAccount.getOrDefault(account, 0);
+    if (account.isEmpty() || inUse > s.pinnedOf(account)) {
       return 0;
     }
     long now = scheduler.nanoTime();
@@ -281,8 +293,10 @@
     return false;
   }
 
+  /** Returns the number of connections that the pool may have to the server now. */
   private int limitOf(PoolServer s) {
-    return Math.min(maxPerServer, s.refusedAtConnections);
+    boolean isRefused = scheduler.nanoTime() < s.refusedUntilNanos;
+    return isRefused ? Math.min(maxPerServer, s.refusedAtConnections) : maxPerServer;
   }
 
   /** Returns whether the server's slots, and the account's bound, leave room for an opening. */
@@ -358,7 +372,7 @@
       if (least == null) {
         return;
       }
-      close(least);
+      closeUnneeded(least, ConnectionClose.EVICTED, account);
     }
     s.opening++;
     s.openingByAccount.merge(account, 1, Integer::sum);
@@ -375,7 +389,7 @@
     for (PoolServer s : servers) {
       for (PooledConnection c : List.copyOf(s.idle)) {
         if (c.account.equals(account)) {
-          close(c);
+          closeUnneeded(c, ConnectionClose.WITHDRAWN, "");
         }
       }
     }
@@ -401,9 +415,30 @@
       return;
     }
     c.transaction = null;
+    c.changedNanos = scheduler.nanoTime();
     c.server.idle.addLast(c);
   }
 
+  /**
+   * Closes an idle connection.
+   *
+   * @param inFavourOf the account for which room is made; empty if none
+   */
+  private void closeUnneeded(PooledConnection c, ConnectionClose reason, String inFavourOf) {
+    long now = scheduler.nanoTime();
+    metrics.recordConnectionClosed(reason);
+    log.event(DecisionLog.Priority.SUCCESS, "connection-closed")
+        .with("server", c.server.backend.id())
+        .with("reason", reason.label())
+        .with("account", c.account)
+        .with("in_favour_of", inFavourOf)
+        .with("idle_ms", (now - c.changedNanos) / 1_000_000)
+        .with("connections", c.server.connections.size())
+        .with("idle", c.server.idle.size())
+        .write();
+    close(c);
+  }
+
   /** Closes a connection, unless it is closed. */
   void close(PooledConnection c) {
     if (!c.closed) {
@@ -425,7 +460,7 @@
     ServerLink control = s.control;
     s.control = null;
     s.statusPending = false;
-    s.refusedAtConnections = Integer.MAX_VALUE;
+    s.refusedUntilNanos = Long.MIN_VALUE;
     if (control != null) {
       control.close();
     }
@@ -476,8 +511,8 @@
       long now = scheduler.nanoTime();
       openNanos += NEWEST_WEIGHT * (now - startedNanos - openNanos);
       server.openFailures = 0;
-      if (server.connections.size() + 1 >= server.refusedAtConnections) {
-        server.refusedAtConnections++;
+      if (!account.isEmpty()) {
+        metrics.recordConnectionOpened();
       }
       connection = new PooledConnection(server, link, account);
       connection.changedNanos = now;
@@ -493,11 +528,20 @@
       end();
       Duration retryAfter = Duration.ZERO;
       if (!account.isEmpty()) {
+        metrics.recordConnectionFailed();
+        log.event(DecisionLog.Priority.FAILURE, "connection-failed")
+            .with("server", server.backend.id())
+            .with("account", account)
+            .with("reason", detail)
+            .with("connections", server.connections.size())
+            .with("idle", server.idle.size())
+            .write();
         int doublings = Math.min(server.openFailures++, MAX_RETRY_DOUBLINGS);
         retryAfter = Duration.ofNanos(OPEN_RETRY_NANOS << doublings);
         server.openNotBeforeNanos = scheduler.nanoTime() + retryAfter.toNanos();
         if (failure == ServerConnector.ConnectFailure.REJECTED) {
           server.refusedAtConnections = Math.max(1, server.connections.size());
+          server.refusedUntilNanos = server.openNotBeforeNanos + retryAfter.toNanos();
         }
       }
       if (failure == ServerConnector.ConnectFailure.REFUSED) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -20,6 +21,7 @@
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.TransactionState;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.VirtualScheduler;
 import org.chicorylane.internal.topology.BackendServer;
 import org.chicorylane.internal.topology.Freshness;
@@ -322,7 +324,14 @@
 
     ByGain(Run run) {
       this.run = run;
-      connections = new ServerConnections(run, run.scheduler, run.servers, this);
+      connections =
+          new ServerConnections(
+              run,
+              run.scheduler,
+              DecisionLog.none(),
+              new PoolMetrics(new MetricRegistry()),
+              run.servers,
+              this);
       connections.setServerLimit(CONNECTIONS);
     }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsRandomisedTest.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.account.KeyFingerprint;
+import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -25,12 +26,17 @@
   private static final int SEEDS = Integer.getInteger("accountConnections.seeds", 60);
   private static final int STEPS = 250;
   private static final int ACCOUNTS = 12;
+  private static final Duration ABANDONED_AFTER = Duration.ofMillis(100);
   private static final List<String> SERVERS = List.of("server-a", "server-b", "server-c");
 
   @Test
   void testNoConnectionRunsStatementsOfTwoAccounts() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      new Schedule(seed).run();
+      try {
+        new Schedule(seed).run();
+      } catch (RuntimeException e) {
+        throw new AssertionError("seed " + seed, e);
+      }
     }
   }
 
@@ -102,11 +108,27 @@
     private void transaction() {
       String account = account();
       int number = ++transactions;
-      submit(account, false, number, true);
-      for (int i = 1; i <= random.nextInt(3); i++) {
-        fixture.scheduler.schedule(
-            Duration.ofMillis(i * 60L), () -> submit(account, false, number, false));
+      String first = submit(account, false, number, true);
+      continueTransaction(account, number, first, random.nextInt(3));
+    }
+
+    /** Sends the next statement of a transaction once the previous one has succeeded. */
+    private void continueTransaction(String account, int number, String previous, int left) {
+      if (left == 0) {
+        fixture.scheduler.schedule(ABANDONED_AFTER, () -> fixture.pool.abandon(fixture, number));
+        return;
       }
+      fixture.scheduler.schedule(
+          Duration.ofMillis(40),
+          () -> {
+            Answer answer = fixture.answers.get(previous);
+            if (answer == null) {
+              continueTransaction(account, number, previous, left);
+            } else if (answer.succeeded()) {
+              String id = submit(account, false, number, false);
+              continueTransaction(account, number, id, left - 1);
+            }
+          });
     }
 
     /** Returns one of the accounts, lower numbers more often. */
@@ -114,7 +136,7 @@
       return "account-" + random.nextInt(1 + random.nextInt(ACCOUNTS));
     }
 
-    private void submit(String account, boolean isRead, int transaction, boolean begins) {
+    private String submit(String account, boolean isRead, int transaction, boolean begins) {
       PoolFixture.Builder builder =
           PoolFixture.work(
                   account + "/" + next++,
@@ -124,7 +146,9 @@
       if (transaction > 0) {
         builder.inTransaction(transaction, begins, false);
       }
-      fixture.submit(builder.build());
+      Work work = builder.build();
+      fixture.submit(work);
+      return work.requestId();
     }
   }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsTest.java
@@ -151,4 +151,37 @@
     assertThat(connector.countOf("server-a", "a")).isEqualTo(0);
     assertThat(connector.countOf("server-a", "b")).isEqualTo(1);
   }
+
+  @Test
+  void testConnectionsAreOpenedAgainSoonAfterRefusals() {
+    fixture.submit(write("a/1"));
+    fixture.advance(60);
+    connector.limits.put("server-a", 2);
+    fixture.submit(
+        work("a/2", WorkKind.WRITE, Freshness.OWN_WRITES).inTransaction(1, true, false).build());
+    fixture.submit(write("b/1"));
+    fixture.advance(30);
+    connector.limits.put("server-a", 56);
+    fixture.advance(150);
+    assertThat(fixture.failureOf("b/1")).isNull();
+    assertThat(connector.countOf("server-a", "a")).isEqualTo(1);
+  }
+
+  @Test
+  void testOpeningsAndWaitsAreCounted() {
+    connector.limits.put("server-a", 1);
+    fixture.submit(write("a/1"));
+    fixture.advance(20);
+    connector.limits.put("server-a", 56);
+    fixture.advance(100);
+    fixture.pool.closeIdleOf("a");
+    assertThat(count("connections.waits")).isEqualTo(1);
+    assertThat(count("connections.failed")).isEqualTo(1);
+    assertThat(count("connections.opened")).isEqualTo(1);
+    assertThat(count("connections.withdrawn")).isEqualTo(1);
+  }
+
+  private long count(String name) {
+    return fixture.metrics.counter(name).getCount();
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -41,6 +41,7 @@
   /** The time in which draining servers may be sent new work. */
   Duration drainLeft = Duration.ofSeconds(7);
 
+  final MetricRegistry metrics = new MetricRegistry();
   final GroupPool pool;
 
   PoolFixture() {
@@ -66,7 +67,7 @@
             DecisionLog.none(),
             now -> mayServe,
             server -> server.draining() ? drainLeft.toNanos() : Long.MAX_VALUE,
-            new PoolMetrics(new MetricRegistry()),
+            new PoolMetrics(metrics),
             new PoolListener() {
               @Override
               public void onServerLost(String serverId, ServerLoss loss) {
