Quota: loans follow demand at once, transactions keep tokens for their later statements

Cause: a home kept tokens for demand that had ended; the demand was averaged over 1 s; a transaction began with the last token. Change: a home keeps at most 0.1 s of its own share, the demand is averaged over 250 ms, a shortage asks at once, and a transaction's first statement needs the tokens that its later ones are expected to take. The capacity is the burst and 0.2 s of the rate.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -541,7 +541,7 @@
 
   /** Charges a statement that is about to be sent. If that fails, refuses it and returns false. */
   private boolean isWithinQuota(QueuedWork item) {
-    StatementQuota.Refusal refusal = quota.take(item.work, isNewWork(item));
+    StatementQuota.Refusal refusal = quota.take(item.work);
     if (refusal == null) {
       return true;
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/StatementQuota.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/StatementQuota.java
@@ -18,7 +18,7 @@
         }
 
         @Override
-        public @Nullable Refusal take(Work work, boolean isNew) {
+        public @Nullable Refusal take(Work work) {
           return null;
         }
       };
@@ -37,10 +37,6 @@
    */
   @Nullable Refusal checkNew(Work work);
 
-  /**
-   * Charges one statement that is about to be sent, or returns why it must not be sent.
-   *
-   * @param isNew whether it is a single statement or the first one of its transaction
-   */
-  @Nullable Refusal take(Work work, boolean isNew);
+  /** Charges one statement that is about to be sent, or returns why it must not be sent. */
+  @Nullable Refusal take(Work work);
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/quota/AccountBucket.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/quota/AccountBucket.java
@@ -1,5 +1,6 @@
 package org.chicorylane.internal.quota;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.jspecify.annotations.Nullable;
@@ -10,7 +11,7 @@
  *
  * <pre>{@code
  * bucket.setShare(margins, heldGroups, now);
- * if (!bucket.take(true, now)) {
+ * if (!bucket.take(StatementPhase.SINGLE, now)) {
  *   refuse(bucket.retryMillis(now));
  * }
  * }</pre>
@@ -27,8 +28,25 @@
   /** Time at the recent rate of demand for which tokens are borrowed. */
   private static final double BORROWED_SECONDS = 0.15;
 
-  /** Time at their recent rate for which tokens are kept for statements of open transactions. */
-  private static final double CONTINUATION_SECONDS = 0.1;
+  /** Time over which the rate of demand is averaged. */
+  private static final Duration DEMAND_TIME = Duration.ofMillis(250);
+
+  /** Time over which the rate of served statements is averaged. */
+  private static final Duration SERVED_TIME = Duration.ofSeconds(1);
+
+  /** Time over which the length of transactions is averaged. */
+  private static final Duration TRANSACTION_TIME = Duration.ofSeconds(10);
+
+  /** Time after which tokens kept for a transaction that does not continue are 1/e of them. */
+  private static final double KEPT_DECAY_NANOS = 1e9;
+
+  /** Later statements that a transaction is expected to have before any was observed. */
+  private static final double EXPECTED_LATER_STATEMENTS = 3;
+
+  private static final double MIN_EXPECTED_LATER = 0.1;
+
+  /** Deviation of sums of fractions of tokens from whole ones. */
+  private static final double ROUNDING = 1e-6;
 
   /** The longest delay after which refused callers are told to retry. */
   private static final double MAX_RETRY_NANOS = 2e9;
@@ -44,7 +62,8 @@
   private record Loan(double amount, long endsNanos) {}
 
   private final DecayingRate demand;
-  private final DecayingRate continuations;
+  private final DecayingRate transactions;
+  private final DecayingRate laterStatements;
   private final DecayingRate served;
   private final Deque<Loan> loans = new ArrayDeque<>();
   private double fillPerSecond;
@@ -52,6 +71,12 @@
   private double maximumDebt;
   private double tokens;
   private double lent;
+
+  /** The tokens that are kept for later statements of open transactions. */
+  private double keptForLater;
+
+  private double lastExpectedLater = EXPECTED_LATER_STATEMENTS;
+
   private long filledNanos;
   private long retryNanos;
   private long lastLoanNanos;
@@ -60,9 +85,10 @@
   AccountBucket(long nowNanos) {
     this.filledNanos = nowNanos;
     this.retryNanos = nowNanos;
-    this.demand = new DecayingRate(nowNanos);
-    this.continuations = new DecayingRate(nowNanos);
-    this.served = new DecayingRate(nowNanos);
+    this.demand = new DecayingRate(DEMAND_TIME, nowNanos);
+    this.transactions = new DecayingRate(TRANSACTION_TIME, nowNanos);
+    this.laterStatements = new DecayingRate(TRANSACTION_TIME, nowNanos);
+    this.served = new DecayingRate(SERVED_TIME, nowNanos);
   }
 
   /**
@@ -79,41 +105,64 @@
     tokens = Math.min(tokens, capacity);
   }
 
-  /** Returns whether a new statement or transaction may start now. */
-  boolean hasRoom(long nowNanos) {
+  /** Returns whether a statement that does not continue a transaction may be sent now. */
+  boolean hasRoom(StatementPhase phase, long nowNanos) {
     settle(nowNanos);
+    return balance() >= neededBalance(phase, nowNanos) - ROUNDING;
+  }
+
+  /** Returns the balance at which a statement that does not continue a transaction may be sent. */
+  private double neededBalance(StatementPhase phase, long nowNanos) {
     boolean canRefill = fillPerSecond > 0 || lent > 0;
-    return balance() >= (canRefill ? keptForContinuations(nowNanos) : 1);
+    if (!canRefill) {
+      return 1;
+    }
+    return phase == StatementPhase.FIRST
+        ? keptForLater + Math.min(capacity / 2, expectedLaterStatements(nowNanos))
+        : keptForLater;
   }
 
   /**
    * Takes a token for a statement that is about to be sent.
    *
-   * @param isNew whether it starts a transaction or is outside of one; other statements may use
-   *     tokens that are kept for them, and overdraw the bucket
+   * @param phase its place in its transaction; later statements of one may use the tokens that are
+   *     kept for them, and overdraw the bucket
    * @return whether the statement may be sent
    */
-  boolean take(boolean isNew, long nowNanos) {
-    boolean allowed = isNew ? hasRoom(nowNanos) : mayContinue(nowNanos);
-    if (!isNew) {
-      continuations.add(nowNanos);
+  boolean take(StatementPhase phase, long nowNanos) {
+    boolean allowed =
+        phase == StatementPhase.LATER ? mayContinue(nowNanos) : hasRoom(phase, nowNanos);
+    if (phase == StatementPhase.LATER) {
+      laterStatements.add(nowNanos);
+      keptForLater = Math.max(0, keptForLater - 1);
     }
     if (allowed) {
+      if (phase == StatementPhase.FIRST) {
+        double expected = expectedLaterStatements(nowNanos);
+        keptForLater += expected;
+        lastExpectedLater = Math.max(MIN_EXPECTED_LATER, expected);
+        transactions.add(nowNanos);
+      }
       served.add(nowNanos);
       spend();
     }
     return allowed;
   }
 
+  /** Returns how many later statements a transaction has, as observed in those that have ended. */
+  private double expectedLaterStatements(long nowNanos) {
+    double seconds = TRANSACTION_TIME.toMillis() / 1e3;
+    double open = keptForLater / lastExpectedLater;
+    double ended = Math.max(0, transactions.perSecond(nowNanos) * seconds - open);
+    double later = laterStatements.perSecond(nowNanos) * seconds;
+    return (later + EXPECTED_LATER_STATEMENTS) / (ended + 1);
+  }
+
   private boolean mayContinue(long nowNanos) {
     settle(nowNanos);
     return balance() > -maximumDebt;
   }
 
-  private double keptForContinuations(long nowNanos) {
-    return Math.min(capacity / 2, continuations.perSecond(nowNanos) * CONTINUATION_SECONDS);
-  }
-
   /** Spends one token, of the loan that ends first if there is one. */
   private void spend() {
     double left = 1;
@@ -149,7 +198,7 @@
   /** Takes out up to {@code asked} tokens that this instance does not need, and returns them. */
   double lend(double asked, long nowNanos) {
     settle(nowNanos);
-    double kept = demand.perSecond(nowNanos) * KEPT_SECONDS;
+    double kept = Math.min(fillPerSecond, demand.perSecond(nowNanos)) * KEPT_SECONDS + keptForLater;
     double amount = Math.max(0, Math.min(asked, tokens - kept));
     tokens -= amount;
     return amount;
@@ -182,7 +231,7 @@
     double tokenNanos = rate > 0 ? SECOND_NANOS / rate : MAX_RETRY_NANOS;
     double step = Math.min(tokenNanos, MAX_RETRY_NANOS);
     if (retryNanos < nowNanos || retryNanos + step > nowNanos + MAX_RETRY_NANOS) {
-      double missing = Math.max(0, keptForContinuations(nowNanos) - balance());
+      double missing = Math.max(0, keptForLater - balance());
       retryNanos = nowNanos + (long) Math.min(MAX_RETRY_NANOS - step, missing * tokenNanos);
     }
     retryNanos += (long) step;
@@ -203,6 +252,7 @@
     double seconds = (nowNanos - filledNanos) / SECOND_NANOS;
     filledNanos = nowNanos;
     tokens = Math.min(capacity, tokens + seconds * fillPerSecond);
+    keptForLater *= Math.exp(-seconds * SECOND_NANOS / KEPT_DECAY_NANOS);
     while (!loans.isEmpty() && loans.getFirst().endsNanos() <= nowNanos) {
       double unused = loans.removeFirst().amount();
       lent = loans.isEmpty() ? 0 : lent - unused;
--- a/chicorylane/src/main/java/org/chicorylane/internal/quota/DecayingRate.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/quota/DecayingRate.java
@@ -2,15 +2,23 @@
 
 import java.time.Duration;
 
-/** The rate of events over about the last second, which older events influence ever less. */
+/** The recent rate of events, which older events influence ever less. */
 final class DecayingRate {
 
-  private static final double TIME_CONSTANT_NANOS = Duration.ofSeconds(1).toNanos();
+  private static final double SECOND_NANOS = 1e9;
+
+  private final double timeConstantNanos;
 
   private double weight;
   private long updatedNanos;
 
-  DecayingRate(long nowNanos) {
+  /**
+   * Creates a rate of 0.
+   *
+   * @param timeConstant the time after which an event counts for 1/e of its first weight
+   */
+  DecayingRate(Duration timeConstant, long nowNanos) {
+    this.timeConstantNanos = timeConstant.toNanos();
     this.updatedNanos = nowNanos;
   }
 
@@ -22,10 +30,10 @@
 
   /** Returns the number of events per second. */
   double perSecond(long nowNanos) {
-    return decayed(nowNanos);
+    return decayed(nowNanos) * SECOND_NANOS / timeConstantNanos;
   }
 
   private double decayed(long nowNanos) {
-    return weight * Math.exp((updatedNanos - nowNanos) / TIME_CONSTANT_NANOS);
+    return weight * Math.exp((updatedNanos - nowNanos) / timeConstantNanos);
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/quota/FleetQuota.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/quota/FleetQuota.java
@@ -29,7 +29,7 @@
  * <pre>{@code
  * FleetQuota quota = new FleetQuota(rules.quota(), configuration::current, homes, lenders, ...);
  * scheduler.repeat(interval, quota::tick);
- * StatementQuota.Refusal refusal = quota.take(work, true);
+ * StatementQuota.Refusal refusal = quota.take(work);
  * }</pre>
  *
  * <p>Limits nothing without a quota in the deployment's rules, and for accounts without a rate.
@@ -70,6 +70,9 @@
   /** Rates and bursts from here on limit nothing. */
   private static final double UNLIMITED = 1e12;
 
+  /** Minimum time between two rounds of questions that shortage causes. */
+  private static final long MIN_ASK_INTERVAL_NANOS = Duration.ofMillis(20).toNanos();
+
   private static final int MAX_ACCOUNTS_PER_QUESTION = 200;
 
   private final AccountRules.@Nullable Quota rules;
@@ -90,6 +93,7 @@
   private long appliedVersion;
   private int heldGroups;
   private long heldGroupsNanos;
+  private long lastAskNanos;
 
   /**
    * Creates a quota.
@@ -114,7 +118,8 @@
     this.refused = metrics.counter("quota.refused");
     this.borrowed = metrics.counter("quota.loans_taken");
     this.lent = metrics.counter("quota.loans_given");
-    this.heldGroupsNanos = scheduler.nanoTime() - HELD_GROUPS_MAX_AGE_NANOS;
+    this.lastAskNanos = scheduler.nanoTime();
+    this.heldGroupsNanos = scheduler.nanoTime() - 2 * HELD_GROUPS_MAX_AGE_NANOS;
   }
 
   @Override
@@ -126,21 +131,26 @@
     long now = scheduler.nanoTime();
     active.add(work.account());
     bucket.recordDemand(now);
-    return bucket.hasRoom(now) ? null : refuse(work, bucket, now);
+    return bucket.hasRoom(StatementPhase.of(work), now) ? null : refuse(work, bucket, now);
   }
 
   @Override
-  public @Nullable Refusal take(Work work, boolean isNew) {
+  public @Nullable Refusal take(Work work) {
     AccountBucket bucket = find(work.account());
     if (bucket == null) {
       return null;
     }
     long now = scheduler.nanoTime();
-    if (!isNew) {
+    StatementPhase phase = StatementPhase.of(work);
+    if (phase == StatementPhase.LATER) {
       active.add(work.account());
       bucket.recordDemand(now);
     }
-    return bucket.take(isNew, now) ? null : refuse(work, bucket, now);
+    boolean allowed = bucket.take(phase, now);
+    if (bucket.balance() < 1 && now - lastAskNanos > MIN_ASK_INTERVAL_NANOS) {
+      askForLoans();
+    }
+    return allowed ? null : refuse(work, bucket, now);
   }
 
   private Refusal refuse(Work work, AccountBucket bucket, long now) {
@@ -191,6 +201,7 @@
 
   private void askForLoans() {
     long now = scheduler.nanoTime();
+    lastAskNanos = now;
     Map<String, Double> wanted = new HashMap<>();
     for (String account : List.copyOf(active)) {
       AccountBucket bucket = buckets.get(account);
--- a/chicorylane/src/main/java/org/chicorylane/internal/quota/QuotaMargins.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/quota/QuotaMargins.java
@@ -21,7 +21,7 @@
   static final Duration LOAN_VALIDITY = Duration.ofMillis(250);
 
   /** Extra capacity, as a time at the account's rate, so that small bursts can be spent evenly. */
-  private static final double EXTRA_CAPACITY_SECONDS = 0.1;
+  private static final double EXTRA_CAPACITY_SECONDS = 0.2;
 
   /** Part of the overage on the burst that may be debt. */
   private static final double DEBT_PER_OVERAGE = 0.4;
@@ -34,7 +34,7 @@
     double rate = account.ratePerSecond();
     double burst = account.burst();
     double windowSeconds = quota.window().toMillis() / 1e3;
-    double extraSeconds = Math.min(EXTRA_CAPACITY_SECONDS, quota.overage() * windowSeconds / 5);
+    double extraSeconds = Math.min(EXTRA_CAPACITY_SECONDS, quota.overage() * windowSeconds / 2.5);
     double debt =
         rate == 0
             ? 0
--- a/chicorylane/src/test/java/org/chicorylane/internal/quota/FleetQuotaTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/quota/FleetQuotaTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import org.chicorylane.internal.account.ClientAccount;
@@ -67,6 +69,18 @@
     assertServed(fleet, ACCOUNT, fleet.now() - 10_000, fleet.now());
   }
 
+  @Test
+  void testDemandThatMovesBetweenHomesUsesTheWholeRate() {
+    QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
+    fleet.advance(1_000);
+    long start = fleet.now();
+    for (int round = 0; round < 12; round++) {
+      load(fleet, "a", round % GROUPS, 900, 3_000);
+    }
+    assertWithinLimit(fleet, ACCOUNT);
+    assertServed(fleet, ACCOUNT, start, fleet.now());
+  }
+
   @Test
   void testAccountWithoutBurstUsesTheWholeRate() {
     ClientAccount account = QuotaFleet.account("a", 40, 0);
@@ -111,6 +125,29 @@
     assertEquals(0, fleet.refusedCount("a"));
   }
 
+  @Test
+  void testSmallAccountIsNeverRefusedBesideHotOne() {
+    ClientAccount small = QuotaFleet.account("small", 60, 60);
+    QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT, small);
+    for (int i = 0; i < 20_000; i++) {
+      if (i % 100 == 0) {
+        fleet.call("small", i / 5_000);
+      }
+      fleet.call("a", i % GROUPS);
+      fleet.advance(1);
+    }
+    assertEquals(0, fleet.refusedCount("small"));
+    assertTrue(fleet.refusedCount("a") > 10_000);
+  }
+
+  @Test
+  void testAccountBelowItsRateAtOneHomeIsNotRefused() {
+    QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
+    fleet.advance(3_000);
+    load(fleet, "a", 0, 100, 20_000);
+    assertEquals(0, fleet.refusedCount("a"));
+  }
+
   @Test
   void testRetryTimesAreSpread() {
     QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
@@ -124,6 +161,34 @@
     assertTrue(delays.stream().allMatch(d -> d > 0 && d <= 2_000), delays.toString());
   }
 
+  @Test
+  void testOpenTransactionsContinueWhileNewWorkIsRefused() {
+    QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
+    fleet.advance(1_000);
+    int begun = 0;
+    for (int i = 0; i < 20_000; i++) {
+      boolean begins = fleet.begin("a", i % GROUPS);
+      if (begins) {
+        begun++;
+        for (int statement = 1; statement <= 3; statement++) {
+          int group = i % GROUPS;
+          fleet.scheduler.schedule(
+              Duration.ofMillis(10L * statement),
+              () -> {
+                if (!fleet.proceed("a", group)) {
+                  fleet.refusals.computeIfAbsent("aborted", a -> new ArrayList<>()).add(0L);
+                }
+              });
+        }
+      }
+      fleet.advance(1);
+    }
+    int aborted = fleet.refusedCount("aborted");
+    assertWithinLimit(fleet, ACCOUNT);
+    assertServed(fleet, ACCOUNT, fleet.now() - 10_000, fleet.now());
+    assertTrue(aborted < 0.01 * begun, aborted + " aborted of " + begun);
+  }
+
   @Test
   void testPlannedMoveOfHomesKeepsTheLimit() {
     QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
--- a/chicorylane/src/test/java/org/chicorylane/internal/quota/QuotaFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/quota/QuotaFleet.java
@@ -165,12 +165,17 @@
 
   /** A caller sends a new statement to a group. Returns whether it was run. */
   boolean call(String account, int group) {
-    return home(group).call(account, true);
+    return home(group).call(account, StatementPhase.SINGLE);
+  }
+
+  /** A caller begins a transaction in a group. Returns whether its first statement was run. */
+  boolean begin(String account, int group) {
+    return home(group).call(account, StatementPhase.FIRST);
   }
 
   /** A caller continues a transaction in a group. Returns whether the statement was run. */
   boolean proceed(String account, int group) {
-    return home(group).call(account, false);
+    return home(group).call(account, StatementPhase.LATER);
   }
 
   int sentBetween(String account, long fromMillis, long toMillis) {
@@ -260,14 +265,14 @@
       tasks.forEach(this::run);
     }
 
-    boolean call(String account, boolean isNew) {
+    boolean call(String account, StatementPhase phase) {
       if (frozen || dead) {
         return false;
       }
-      Work work = work(account);
-      StatementQuota.Refusal refusal = isNew ? quota.checkNew(work) : null;
+      Work work = work(account, phase);
+      StatementQuota.Refusal refusal = phase == StatementPhase.LATER ? null : quota.checkNew(work);
       if (refusal == null) {
-        refusal = quota.take(work, isNew);
+        refusal = quota.take(work);
       }
       if (refusal == null) {
         sent.computeIfAbsent(account, a -> new ArrayList<>()).add(now());
@@ -326,7 +331,7 @@
     }
   }
 
-  private static Work work(String account) {
+  private static Work work(String account, StatementPhase phase) {
     return new Work(
         WorkKind.READ,
         "r",
@@ -336,8 +341,8 @@
         0,
         null,
         Map.of(),
-        0,
-        false,
+        phase == StatementPhase.SINGLE ? 0 : 1,
+        phase == StatementPhase.FIRST,
         false,
         1,
         100,
