Choose servers by the load that others put on them, as far as it is known

Callers saw: reads waited at one replica while the other had slots free. Where two homes overlap around a hand-over, both filled the same replica first. Cause: the choice knew only the instance's own statements in flight, filled the replica that looked fastest before it used another of the same speed, and dropped the number of busy slots that a server's status tells. Change: ServerLoad estimates the load of other instances from the status answers that are asked for anyway. Its own part is subtracted, and with its age the estimate moves to the mean of the group's servers, so an old or missing report means neither idle nor full. ServerChoice adds a share of the cost for the room that a statement takes; costs that differ by under 2 % are equal, and one is drawn. Handshakes count as load. Reads on the primary leave the slots that others use there. A statement's line in the decision log tells others_busy and others_busy_age_ms.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -7,8 +7,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import java.util.random.RandomGenerator;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerCommand;
@@ -94,6 +96,7 @@
   private final FloorTracker floors = new FloorTracker();
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final ServerConnections connections;
+  private final RandomGenerator random;
   private final ServerMonitor monitor;
   private final Scheduler.Timer checkTimer;
   private long transactionIdleNanos = Duration.ofSeconds(30).toNanos();
@@ -140,6 +143,7 @@
     this.drainLimit = drainLimit;
     this.listener = listener;
     this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
+    this.random = new Random(group.hashCode() + scheduler.nanoTime());
     this.monitor =
         new ServerMonitor(
             group, connector, scheduler, attention, log, metrics, listener, new MonitoredPool());
@@ -507,7 +511,8 @@
             halt,
             floors,
             now,
-            server -> connections.hasIdle(server, item.work.account()));
+            server -> connections.hasIdle(server, item.work.account()),
+            random);
     if (best == null) {
       return false;
     }
@@ -943,6 +948,10 @@
     if (server != null) {
       line.with("server", server.backend.id())
           .with("server_busy", server.inFlight)
+          .with(
+              "others_busy",
+              Math.round(server.load.foreign(ServerLoad.meanOf(servers.values()), now)))
+          .with("others_busy_age_ms", server.load.ageMillis(now))
           .with("server_position", server.position);
       if (server.backend.draining()) {
         line.with("drain_left_ms", drainLimit.remainingNanos(server.backend) / 1_000_000);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -22,6 +22,9 @@
   /** Weight of the newest answer in the moving average of the slowness. */
   private static final double SLOWNESS_WEIGHT = 0.1;
 
+  /** Weight of the room that a statement takes, in relation to its expected answer time. */
+  private static final double ROOM_WEIGHT = 0.25;
+
   /** Lag assumed for a replica that has not reported its position, in milliseconds. */
   private static final long UNKNOWN_LAG_MILLIS = 60_000;
 
@@ -50,6 +53,9 @@
   LogPosition position = LogPosition.ZERO;
   long lagMillis = UNKNOWN_LAG_MILLIS;
 
+  /** The load that other instances put on the server. */
+  final ServerLoad load = new ServerLoad();
+
   /** Ratio of the server's service times to those expected of its statements; 1 is as expected. */
   double slowness = 1;
 
@@ -95,9 +101,20 @@
     return slots() / slowness;
   }
 
-  /** Returns the expected time until the answer to a statement sent now, in service times. */
-  double expectedAnswerTime() {
-    return slowness * Math.max(1.0, (inFlight + 1.0) / slots());
+  /** Returns the number of slots that this instance's statements and handshakes need. */
+  int ownLoad() {
+    return inFlight + opening;
+  }
+
+  /**
+   * Returns the cost of sending a statement now: the expected time until its answer in service
+   * times, and a share of it for the room that the statement takes from later ones.
+   *
+   * @param foreign the estimated number of slots that other instances occupy
+   */
+  double cost(double foreign) {
+    double fill = (ownLoad() + foreign + 1) / slots();
+    return slowness * (Math.max(1, fill) + ROOM_WEIGHT * fill);
   }
 
   /** Records that a statement occupied a slot for {@code nanos}. */
@@ -119,6 +136,7 @@
   void clearPosition() {
     position = LogPosition.ZERO;
     lagMillis = UNKNOWN_LAG_MILLIS;
+    load.clear();
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -2,20 +2,24 @@
 
 import java.util.Collection;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import org.chicorylane.internal.position.LogPosition;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Selects the server that runs a statement. Prefers the replica with the shortest expected time to
- * answer among those that hold what the read must see. Selects the primary if no replica may serve
- * the statement, or if all replicas that may are full and the primary would still have a slot free
- * for writes. Stateless.
+ * answer and the most room among those that hold what the read must see. Selects the primary if no
+ * replica may serve the statement, or if all replicas that may are full and the primary would still
+ * have a slot free for writes. Stateless.
  */
 final class ServerChoice {
 
   /** Statements sent to a server beyond its slots, so that no slot idles during a round trip. */
   private static final int PIPELINED_STATEMENTS = 1;
 
+  /** Costs that differ by less than this share are equal. */
+  private static final double EQUAL_COST = 0.02;
+
   /** A replica is expected to hold positions older than this many times its last known lag. */
   private static final long LAG_FACTOR = 2;
 
@@ -30,6 +34,8 @@
    * @param floor the position that a replica must hold; null if only the primary may run the work
    * @param hasConnection returns whether a server has an idle connection, and opens one ahead if
    *     not
+   * @param random selects one of several servers that cost the same, so that instances with the
+   *     same knowledge do not all select the same one
    */
   static @Nullable PoolServer choose(
       Collection<PoolServer> servers,
@@ -38,8 +44,12 @@
       PrimaryHalt halt,
       FloorTracker floors,
       long now,
-      Predicate<PoolServer> hasConnection) {
+      Predicate<PoolServer> hasConnection,
+      RandomGenerator random) {
     PoolServer best = null;
+    double bestCost = 0;
+    int equals = 0;
+    double mean = ServerLoad.meanOf(servers);
     PoolServer primary = primaryOf(servers);
     if (floor != null) {
       boolean anyEligible = false;
@@ -54,14 +64,19 @@
         if (s.inFlight >= maxInFlight(s) || !hasConnection.test(s)) {
           continue;
         }
-        if (best == null || s.expectedAnswerTime() < best.expectedAnswerTime()) {
+        double cost = s.cost(s.load.foreign(mean, now));
+        if (best == null || cost < bestCost * (1 - EQUAL_COST)) {
+          best = s;
+          bestCost = cost;
+          equals = 1;
+        } else if (cost <= bestCost * (1 + EQUAL_COST) && random.nextInt(++equals) == 0) {
           best = s;
         }
       }
       if (best != null) {
         return best;
       }
-      if (anyEligible && (primary == null || primary.inFlight >= primary.slots() - 1)) {
+      if (anyEligible && (primary == null || !hasRoomForRead(primary, mean, now))) {
         return null;
       }
     }
@@ -74,6 +89,11 @@
     return primary;
   }
 
+  /** Returns whether the primary would still have a slot free for writes. */
+  private static boolean hasRoomForRead(PoolServer primary, double mean, long now) {
+    return primary.inFlight + primary.load.foreign(mean, now) < primary.slots() - 1;
+  }
+
   private static @Nullable PoolServer primaryOf(Collection<PoolServer> servers) {
     for (PoolServer s : servers) {
       if (s.primary) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.List;
 import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
+import org.chicorylane.internal.passthrough.ServerStatus;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -181,6 +183,7 @@
     long sent = scheduler.nanoTime();
     s.statusSentNanos = sent;
     s.statusSentAttentiveNanos = attention.nanoTime();
+    final int ownLoad = s.ownLoad();
     control.send(
         new ServerCommand.Status(),
         new ServerLink.AnswerHandler() {
@@ -188,6 +191,7 @@
           public void onAnswer(Answer answer) {
             s.statusPending = false;
             pool.onAnswer(s, sent, answer);
+            recordLoad(s, answer, Math.max(ownLoad, s.ownLoad()));
             if (answer.status() != null) {
               listener.onServerStatus(s.backend.id(), answer.status(), sent);
             }
@@ -201,6 +205,15 @@
         });
   }
 
+  private void recordLoad(PoolServer s, Answer answer, int ownLoad) {
+    ServerStatus status = answer.status();
+    if (answer.failedWith(FailureCode.OVERLOADED)) {
+      s.load.onReport(s.slots() + 1, ownLoad, scheduler.nanoTime());
+    } else if (status != null && status.busySlots() != null) {
+      s.load.onReport(status.busySlots(), ownLoad, scheduler.nanoTime());
+    }
+  }
+
   /** Marks a server as lost, closes its connections and notifies the listener. */
   void markLost(PoolServer s, ServerLoss loss, String detail) {
     if (s.removed || pool.isStopped()) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -274,7 +274,9 @@
       } else if (command instanceof ServerCommand.StepDown c && primary && c.term() > term) {
         becomeReplica(c.term());
       }
-      ServerStatus status = new ServerStatus(primary, term, received(), sealedTerm, lag.toMillis());
+      ServerStatus status =
+          new ServerStatus(
+              primary, term, received(), sealedTerm, lag.toMillis(), busy + queue.size() + 1);
       return new Answer(List.of(), Answer.UNSIGNED, null, "", state, applied(), status);
     }
 
