Eject replicas that fail real work, and abandon hung reads sooner

Callers saw: a replica whose status is good but which fails, refuses or swallows a share of its statements kept its full share of reads; a swallowed read was sent elsewhere after 260 ms, later than most callers' target. Cause: only a silent or unreachable server was taken out of use, and the limit for hung reads was the same for all servers. Change: OutlierDetector judges replicas by the outcomes of clients' statements (share of failures among the last 30, beside the best server's share) and ejects one for 1 s, doubled up to 16 s. After that it runs one read at a time that another server can repeat; three successes return it. At most half of the replicas are ejected, never the last one that may serve a read unless the primary has room, and never the primary. AnswerHistory lets a single read on a replica be abandoned after twice its slowest recent answer, at least 100 ms, within a budget that its answers refill. Metrics: servers.ejected, servers.returned, servers.probes.*, reads.abandoned; log lines server-ejected and server-returned.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -97,6 +97,7 @@
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final ServerConnections connections;
   private final RandomGenerator random;
+  private final OutlierDetector outliers;
   private final ServerMonitor monitor;
   private final Scheduler.Timer checkTimer;
   private long transactionIdleNanos = Duration.ofSeconds(30).toNanos();
@@ -143,6 +144,7 @@
     this.drainLimit = drainLimit;
     this.listener = listener;
     this.connections = new ServerConnections(connector, scheduler, new ConnectionListener());
+    this.outliers = new OutlierDetector(group, log, metrics);
     this.random = new Random(group.hashCode() + scheduler.nanoTime());
     this.monitor =
         new ServerMonitor(
@@ -181,7 +183,7 @@
           || !backend.address().equals(server.backend.address())) {
         server.backend = backend;
         closeAllConnections(server);
-        server.clearPosition();
+        server.clearState();
       } else {
         server.backend = backend;
       }
@@ -418,7 +420,8 @@
       } else if (!s.primary
           && floor != null
           && ServerChoice.isFresh(s, floor, floors, now)
-          && s.acceptsNewWork()) {
+          && s.acceptsNewWork()
+          && !s.ejection.isActive()) {
         replicaSlots += s.effectiveSlots();
       }
     }
@@ -649,8 +652,10 @@
       running.remove(this);
       server.inFlight--;
       recordAnswer(server, sentNanos, answer);
+      recordOutcome(OutlierDetector.isFailure(server, answer));
       if (answer.succeeded()) {
         double nanos = (scheduler.nanoTime() - sentNanos) * slotShare;
+        server.history.onAnswerTime(nanos, item.serviceNanos);
         server.onServed(nanos, serviceTimes.expectedNanos(item.work));
         serviceTimes.onServed(item.work, nanos);
       }
@@ -662,16 +667,31 @@
     public void onLost() {
       running.remove(this);
       connection.server.inFlight--;
+      PoolTransaction t = item.transaction;
+      boolean isAbandoned = t != null && t.abandoned;
+      recordOutcome(isAbandoned ? null : true);
       handleLostAnswer(item, connection);
     }
 
+    private void recordOutcome(@Nullable Boolean failed) {
+      outliers.onOutcome(connection.server, servers.values(), failed, scheduler.nanoTime());
+    }
+
     /** Returns whether the answer is so late that it counts as lost. */
     boolean isOverdue(long now) {
       double serviceNanos = item.serviceNanos * connection.server.slowness;
       long scaledServiceNanos = (long) (serviceNanos * OVERDUE_FACTOR / slotShare);
       boolean isRepeatable = item.transaction == null && !item.work.isWrite();
       long minimumNanos = isRepeatable ? MIN_OVERDUE_READ_NANOS : MIN_OVERDUE_WRITE_NANOS;
-      return now - sentNanos > Math.max(minimumNanos, scaledServiceNanos);
+      long nanos = now - sentNanos;
+      PoolServer server = connection.server;
+      if (isRepeatable
+          && !server.primary
+          && server.history.tryAbandon(nanos, item.serviceNanos / slotShare)) {
+        metrics.recordAbandonedRead();
+        return true;
+      }
+      return nanos > Math.max(minimumNanos, scaledServiceNanos);
     }
 
     boolean isCommitOrWrite() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -58,6 +58,26 @@
     count("servers.lost");
   }
 
+  /** Records that a replica was ejected because it failed statements. */
+  void recordEjection() {
+    count("servers.ejected");
+  }
+
+  /** Records the outcome of a statement that tested an ejected replica. */
+  void recordProbe(boolean failed) {
+    count(failed ? "servers.probes.failed" : "servers.probes.done");
+  }
+
+  /** Records that an ejected replica is in use again. */
+  void recordReturn() {
+    count("servers.returned");
+  }
+
+  /** Records that a read was abandoned early, to be run by another server. */
+  void recordAbandonedRead() {
+    count("reads.abandoned");
+  }
+
   /** Records a commit that succeeded too late to be acknowledged. */
   void recordUnacknowledgedCommit() {
     count("commits.confirmed_late");
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -22,6 +22,12 @@
   /** Weight of the newest answer in the moving average of the slowness. */
   private static final double SLOWNESS_WEIGHT = 0.1;
 
+  /**
+   * Service times added to the expected wait for a slot, so that no statement waits at a server
+   * while another one of similar speed has a slot free.
+   */
+  private static final double QUEUE_WEIGHT = 1;
+
   /** Weight of the room that a statement takes, in relation to its expected answer time. */
   private static final double ROOM_WEIGHT = 0.25;
 
@@ -56,6 +62,9 @@
   /** The load that other instances put on the server. */
   final ServerLoad load = new ServerLoad();
 
+  final AnswerHistory history = new AnswerHistory();
+  final OutlierDetector.Ejection ejection = new OutlierDetector.Ejection();
+
   /** Ratio of the server's service times to those expected of its statements; 1 is as expected. */
   double slowness = 1;
 
@@ -114,7 +123,8 @@
    */
   double cost(double foreign) {
     double fill = (ownLoad() + foreign + 1) / slots();
-    return slowness * (Math.max(1, fill) + ROOM_WEIGHT * fill);
+    double wait = fill <= 1 ? 0 : fill - 1 + QUEUE_WEIGHT;
+    return slowness * (1 + wait + ROOM_WEIGHT * fill);
   }
 
   /** Records that a statement occupied a slot for {@code nanos}. */
@@ -133,10 +143,13 @@
     }
   }
 
-  void clearPosition() {
+  /** Forgets what is known of a server that was replaced or restarted. */
+  void clearState() {
     position = LogPosition.ZERO;
     lagMillis = UNKNOWN_LAG_MILLIS;
     load.clear();
+    history.clearOutcomes();
+    ejection.end();
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -10,7 +10,8 @@
  * Selects the server that runs a statement. Prefers the replica with the shortest expected time to
  * answer and the most room among those that hold what the read must see. Selects the primary if no
  * replica may serve the statement, or if all replicas that may are full and the primary would still
- * have a slot free for writes. Stateless.
+ * have a slot free for writes. Replicas that {@link OutlierDetector} has ejected run only probes,
+ * unless no other server can. Stateless.
  */
 final class ServerChoice {
 
@@ -49,6 +50,7 @@
     PoolServer best = null;
     double bestCost = 0;
     int equals = 0;
+    PoolServer ejected = null;
     double mean = ServerLoad.meanOf(servers);
     PoolServer primary = primaryOf(servers);
     if (floor != null) {
@@ -60,11 +62,18 @@
         if (!isFresh(s, floor, floors, now)) {
           continue;
         }
+        if (s.ejection.isActive()) {
+          if (s.ejection.allowsProbe(item, s, now) && hasConnection.test(s)) {
+            return s;
+          }
+          ejected = s.inFlight < maxInFlight(s) ? s : ejected;
+          continue;
+        }
         anyEligible = true;
         if (s.inFlight >= maxInFlight(s) || !hasConnection.test(s)) {
           continue;
         }
-        double cost = s.cost(s.load.foreign(mean, now));
+        double cost = s.cost(s.load.drawForeign(mean, now, random));
         if (best == null || cost < bestCost * (1 - EQUAL_COST)) {
           best = s;
           bestCost = cost;
@@ -79,6 +88,14 @@
       if (anyEligible && (primary == null || !hasRoomForRead(primary, mean, now))) {
         return null;
       }
+      boolean primaryHasRoom =
+          primary != null
+              && primary.acceptsNewWork()
+              && halt.allows(item.work)
+              && hasRoomForRead(primary, mean, now);
+      if (!anyEligible && ejected != null && !primaryHasRoom && hasConnection.test(ejected)) {
+        return ejected;
+      }
     }
     if (primary == null
         || !halt.allows(item.work)
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerLoad.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerLoad.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,6 +25,9 @@
   /** Age in nanoseconds at which a report's difference from the mean counts for 1/e. */
   private static final double DECAY_NANOS = Duration.ofMillis(500).toNanos();
 
+  /** Weight of the newest report in the moving average. */
+  private static final double NEWEST_WEIGHT = 0.5;
+
   /** Slots that the answer to a status request occupies itself. */
   private static final int STATUS_SLOTS = 1;
 
@@ -31,7 +35,10 @@
   private static final double UNKNOWN_SHARE = 0.5;
 
   private boolean known;
-  private int reported;
+
+  /** Moving average of the reports. */
+  private double reported;
+
   private long reportedNanos;
 
   /**
@@ -43,8 +50,9 @@
    * @param nowNanos the time at which the report arrived
    */
   void onReport(int busySlots, int own, long nowNanos) {
+    double others = Math.max(0, busySlots - own - STATUS_SLOTS);
+    reported = known ? reported + NEWEST_WEIGHT * (others - reported) : others;
     known = true;
-    reported = Math.max(0, busySlots - own - STATUS_SLOTS);
     reportedNanos = nowNanos;
   }
 
@@ -70,6 +78,15 @@
     return mean + (reported - mean) * Math.exp((reportedNanos - nowNanos) / DECAY_NANOS);
   }
 
+  /**
+   * Returns a number of slots that other instances may occupy, drawn around the estimate. Instances
+   * with the same reports thereby choose different servers.
+   */
+  double drawForeign(double mean, long nowNanos, RandomGenerator random) {
+    double estimate = foreign(mean, nowNanos);
+    return estimate == 0 ? 0 : Math.max(0, estimate + Math.sqrt(estimate) * random.nextGaussian());
+  }
+
   /**
    * Returns the mean number of slots that other instances occupy at a server, over the servers with
    * a report; an assumed share of the slots if there is none.
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.Scheduler;
 import org.jspecify.annotations.Nullable;
@@ -51,6 +52,12 @@
   /** Fault: the next statement is refused as overloaded. */
   public boolean refuseNextStatement;
 
+  /** Fault: statements with these request ids run and fail, while the status is good. */
+  public Predicate<String> failsStatement = id -> false;
+
+  /** Fault: statements with these request ids are never answered, while the status is good. */
+  public Predicate<String> hangsStatement = id -> false;
+
   public long term = 1;
   public long sealedTerm;
   public Duration work = Duration.ofMillis(10);
@@ -299,10 +306,18 @@
         reply(handler, failure(FailureCode.REPLICA_BEHIND));
         return;
       }
+      if (hangsStatement.test(requestId)) {
+        statements++;
+        return;
+      }
       occupy(
           workOf.apply(requestId),
           () -> {
             statements++;
+            if (failsStatement.test(requestId)) {
+              reply(handler, failure(FailureCode.FAILED));
+              return;
+            }
             group.onRun(ModelServer.this, this, requestId, Map.copyOf(values), state);
             if (!writes) {
               reply(handler, done("signed-" + requestId));
