--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -7,8 +7,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import java.util.random.RandomGenerator;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerCommand;
@@ -95,6 +97,8 @@
   private final FloorTracker floors = new FloorTracker();
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final ServerConnections connections;
+  private final RandomGenerator random;
+  private final OutlierDetector outliers;
   private final ServerMonitor monitor;
   private final Scheduler.Timer checkTimer;
   private long transactionIdleNanos = Duration.ofSeconds(30).toNanos();
@@ -146,6 +150,8 @@
     this.connections =
         new ServerConnections(
             connector, scheduler, log, metrics, servers.values(), new ConnectionListener());
+    this.outliers = new OutlierDetector(group, log, metrics);
+    this.random = new Random(group.hashCode() + scheduler.nanoTime());
     this.monitor =
         new ServerMonitor(
             group, connector, scheduler, attention, log, metrics, listener, new MonitoredPool());
@@ -183,7 +189,7 @@
           || !backend.address().equals(server.backend.address())) {
         server.backend = backend;
         closeAllConnections(server);
-        server.clearPosition();
+        server.clearState();
       } else {
         server.backend = backend;
       }
@@ -433,7 +439,8 @@
       } else if (!s.primary
           && floor != null
           && ServerChoice.isFresh(s, floor, floors, now)
-          && s.acceptsNewWork()) {
+          && s.acceptsNewWork()
+          && !s.ejection.isActive()) {
         replicaSlots += s.effectiveSlots();
         connectionWait =
             Math.min(connectionWait, connections.expectedWaitMillis(s, item.work.account()));
@@ -526,7 +533,7 @@
         item.work.canRunOnReplica() ? floors.floorFor(item.work, item.arrivedNanos) : null;
     ServerConnections.Request request = connections.request(item);
     PoolServer best =
-        ServerChoice.choose(servers.values(), item, floor, halt, floors, now, request);
+        ServerChoice.choose(servers.values(), item, floor, halt, floors, now, request, random);
     PooledConnection c = best == null ? null : connections.takeIdle(best, item.work);
     if (best == null || c == null) {
       connections.openFor(request, best);
@@ -676,8 +683,10 @@
       running.remove(this);
       server.inFlight--;
       recordAnswer(server, sentNanos, answer);
+      recordOutcome(OutlierDetector.isFailure(server, answer));
       if (answer.succeeded()) {
         double nanos = (scheduler.nanoTime() - sentNanos) * slotShare;
+        server.history.onAnswerTime(nanos, item.serviceNanos);
         server.onServed(nanos, serviceTimes.expectedNanos(item.work));
         serviceTimes.onServed(item.work, nanos);
       }
@@ -689,16 +698,31 @@
     public void onLost() {
       running.remove(this);
       connection.server.inFlight--;
+      PoolTransaction t = item.transaction;
+      boolean isAbandoned = t != null && t.abandoned;
+      recordOutcome(isAbandoned ? null : true);
       handleLostAnswer(item, connection);
     }
 
+    private void recordOutcome(@Nullable Boolean failed) {
+      outliers.onOutcome(connection.server, servers.values(), failed, scheduler.nanoTime());
+    }
+
     /** Returns whether the answer is so late that it counts as lost. */
     boolean isOverdue(long now) {
       double serviceNanos = item.serviceNanos * connection.server.slowness;
       long scaledServiceNanos = (long) (serviceNanos * OVERDUE_FACTOR / slotShare);
       boolean isRepeatable = item.transaction == null && !item.work.isWrite();
       long minimumNanos = isRepeatable ? MIN_OVERDUE_READ_NANOS : MIN_OVERDUE_WRITE_NANOS;
-      return now - sentNanos > Math.max(minimumNanos, scaledServiceNanos);
+      long nanos = now - sentNanos;
+      PoolServer server = connection.server;
+      if (isRepeatable
+          && !server.primary
+          && server.history.tryAbandon(nanos, item.serviceNanos / slotShare)) {
+        metrics.recordAbandonedRead();
+        return true;
+      }
+      return nanos > Math.max(minimumNanos, scaledServiceNanos);
     }
 
     boolean isCommitOrWrite() {
@@ -980,6 +1004,10 @@
           .with("server_busy", server.inFlight)
           .with("server_connections", server.connections.size())
           .with("server_idle", server.idle.size())
+          .with(
+              "others_busy",
+              Math.round(server.load.foreign(ServerLoad.meanOf(servers.values()), now)))
+          .with("others_busy_age_ms", server.load.ageMillis(now))
           .with("server_position", server.position);
       if (server.backend.draining()) {
         line.with("drain_left_ms", drainLimit.remainingNanos(server.backend) / 1_000_000);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -23,6 +23,15 @@
   /** Weight of the newest answer in the moving average of the slowness. */
   private static final double SLOWNESS_WEIGHT = 0.1;
 
+  /**
+   * Service times added to the expected wait for a slot, so that no statement waits at a server
+   * while another one of similar speed has a slot free.
+   */
+  private static final double QUEUE_WEIGHT = 1;
+
+  /** Weight of the room that a statement takes, in relation to its expected answer time. */
+  private static final double ROOM_WEIGHT = 0.25;
+
   /** Lag assumed for a replica that has not reported its position, in milliseconds. */
   private static final long UNKNOWN_LAG_MILLIS = 60_000;
 
@@ -66,6 +75,12 @@
   LogPosition position = LogPosition.ZERO;
   long lagMillis = UNKNOWN_LAG_MILLIS;
 
+  /** The load that other instances put on the server. */
+  final ServerLoad load = new ServerLoad();
+
+  final AnswerHistory history = new AnswerHistory();
+  final OutlierDetector.Ejection ejection = new OutlierDetector.Ejection();
+
   /** Ratio of the server's service times to those expected of its statements; 1 is as expected. */
   double slowness = 1;
 
@@ -111,9 +126,21 @@
     return slots() / slowness;
   }
 
-  /** Returns the expected time until the answer to a statement sent now, in service times. */
-  double expectedAnswerTime() {
-    return slowness * Math.max(1.0, (inFlight + 1.0) / slots());
+  /** Returns the number of slots that this instance's statements and handshakes need. */
+  int ownLoad() {
+    return inFlight + opening;
+  }
+
+  /**
+   * Returns the cost of sending a statement now: the expected time until its answer in service
+   * times, and a share of it for the room that the statement takes from later ones.
+   *
+   * @param foreign the estimated number of slots that other instances occupy
+   */
+  double cost(double foreign) {
+    double fill = (ownLoad() + foreign + 1) / slots();
+    double wait = fill <= 1 ? 0 : fill - 1 + QUEUE_WEIGHT;
+    return slowness * (1 + wait + ROOM_WEIGHT * fill);
   }
 
   /** Records that a statement occupied a slot for {@code nanos}. */
@@ -154,9 +181,13 @@
     }
   }
 
-  void clearPosition() {
+  /** Forgets what is known of a server that was replaced or restarted. */
+  void clearState() {
     position = LogPosition.ZERO;
     lagMillis = UNKNOWN_LAG_MILLIS;
+    load.clear();
+    history.clearOutcomes();
+    ejection.end();
   }
 
   /**
