Order under load: accounts within their share go first, and no priority is starved

What callers saw: all accounts waited in one order, so that an account which sent 7.5 times its usual delayed the others' statements until they were refused, and the account's declared priority had no effect. Cause: the home's queue knew the route's priority only. Change: with declared accounts the queue orders, after continuing transactions and in time before late, statements within their account's share before those above it, then by the route's priority, then by the account's. The share is kept by start-time fair queueing by service time, weighted by the declared rates, with an allowance of 8 statements; a statement is charged to its own priority and the less urgent ones. A priority that waits gains credit from a twentieth of the slot time of those that overtake it. Work above a share is sent to free slots only, not ahead of them. Without accounts the order is as before. An account above its share is told the longer wait, the others are not. Measured: GroupPoolTest, WorkQueueTest, PoolLoadTest pass.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.ToIntFunction;
+import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -131,6 +132,7 @@
   private final GroupMembers members = new GroupMembers();
   private List<BackendServer> servers = List.of();
   private @Nullable GroupDeclaration declaration;
+  private @Nullable ClientAccounts accounts;
   private Duration transactionIdleLimit = Duration.ofSeconds(30);
 
   /** Time at which the home was found lost; 0 if it is not lost. */
@@ -218,6 +220,14 @@
     return group;
   }
 
+  /** Sets the client accounts that the configuration declares, null if it declares none. */
+  public void setAccounts(@Nullable ClientAccounts declared) {
+    accounts = declared;
+    if (pool != null) {
+      pool.setAccounts(declared);
+    }
+  }
+
   /** Updates the group's declaration, the transactions' idle limit and the registered servers. */
   public void updateDeclaration(
       GroupDeclaration declared, Duration idleLimit, List<BackendServer> presentServers) {
@@ -815,6 +825,7 @@
             context.metrics(),
             listener);
     pool = p;
+    p.setAccounts(accounts);
     GroupDeclaration d = declaration;
     if (d != null) {
       p.configure(d.maximumConnections(), transactionIdleLimit);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerCommand;
@@ -159,6 +160,11 @@
     transactionIdleNanos = transactionIdleLimit.toNanos();
   }
 
+  /** Sets the client accounts that share the servers, null if none are declared. */
+  public void setAccounts(@Nullable ClientAccounts accounts) {
+    queue.setAccounts(accounts);
+  }
+
   /**
    * Sets the group's current servers. Closes the connections to servers that were removed,
    * restarted or moved to another address, and connects to new ones.
@@ -297,6 +303,7 @@
     }
     double serviceNanos = serviceTimes.expectedNanos(work);
     QueuedWork item = new QueuedWork(work, handler, now, nextSequence++, transaction, serviceNanos);
+    queue.place(item);
     long wait = expectedWaitMillis(item);
     if (wait < 0 && now - lastPrimaryAnswerNanos > PRIMARY_OUTAGE_NANOS) {
       long down = (now - lastPrimaryAnswerNanos) / 1_000_000;
@@ -434,6 +441,7 @@
       long now = scheduler.nanoTime();
       boolean allowed = mayServe.test(now);
       postponeLateWork(now);
+      dispatchStarved(allowed, now);
       Iterator<QueuedWork> i = queue.iterator();
       List<QueuedWork> refused = new ArrayList<>();
       while (i.hasNext() && (!allowed || hasFreeCapacity())) {
@@ -453,6 +461,14 @@
     }
   }
 
+  /** Dispatches the statement whose priority would otherwise be starved, if there is one. */
+  private void dispatchStarved(boolean allowed, long now) {
+    QueuedWork starved = allowed && hasFreeCapacity() ? queue.findStarved() : null;
+    if (starved != null && now >= starved.notBeforeNanos && tryDispatch(starved, now)) {
+      queue.remove(starved);
+    }
+  }
+
   /** Returns whether any server can take another statement; if not, the queue is not searched. */
   private boolean hasFreeCapacity() {
     for (PoolServer s : servers.values()) {
@@ -507,8 +523,8 @@
             halt,
             floors,
             now,
-            server -> connections.hasIdle(server, item.work.account()));
-    if (best == null) {
+            server -> hasRoomFor(item, server) && connections.hasIdle(server, item.work.account()));
+    if (best == null || !hasRoomFor(item, best)) {
       return false;
     }
     PooledConnection c = connections.takeIdle(best, item.work.account(), item.work.values());
@@ -523,6 +539,14 @@
     return true;
   }
 
+  /**
+   * Returns whether the server may be sent the statement now. Those of an account above its share
+   * are sent to free slots only, so that those of other accounts do not wait behind them there.
+   */
+  private static boolean hasRoomFor(QueuedWork item, PoolServer server) {
+    return !item.aboveShare || server.inFlight < server.slots();
+  }
+
   /** Sends a statement over a connection, after the commands that prepare the connection. */
   private void run(QueuedWork item, PooledConnection c, @Nullable LogPosition floor, long now) {
     c.server.inFlight++;
@@ -890,6 +914,7 @@
    */
   private void refuse(QueuedWork item, String reason, long retryMillis) {
     removeTransaction(item);
+    queue.refund(item);
     String text = reason + "; retry after " + Math.max(20, retryMillis) + " ms";
     if (item.transaction != null && !item.work.begins()) {
       if (item.transaction.connection != null) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
@@ -1,6 +1,8 @@
 package org.chicorylane.internal.pool;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /** A piece of work that waits in the queue or runs on a server, with its dispatch state. */
@@ -9,8 +11,11 @@
   /**
    * Orders statements of running transactions first, since these hold a connection; then statements
    * that can still be answered within their target time before those that cannot, so that a backlog
-   * does not delay all statements beyond their targets; then by priority; then shorter statements
-   * before longer ones, so that as many callers as possible are served; then by arrival.
+   * does not delay all statements beyond their targets; then statements within their account's
+   * share before those above it, so that an account that sends too much waits for itself; then by
+   * the route's priority and the account's; then, above the shares, by the part of the share; then
+   * shorter statements before longer ones, so that as many callers as possible are served; then by
+   * arrival.
    */
   static final Comparator<QueuedWork> ORDER = QueuedWork::compare;
 
@@ -24,6 +29,15 @@
   private static final double SERVICE_TIMES_TO_TARGET = 2;
 
   private static final int MAX_SERVICE_RANK = 255;
+  private static final int MAX_ACCOUNT_PRIORITY = 255;
+  private static final int MAX_ROUTE_PRIORITY = 4_095;
+  private static final long MAX_ROUND = 0xffff_ffffL;
+
+  private static final int ROUND_SHIFT = 8;
+  private static final int ACCOUNT_PRIORITY_SHIFT = ROUND_SHIFT + 32;
+  private static final int ROUTE_PRIORITY_SHIFT = ACCOUNT_PRIORITY_SHIFT + 8;
+  private static final int ABOVE_SHARE_SHIFT = ROUTE_PRIORITY_SHIFT + 12;
+  private static final int LATE_SHIFT = ABOVE_SHARE_SHIFT + 1;
 
   private static final double MICROSECOND_NANOS = 1e3;
 
@@ -42,6 +56,21 @@
   /** Whether the target time can no longer be met. Affects the order. */
   boolean late;
 
+  /** The priority of the account under which the work runs; 0 if no accounts are declared. */
+  int accountPriority;
+
+  /** Start in the priority's virtual time, in rounds; 0 within the account's share. */
+  long round;
+
+  /** Whether its account had asked for more than its share when the work arrived. */
+  boolean aboveShare;
+
+  /** Virtual time that the work takes, in nanoseconds; 0 if it runs under no account. */
+  double virtualNanos;
+
+  /** What is charged to the account. */
+  final List<AccountShares.Charge> charges = new ArrayList<>(0);
+
   int attempts;
   long notBeforeNanos;
 
@@ -81,8 +110,27 @@
     if (hadConnectionOnArrival) {
       return work.priority();
     }
-    long group = late ? 2 : 1;
-    return (group << Integer.SIZE) + work.priority() * (MAX_SERVICE_RANK + 1L) + serviceRank;
+    return priorityRank() + (Math.min(MAX_ROUND, round) << ROUND_SHIFT) + serviceRank;
+  }
+
+  /** Returns the rank without the part of the account's share. There are few such ranks. */
+  long loadRank() {
+    return hadConnectionOnArrival ? work.priority() : priorityRank() + serviceRank;
+  }
+
+  /** Returns the lowest rank of new work that has the same priorities and is as late. */
+  long priorityRank() {
+    long route = Math.max(0, Math.min(MAX_ROUTE_PRIORITY, work.priority()));
+    long account = Math.max(0, Math.min(MAX_ACCOUNT_PRIORITY, accountPriority));
+    return ((late ? 2L : 1L) << LATE_SHIFT)
+        + ((aboveShare ? 1L : 0L) << ABOVE_SHARE_SHIFT)
+        + (route << ROUTE_PRIORITY_SHIFT)
+        + (account << ACCOUNT_PRIORITY_SHIFT);
+  }
+
+  /** Returns whether the work belongs to a transaction that had its connection on arrival. */
+  boolean continuesTransaction() {
+    return hadConnectionOnArrival;
   }
 
   /** Returns whether the answer would miss the target time if the work was dispatched now. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/RankLoad.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/RankLoad.java
@@ -6,7 +6,7 @@
 /**
  * Moving average of the slots that dispatched statements occupy, by rank. Statements that arrive
  * later but rank better overtake a waiting one, so the slots that they occupy are not available to
- * it.
+ * it. Those of accounts within their share overtake those of accounts above theirs.
  *
  * <p>Not thread-safe.
  */
@@ -24,7 +24,7 @@
   /** Records that a statement is sent to a server. */
   void onDispatched(QueuedWork item, long nowNanos) {
     serviceNanos += NEWEST_WEIGHT * (item.serviceNanos - serviceNanos);
-    Load load = loads.computeIfAbsent(item.rank(), rank -> new Load(nowNanos));
+    Load load = loads.computeIfAbsent(item.loadRank(), rank -> new Load(nowNanos));
     load.decay(nowNanos, windowNanos());
     if (item.work.canRunOnReplica()) {
       load.forReplicas += item.serviceNanos;
@@ -41,7 +41,7 @@
    */
   double slotsAheadOf(QueuedWork item, long nowNanos, boolean sharedServer) {
     double nanos = 0;
-    for (Map.Entry<Long, Load> entry : loads.headMap(item.rank(), false).entrySet()) {
+    for (Map.Entry<Long, Load> entry : loads.headMap(item.loadRank(), false).entrySet()) {
       Load load = entry.getValue();
       load.decay(nowNanos, windowNanos());
       nanos += load.nanosFor(item, sharedServer);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.chicorylane.internal.account.ClientAccounts;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -31,18 +32,64 @@
   private final TreeMap<Long, Count> counts = new TreeMap<>();
 
   private final RankLoad load = new RankLoad();
+  private final AccountShares shares = new AccountShares();
+  private final ReservedSlots reserved = new ReservedSlots();
   private long lastLateCheckNanos = Long.MIN_VALUE / 2;
 
+  /** Sets the client accounts that share the servers, null if none are declared. */
+  void setAccounts(@Nullable ClientAccounts accounts) {
+    shares.setAccounts(accounts);
+  }
+
+  /** Gives work that has just arrived its place among the accounts, before it is added. */
+  void place(QueuedWork item) {
+    if (waiting.isEmpty()) {
+      shares.reset();
+    }
+    shares.place(item);
+  }
+
   void add(QueuedWork item) {
     if (waiting.add(item)) {
+      shares.charge(item);
+      reserved.onAdded(item);
       counts.computeIfAbsent(item.rank(), rank -> new Count()).add(item, 1);
     }
   }
 
-  private void decrementCount(QueuedWork item) {
+  private void onRemoved(QueuedWork item) {
+    reserved.onRemoved(item);
     Count count = counts.get(item.rank());
-    if (count != null) {
-      count.add(item, -1);
+    if (count != null && count.add(item, -1) == 0) {
+      counts.remove(item.rank());
+    }
+  }
+
+  /** Records that removed work will not be run, so that its account is not charged for it. */
+  void refund(QueuedWork item) {
+    shares.refund(item);
+  }
+
+  /**
+   * Returns the statement that goes before all others, so that its priority is not starved; null if
+   * there is none. Only declared accounts have such a claim.
+   */
+  @Nullable QueuedWork findStarved() {
+    Long rank = shares.isActive() ? reserved.dueRank() : null;
+    if (rank == null) {
+      return null;
+    }
+    for (QueuedWork item : waiting) {
+      if (item.priorityRank() == rank && !item.continuesTransaction()) {
+        return item;
+      }
+    }
+    return null;
+  }
+
+  void remove(QueuedWork item) {
+    if (waiting.remove(item)) {
+      onRemoved(item);
     }
   }
 
@@ -77,7 +124,7 @@
       public void remove() {
         delegate.remove();
         if (last != null) {
-          decrementCount(last);
+          onRemoved(last);
         }
       }
     };
@@ -116,6 +163,8 @@
   /** Records that a statement is sent to a server. */
   void onDispatched(QueuedWork item, long nowNanos) {
     load.onDispatched(item, nowNanos);
+    shares.onDispatched(item);
+    reserved.onDispatched(item);
   }
 
   /**
@@ -135,20 +184,37 @@
     }
     double slotsLeft =
         Math.max(MIN_SLOT_SHARE * slots, slots - load.slotsAheadOf(item, nowNanos, sharedServer));
-    return (long) (nanosAhead / slotsLeft / 1e6);
+    double nanos = nanosAhead / slotsLeft;
+    if (shares.isActive() && !item.late && !item.aboveShare) {
+      nanos = Math.min(nanos, reservedWaitNanos(item, slots, sharedServer));
+    }
+    return (long) (nanos / 1e6);
+  }
+
+  /** Returns the expected wait if the item's priority gets no more than what is reserved for it. */
+  private double reservedWaitNanos(QueuedWork item, double slots, boolean sharedServer) {
+    double nanosAhead = item.serviceNanos;
+    for (Count count : counts.subMap(item.priorityRank(), true, item.rank(), true).values()) {
+      nanosAhead += sharedServer ? count.total() : count.forSameServers(item);
+    }
+    return nanosAhead / (reserved.shareOf(item) * slots);
   }
 
   /** Service times of the waiting statements of one rank, by whether replicas may serve them. */
   private static final class Count {
+    private int statements;
     private double forReplicas;
     private double forPrimary;
 
-    void add(QueuedWork item, int sign) {
+    /** Counts a statement, or one less, and returns the number that is left. */
+    int add(QueuedWork item, int sign) {
+      statements += sign;
       if (item.work.canRunOnReplica()) {
         forReplicas += sign * item.serviceNanos;
       } else {
         forPrimary += sign * item.serviceNanos;
       }
+      return statements;
     }
 
     double total() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -472,6 +472,7 @@
         election.onRecord(records.get(HomeRecord.keyOf(group)));
       }
     }
+    election.setAccounts(c.accounts());
     election.updateDeclaration(declaration, c.transactionIdleLimit(), servers.ofGroup(group));
     election.tick();
   }
