--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -224,9 +224,7 @@
       }
       double loss = lossOfMakingRoom(s, request.account, now);
       boolean isBetter =
-          best == null
-              || loss < bestLoss
-              || (loss == bestLoss && s.expectedAnswerTime() < best.expectedAnswerTime());
+          best == null || loss < bestLoss || (loss == bestLoss && s.cost(0) < best.cost(0));
       if (loss < gain && isBetter) {
         best = s;
         bestLoss = loss;
@@ -247,7 +245,7 @@
       int count = countOf(Side.of(s), request.account);
       boolean isIdle = s.opening == 0 && s.inFlight < s.slots() - 1;
       if (isIdle
-          && s.expectedAnswerTime() <= chosen.expectedAnswerTime()
+          && s.cost(0) <= chosen.cost(0)
           && shares.isWorthAnother(Side.of(s), request.account, count, now)
           && mayOpen(s, request.account, now)
           && 2 * lossOfMakingRoom(s, request.account, now)
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
@@ -258,11 +258,13 @@
   private static final class Item {
     final QueuedWork queued;
     private final Random services;
+    private final Random choices;
     int more;
     boolean counted;
 
     Item(Work work, long now, long sequence, int more, long seed) {
       this.services = new Random(seed);
+      this.choices = new Random(~seed);
       this.queued =
           new QueuedWork(
               work,
@@ -346,7 +348,8 @@
               PrimaryHalt.NOTHING,
               run.floors,
               run.scheduler.nanoTime(),
-              request);
+              request,
+              run.choices);
       PooledConnection c = best == null ? null : connections.takeIdle(best, item.work);
       if (best == null || c == null) {
         connections.openFor(request, best);
@@ -415,7 +418,8 @@
                 }
                 open(s, account);
                 return false;
-              });
+              },
+              run.choices);
       if (best == null) {
         return null;
       }
