--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
@@ -83,6 +83,9 @@
 
   /** One run of a group under one rule. */
   private static final class Run implements ServerConnector {
+    /** Chooses among servers of equal cost. */
+    final Random choices = new Random(1);
+
     private final VirtualScheduler scheduler = new VirtualScheduler();
     private final Random random;
     private final List<PoolServer> servers = new ArrayList<>();
@@ -258,13 +261,11 @@
   private static final class Item {
     final QueuedWork queued;
     private final Random services;
-    private final Random choices;
     int more;
     boolean counted;
 
     Item(Work work, long now, long sequence, int more, long seed) {
       this.services = new Random(seed);
-      this.choices = new Random(~seed);
       this.queued =
           new QueuedWork(
               work,
