Withdrawn keys: test that the home itself rolls a refused transaction back

The tests over sessions did not show it, because the entry rolls back as well; this one speaks to the home directly.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
@@ -7,9 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import org.chicorylane.internal.account.AccountRules;
+import org.chicorylane.internal.account.KeyFingerprint;
 import org.chicorylane.internal.mesh.MeshChannel;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
+import org.chicorylane.internal.mesh.generated.MeshWork;
+import org.chicorylane.internal.passthrough.FailureCode;
+import org.chicorylane.internal.pool.WorkKind;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -81,4 +85,48 @@
     assertThat(channel.sent.get(0).getReply().getResultsList())
         .containsExactly("2 key-0=account-0 accounts");
   }
+
+  private MeshFrame work(WorkKind kind, boolean begins) {
+    return MeshFrame.newBuilder()
+        .setWork(
+            MeshWork.newBuilder()
+                .setCall(begins ? 1 : 2)
+                .setGroup("plans")
+                .setKind(kind.ordinal())
+                .setRequestId("w-" + kind)
+                .setText("WRITE item data")
+                .setBudgetMillis(800)
+                .setTargetMillis(250)
+                .setTransaction(5)
+                .setBegins(begins)
+                .setAccount("account-0")
+                .setAccountKey(KeyFingerprint.of("key-0").hex()))
+        .build();
+  }
+
+  @Test
+  void testTransactionOfWithdrawnKeyIsRolledBackAtTheHome() {
+    fleet.accountRules = new AccountRules(true, Duration.ofSeconds(5), true, null);
+    fleet.putAccounts(Map.of("key-0", "account-0"));
+    fleet.start();
+    ProxyInstance home = fleet.home().orElseThrow().instance;
+    home.meshAcceptor().onFrame(channel, work(WorkKind.WRITE, true));
+    fleet.advance(500);
+    fleet.putAccounts(Map.of());
+    fleet.advance(1_000);
+    home.meshAcceptor().onFrame(channel, work(WorkKind.COMMIT, false));
+    fleet.putAccounts(Map.of("key-0", "account-0"));
+    fleet.advance(1_000);
+    home.meshAcceptor().onFrame(channel, work(WorkKind.COMMIT, false));
+    fleet.advance(500);
+    List<Integer> failures =
+        channel.sent.stream()
+            .filter(MeshFrame::hasAnswer)
+            .map(f -> f.getAnswer().getFailure())
+            .toList();
+    assertThat(failures)
+        .containsExactly(
+            0, 1 + FailureCode.UNKNOWN_KEY.ordinal(), 1 + FailureCode.ABORTED.ordinal())
+        .inOrder();
+  }
 }
