--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.chicorylane.internal.account.AccountRules;
+import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.passthrough.ModelGroup;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -21,6 +23,7 @@
 import org.chicorylane.internal.topology.GroupDeclaration;
 import org.chicorylane.internal.topology.TopologyDecoder;
 import org.chicorylane.standin.platform.KeyValueEngine;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A simulated fleet in virtual time: instances, a key-value store, one database group with clients,
@@ -71,6 +74,12 @@
 
   boolean logging;
 
+  /** The declared client accounts, null if there are none. */
+  @Nullable ClientAccounts accounts;
+
+  /** What the deployment demands of client accounts. */
+  AccountRules accountRules = AccountRules.NONE;
+
   /** Number of instances in each availability zone. */
   int zoneSize = 1;
 
@@ -266,7 +275,7 @@
         .forEach(name -> groups.put(name, new GroupDeclaration(name, 23, 1)));
     return Optional.of(
         new Configuration(
-            Long.parseLong(text), routes, groups, Duration.ofSeconds(3), 1 << 20, null));
+            Long.parseLong(text), routes, groups, Duration.ofSeconds(3), 1 << 20, accounts));
   }
 
   private static DatabaseRoute route(String database, Freshness freshness) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -118,7 +118,8 @@
                 this,
                 this,
                 fleet.logging ? fleet.log(name) : DecisionLog.none()),
-            ModelFleet.DRAIN_TIMEOUT);
+            ModelFleet.DRAIN_TIMEOUT,
+            fleet.accountRules);
     instance.start();
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/quota/FleetQuotaTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/quota/FleetQuotaTest.java
@@ -1,12 +1,14 @@
 package org.chicorylane.internal.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import org.chicorylane.internal.account.ClientAccount;
 import org.junit.jupiter.api.Test;
 
@@ -114,6 +116,9 @@
   void testAccountWithoutRateIsNotLimited() {
     QuotaFleet fleet =
         new QuotaFleet(GROUPS, 6, QuotaFleet.account("a", Long.MAX_VALUE, Long.MAX_VALUE));
+    for (int i = 0; i < 100; i++) {
+      fleet.call("a", 0);
+    }
     loadAll(fleet, "a", 3_000, 1_000);
     assertEquals(0, fleet.refusedCount("a"));
   }
@@ -148,6 +153,14 @@
     assertEquals(0, fleet.refusedCount("a"));
   }
 
+  @Test
+  void testSpentShareBorrowsAtOnce() {
+    QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
+    fleet.advance(3_000);
+    load(fleet, "a", 0, 1_000, 40);
+    assertTrue(fleet.refusedCount("a") <= 5, fleet.refusedCount("a") + " refused");
+  }
+
   @Test
   void testRetryTimesAreSpread() {
     QuotaFleet fleet = new QuotaFleet(GROUPS, 6, ACCOUNT);
@@ -262,4 +275,17 @@
     assertWithinLimit(fleet, ACCOUNT);
     assertServed(fleet, ACCOUNT, fleet.now() - 5_000, fleet.now());
   }
+
+  @Test
+  void testHomeThatWakesAfterItsLeaseNeitherRunsNorLends() {
+    QuotaFleet fleet = new QuotaFleet(1, 2, ACCOUNT);
+    fleet.advance(5_000);
+    QuotaFleet.Host frozen = fleet.hosts.get(0);
+    frozen.freeze();
+    fleet.take(0, 1);
+    fleet.advance(QuotaFleet.LEASE_MILLIS + 1);
+    frozen.frozen = false;
+    assertFalse(frozen.call("a", StatementPhase.SINGLE));
+    assertTrue(frozen.quota.lend(Map.of("a", 10.0)).isEmpty());
+  }
 }
