--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -78,6 +78,9 @@
 
   boolean logging;
 
+  /** Client accounts that replace those in the configuration's text, null if it decides. */
+  @Nullable ClientAccounts accounts;
+
   /** What the deployment demands of client accounts. */
   AccountRules accountRules = AccountRules.NONE;
 
@@ -294,7 +297,7 @@
             groups,
             Duration.ofSeconds(3),
             1 << 20,
-            decodeAccounts(text)));
+            accounts != null ? accounts : decodeAccounts(text)));
   }
 
   private static @Nullable ClientAccounts decodeAccounts(String text) {
