--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -515,7 +515,8 @@
             floors,
             now,
             server -> connections.hasIdle(server, item.work.account()),
-            random);
+            random,
+            queue.size());
     if (best == null) {
       return false;
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerChoice.java
@@ -37,6 +37,8 @@
    *     not
    * @param random selects one of several servers that cost the same, so that instances with the
    *     same knowledge do not all select the same one
+   * @param waiting the amount of work that waits, this included. If nothing else does, a read waits
+   *     here for the first slot of any replica instead of at one replica.
    */
   static @Nullable PoolServer choose(
       Collection<PoolServer> servers,
@@ -46,7 +48,8 @@
       FloorTracker floors,
       long now,
       Predicate<PoolServer> hasConnection,
-      RandomGenerator random) {
+      RandomGenerator random,
+      int waiting) {
     PoolServer best = null;
     double bestCost = 0;
     int equals = 0;
@@ -82,6 +85,12 @@
           best = s;
         }
       }
+      if (best != null && best.inFlight >= best.slots()) {
+        if (primary != null && mayRun(primary, item, halt) && isHalfFree(primary, mean, now)) {
+          return primary;
+        }
+        return waiting > 1 ? best : null;
+      }
       if (best != null) {
         return best;
       }
@@ -89,23 +98,28 @@
         return null;
       }
       boolean primaryHasRoom =
-          primary != null
-              && primary.acceptsNewWork()
-              && halt.allows(item.work)
-              && hasRoomForRead(primary, mean, now);
+          primary != null && mayRun(primary, item, halt) && hasRoomForRead(primary, mean, now);
       if (!anyEligible && ejected != null && !primaryHasRoom && hasConnection.test(ejected)) {
         return ejected;
       }
     }
     if (primary == null
-        || !halt.allows(item.work)
-        || !primary.acceptsNewWork()
+        || !mayRun(primary, item, halt)
         || primary.inFlight >= maxInFlight(primary)) {
       return null;
     }
     return primary;
   }
 
+  private static boolean mayRun(PoolServer primary, QueuedWork item, PrimaryHalt halt) {
+    return halt.allows(item.work) && primary.acceptsNewWork();
+  }
+
+  /** Returns whether the primary has half of its slots free after it has taken a read. */
+  private static boolean isHalfFree(PoolServer primary, double mean, long now) {
+    return 2 * (primary.ownLoad() + primary.load.foreign(mean, now) + 1) <= primary.slots();
+  }
+
   /** Returns whether the primary would still have a slot free for writes. */
   private static boolean hasRoomForRead(PoolServer primary, double mean, long now) {
     return primary.inFlight + primary.load.foreign(mean, now) < primary.slots() - 1;
