--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/OutlierDetectorTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/OutlierDetectorTest.java
@@ -33,7 +33,7 @@
     sendReads(100);
     bad.failsStatement = id -> true;
     sendReads(40);
-    int before = bad.statements;
+    final int before = bad.statements;
     sendReads(1_000);
     fixture.advance(1_000);
     assertThat(failed()).isEqualTo(0);
@@ -102,7 +102,7 @@
   void testHungReadsRunElsewhereWithinTarget() {
     sendReads(200);
     bad.hangsStatement = id -> random.nextInt(10) < 3;
-    int first = sent;
+    final int first = sent;
     sendReads(200);
     fixture.advance(1_000);
     assertThat(failed()).isEqualTo(0);
