--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -557,7 +557,8 @@
             floors,
             now,
             server -> hasRoomFor(item, server) && request.test(server),
-            random);
+            random,
+            queue.size());
     if (best != null && !hasRoomFor(item, best)) {
       return false;
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
@@ -350,7 +350,8 @@
               run.floors,
               run.scheduler.nanoTime(),
               request,
-              run.choices);
+              run.choices,
+              0);
       PooledConnection c = best == null ? null : connections.takeIdle(best, item.work);
       if (best == null || c == null) {
         connections.openFor(request, best);
@@ -420,7 +421,8 @@
                 open(s, account);
                 return false;
               },
-              run.choices);
+              run.choices,
+              0);
       if (best == null) {
         return null;
       }
