Work whose client has left is dropped before it is sent; accounts far above their share go last

What callers saw: a statement whose client had closed its connection stayed queued at the home and took a slot for nobody, also on another instance; with three routes, accounts that were a little above their share waited behind the less urgent statements of one far above it. Cause: the end of a session abandoned its transaction only; all statements above a share were ordered by route. Change: a closed session drops its running single statement. The entry stops routing it and tells the home: a call on this instance, MeshAbandon with the call's number on another one, which older builds take for the unknown transaction 0 and ignore. The home removes it from its queue if it was not sent, gives its account's charge back, counts statements.dropped and logs a line. A statement that was sent is left to finish. Statements above a share are ordered by how many statements above it their account is (below 4, below 16, more), then by route. A "not the home" for a statement that was given up no longer makes the entry hold that statement again.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -197,6 +197,11 @@
     pools().forEach(p -> p.abandon(owner, transaction));
   }
 
+  /** Drops a single statement whose client has left, unless it was sent to a server. */
+  public void drop(WorkHandler handler) {
+    pools().forEach(p -> p.drop(handler));
+  }
+
   /** Rolls back all transactions that arrived over {@code owner}. */
   public void abandonAll(Object owner) {
     pools().forEach(p -> p.abandonAll(owner));
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -54,6 +54,9 @@
   /** Whether the running statement may make a write durable. */
   private boolean mayCommit;
 
+  /** The statement that was routed last; null before the first one. */
+  private HomeRouter.@Nullable Routed routed;
+
   private boolean closed;
 
   ClientSession(SessionHost host, String database, @Nullable AccountAccess access) {
@@ -129,9 +132,14 @@
     running.accept(Answer.failure(code, reason, state));
   }
 
-  /** Ends the session and rolls back its transaction. */
+  /** Ends the session, drops its running statement and rolls back its transaction. */
   public void close() {
     closed = true;
+    HomeRouter.Routed running = routed;
+    if (running != null && runningHandler != null) {
+      routed = null;
+      running.drop();
+    }
     endTransaction(true);
   }
 
@@ -222,11 +230,11 @@
       handler.accept(failUnknownDatabase());
       return;
     }
-    RoutedTransaction routed = transaction;
-    boolean begins = inTransaction && routed == null;
+    RoutedTransaction open = transaction;
+    boolean begins = inTransaction && open == null;
     if (begins) {
-      routed = new RoutedTransaction(route.group(), host.nextTransactionNumber());
-      transaction = routed;
+      open = new RoutedTransaction(route.group(), host.nextTransactionNumber());
+      transaction = open;
     }
     boolean writes =
         kind == WorkKind.WRITE || (template != null && template.mode() == AccessMode.WRITE);
@@ -242,14 +250,14 @@
             (int) route.maximumAge().toMillis(),
             floor,
             values,
-            routed == null ? 0 : routed.number,
+            open == null ? 0 : open.number,
             begins,
             readOnly && inTransaction,
             route.priority(),
             (int) route.targetLatency().toMillis(),
             (int) route.statementTimeout().toMillis(),
             access);
-    host.router().submit(route.group(), work, routed, inDoubtIfLost, handler);
+    routed = host.router().submit(route.group(), work, open, inDoubtIfLost, handler);
   }
 
   private Answer set(ClientStatement.SetValue set) {
@@ -276,9 +284,9 @@
   }
 
   private void endTransaction(boolean rollBack) {
-    RoutedTransaction routed = transaction;
-    if (rollBack && routed != null) {
-      host.router().abandon(routed);
+    RoutedTransaction open = transaction;
+    if (rollBack && open != null) {
+      host.router().abandon(open);
     }
     transaction = null;
     transactionRoute = null;
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -87,16 +87,29 @@
    *
    * @param transaction the transaction that the statement belongs to, null if it runs on its own
    * @param inDoubtIfLost whether the outcome is in doubt if the statement was sent but not answered
+   * @return the statement, which can be dropped
    */
-  void submit(
+  Routed submit(
       String group,
       Work work,
       @Nullable RoutedTransaction transaction,
       boolean inDoubtIfLost,
       Consumer<Answer> handler) {
-    route(
-        new RoutedStatement(
-            group, work, transaction, inDoubtIfLost, handler, scheduler.nanoTime()));
+    RoutedStatement routed =
+        new RoutedStatement(group, work, transaction, inDoubtIfLost, handler, scheduler.nanoTime());
+    route(routed);
+    return routed;
+  }
+
+  /** A statement that was submitted. */
+  interface Routed {
+
+    /**
+     * Drops the statement, because its client has left: it is no longer routed, and its home is
+     * told not to send it to a server. A statement that was sent to a server is left to finish. The
+     * handler is not called afterwards. Does nothing if the statement was answered.
+     */
+    void drop();
   }
 
   /** Abandons a transaction: its home, if any, rolls it back. */
@@ -144,6 +157,7 @@
     int waited = (int) ((scheduler.nanoTime() - r.arrivedNanos) / 1_000_000);
     Work work = waited == 0 ? r.work : r.work.afterWaiting(waited);
     sent.add(r);
+    r.link = null;
     if (destination == this && election != null) {
       election.submit(this, work, r);
     } else if (destination instanceof PeerLink link) {
@@ -234,7 +248,7 @@
   }
 
   /** A statement that is held or waits for an answer of its home. */
-  private final class RoutedStatement implements WorkHandler, PeerLink.WorkResultHandler {
+  private final class RoutedStatement implements Routed, WorkHandler, PeerLink.WorkResultHandler {
     final String group;
     final Work work;
     final @Nullable RoutedTransaction transaction;
@@ -268,6 +282,20 @@
           : TransactionState.IDLE;
     }
 
+    @Override
+    public void drop() {
+      held.remove(this);
+      if (!sent.remove(this) || transaction != null) {
+        return;
+      }
+      HomeElection election = elections.apply(group);
+      if (link != null) {
+        link.sendAbandonCall(group, call);
+      } else if (election != null) {
+        election.drop(this);
+      }
+    }
+
     @Override
     public void onAnswer(Answer answer) {
       if (sent.contains(this)) {
@@ -287,7 +315,13 @@
 
     @Override
     public void onNotHome() {
-      sent.remove(this);
+      if (!sent.remove(this)) {
+        return;
+      }
+      holdAgain();
+    }
+
+    private void holdAgain() {
       if (transaction != null) {
         transaction.destination = null;
       }
@@ -303,7 +337,7 @@
       boolean canRestart = transaction == null || work.begins();
       boolean canSendAgain = wasSent ? transaction == null && !inDoubtIfLost : canRestart;
       if (canSendAgain) {
-        onNotHome();
+        holdAgain();
       } else {
         fail(this, "the connection to the home of group " + group + " was lost");
       }
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -233,6 +233,22 @@
     }
   }
 
+  /**
+   * Abandons a single statement: it is not sent if the link is not open yet, and otherwise the peer
+   * drops it unless it has sent it to a server. A later answer is ignored.
+   */
+  public void sendAbandonCall(String group, long call) {
+    calls.remove(call);
+    if (channel == null) {
+      unsent.removeIf(frame -> frame.hasWork() && frame.getWork().getCall() == call);
+    } else {
+      send(
+          MeshFrame.newBuilder()
+              .setAbandon(MeshAbandon.newBuilder().setGroup(group).setCall(call))
+              .build());
+    }
+  }
+
   /** Sends a configuration. */
   public void sendConfiguration(String text) {
     send(
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/AccountShares.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/AccountShares.java
@@ -32,6 +32,12 @@
   /** Statements of an account that may arrive at once and still be within its share. */
   private static final double ALLOWED_STATEMENTS = 8;
 
+  /** Number of statements above the share up to which the excess is small. */
+  private static final double SMALL_EXCESS = 4;
+
+  /** Number of statements above the share from which the excess is large. */
+  private static final double LARGE_EXCESS = 16;
+
   /** Virtual starts that differ by less than this many nanoseconds are equal. */
   private static final double ROUND_NANOS = 10e6;
 
@@ -85,8 +91,9 @@
     double nanos = item.serviceNanos / weightOf(account);
     double start = shares.startOf(item.work.account(), ALLOWED_STATEMENTS * nanos);
     item.virtualNanos = nanos;
-    item.aboveShare = start > shares.now;
-    item.round = item.aboveShare ? (long) (start / ROUND_NANOS) : 0;
+    double excess = (start - shares.now) / nanos;
+    item.excess = excess == 0 ? 0 : excess < SMALL_EXCESS ? 1 : excess < LARGE_EXCESS ? 2 : 3;
+    item.round = item.excess > 0 ? (long) (start / ROUND_NANOS) : 0;
   }
 
   /** Charges the service time of a placed statement to its account, once. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -330,6 +330,26 @@
     }
   }
 
+  /**
+   * Drops the single statements that were submitted with a handler equal to {@code handler} and
+   * have not been sent to a server since, because their client has left. The handler is not called.
+   * A statement that was sent is left to finish.
+   */
+  public void drop(WorkHandler handler) {
+    for (QueuedWork item :
+        queue.removeMatching(i -> i.transaction == null && i.handler.equals(handler))) {
+      queue.refund(item);
+      metrics.recordDropped();
+      log.event(DecisionLog.Priority.FAILURE, "dropped")
+          .with("request", item.work.requestId())
+          .with("group", group)
+          .with("account", item.work.account())
+          .with("waited_ms", (scheduler.nanoTime() - item.arrivedNanos) / 1_000_000)
+          .with("attempts", item.attempts)
+          .write();
+    }
+  }
+
   /** Rolls back all transactions that came over the link {@code owner}. */
   public void abandonAll(Object owner) {
     for (PoolTransaction transaction : new ArrayList<>(transactions.values())) {
@@ -338,7 +358,9 @@
         rollBack(transaction);
       }
     }
-    queue.removeMatching(item -> item.transaction != null && item.transaction.abandoned);
+    queue
+        .removeMatching(item -> item.transaction != null && item.transaction.abandoned)
+        .forEach(queue::refund);
   }
 
   /** Returns whether the transaction is open in this pool. */
@@ -448,6 +470,7 @@
         QueuedWork item = i.next();
         if (item.transaction != null && item.transaction.abandoned) {
           i.remove();
+          queue.refund(item);
         } else if (!allowed) {
           i.remove();
           refused.add(item);
@@ -544,7 +567,7 @@
    * are sent to free slots only, so that those of other accounts do not wait behind them there.
    */
   private static boolean hasRoomFor(QueuedWork item, PoolServer server) {
-    return !item.aboveShare || server.inFlight < server.slots();
+    return item.excess == 0 || server.inFlight < server.slots();
   }
 
   /** Sends a statement over a connection, after the commands that prepare the connection. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -53,6 +53,11 @@
         .update(millis);
   }
 
+  /** Records a statement that was dropped before it was sent, because its client had left. */
+  void recordDropped() {
+    count("statements.dropped");
+  }
+
   /** Records the loss of a server. */
   void recordServerLoss() {
     count("servers.lost");
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
@@ -12,10 +12,10 @@
    * Orders statements of running transactions first, since these hold a connection; then statements
    * that can still be answered within their target time before those that cannot, so that a backlog
    * does not delay all statements beyond their targets; then statements within their account's
-   * share before those above it, so that an account that sends too much waits for itself; then by
-   * the route's priority and the account's; then, above the shares, by the part of the share; then
-   * shorter statements before longer ones, so that as many callers as possible are served; then by
-   * arrival.
+   * share before those above it, the further the later, so that an account that sends too much
+   * waits for itself; then by the route's priority and the account's; then, above the shares, by
+   * the part of the share; then shorter statements before longer ones, so that as many callers as
+   * possible are served; then by arrival.
    */
   static final Comparator<QueuedWork> ORDER = QueuedWork::compare;
 
@@ -30,14 +30,14 @@
 
   private static final int MAX_SERVICE_RANK = 255;
   private static final int MAX_ACCOUNT_PRIORITY = 255;
-  private static final int MAX_ROUTE_PRIORITY = 4_095;
+  private static final int MAX_ROUTE_PRIORITY = 2_047;
   private static final long MAX_ROUND = 0xffff_ffffL;
 
   private static final int ROUND_SHIFT = 8;
   private static final int ACCOUNT_PRIORITY_SHIFT = ROUND_SHIFT + 32;
   private static final int ROUTE_PRIORITY_SHIFT = ACCOUNT_PRIORITY_SHIFT + 8;
-  private static final int ABOVE_SHARE_SHIFT = ROUTE_PRIORITY_SHIFT + 12;
-  private static final int LATE_SHIFT = ABOVE_SHARE_SHIFT + 1;
+  private static final int EXCESS_SHIFT = ROUTE_PRIORITY_SHIFT + 11;
+  private static final int LATE_SHIFT = EXCESS_SHIFT + 2;
 
   private static final double MICROSECOND_NANOS = 1e3;
 
@@ -62,8 +62,11 @@
   /** Start in the priority's virtual time, in rounds; 0 within the account's share. */
   long round;
 
-  /** Whether its account had asked for more than its share when the work arrived. */
-  boolean aboveShare;
+  /**
+   * How far its account was above its share when the work arrived: 0 if it was not, 1 for a small
+   * excess, 2 for a larger one, 3 for a large one.
+   */
+  int excess;
 
   /** Virtual time that the work takes, in nanoseconds; 0 if it runs under no account. */
   double virtualNanos;
@@ -123,7 +126,7 @@
     long route = Math.max(0, Math.min(MAX_ROUTE_PRIORITY, work.priority()));
     long account = Math.max(0, Math.min(MAX_ACCOUNT_PRIORITY, accountPriority));
     return ((late ? 2L : 1L) << LATE_SHIFT)
-        + ((aboveShare ? 1L : 0L) << ABOVE_SHARE_SHIFT)
+        + ((long) excess << EXCESS_SHIFT)
         + (route << ROUTE_PRIORITY_SHIFT)
         + (account << ACCOUNT_PRIORITY_SHIFT);
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ReservedSlots.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ReservedSlots.java
@@ -77,6 +77,6 @@
 
   /** Returns whether work has a claim to be served that more urgent work may leave unmet. */
   private static boolean isCounted(QueuedWork item) {
-    return !item.late && !item.aboveShare && !item.continuesTransaction();
+    return !item.late && item.excess == 0 && !item.continuesTransaction();
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/WorkQueue.java
@@ -185,7 +185,7 @@
     double slotsLeft =
         Math.max(MIN_SLOT_SHARE * slots, slots - load.slotsAheadOf(item, nowNanos, sharedServer));
     double nanos = nanosAhead / slotsLeft;
-    if (shares.isActive() && !item.late && !item.aboveShare) {
+    if (shares.isActive() && !item.late && item.excess == 0) {
       nanos = Math.min(nanos, reservedWaitNanos(item, slots, sharedServer));
     }
     return (long) (nanos / 1e6);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -100,7 +100,9 @@
       case PING -> onPing(channel, frame.getPing());
       case ABANDON -> {
         HomeElection election = elections.apply(frame.getAbandon().getGroup());
-        if (election != null) {
+        if (election != null && frame.getAbandon().getCall() != 0) {
+          election.drop(new MeshCall(channel, frame.getAbandon().getCall()));
+        } else if (election != null) {
           election.abandon(channel, frame.getAbandon().getTransaction());
         }
       }
@@ -123,20 +125,34 @@
       channel.send(MeshMessages.notHomeFrame(work.getCall()));
       return;
     }
-    election.submit(
-        channel,
-        MeshMessages.decodeWork(work),
-        new WorkHandler() {
-          @Override
-          public void onAnswer(Answer answer) {
-            channel.send(MeshMessages.answerFrame(work.getCall(), answer));
-          }
+    election.submit(channel, MeshMessages.decodeWork(work), new MeshCall(channel, work.getCall()));
+  }
+
+  /**
+   * Answers a statement of an entry. Equal to other objects for the same call, so that the entry
+   * can abandon it by its number.
+   */
+  private record MeshCall(MeshChannel channel, long call) implements WorkHandler {
+    @Override
+    public void onAnswer(Answer answer) {
+      channel.send(MeshMessages.answerFrame(call, answer));
+    }
 
-          @Override
-          public void onNotHome() {
-            channel.send(MeshMessages.notHomeFrame(work.getCall()));
-          }
-        });
+    @Override
+    public void onNotHome() {
+      channel.send(MeshMessages.notHomeFrame(call));
+    }
+
+    // Written by hand because the generated methods would link method handles at process start.
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof MeshCall c && call == c.call && channel.equals(c.channel);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * channel.hashCode() + Long.hashCode(call);
+    }
   }
 
   private void onPing(MeshChannel channel, MeshPing ping) {
