Refusals are counted by reason, and their log lines tell account, rank and expected wait

What callers saw: an operator could not tell why a home refuses, nor whether an account was above its share. Cause: refusals were counted by outcome only, and the decision log had the text but not the place in the order. Change: six reasons (Refusal), counted as refusals.<reason>; failures in the log carry account, priority, account_priority, excess, late and expected_wait_ms.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -307,15 +307,24 @@
     long wait = expectedWaitMillis(item);
     if (wait < 0 && now - lastPrimaryAnswerNanos > PRIMARY_OUTAGE_NANOS) {
       long down = (now - lastPrimaryAnswerNanos) / 1_000_000;
-      refuse(item, "no server can take it, the primary since " + down + " ms", RETRY_AFTER_MILLIS);
+      refuse(
+          item,
+          Refusal.NO_SERVER,
+          "no server can take it, the primary since " + down + " ms",
+          RETRY_AFTER_MILLIS);
       return;
     }
     if (!item.isPinned() && wait > item.maxTimelyWaitMillis() * MAX_WAIT_SHARE) {
       item.late = true;
       wait = expectedWaitMillis(item);
     }
+    item.expectedWaitMillis = wait;
     if (!item.isPinned() && wait > work.budgetMillis() * MAX_WAIT_SHARE) {
-      refuse(item, "queue of " + queue.size() + " takes about " + wait + " ms", wait / 2);
+      refuse(
+          item,
+          Refusal.QUEUE_TOO_LONG,
+          "queue of " + queue.size() + " takes about " + wait + " ms",
+          wait / 2);
       return;
     }
     queue.add(item);
@@ -478,7 +487,13 @@
           i.remove();
         }
       }
-      refused.forEach(item -> refuse(item, "this home cannot confirm that it still is one", 500));
+      refused.forEach(
+          item ->
+              refuse(
+                  item,
+                  Refusal.UNCONFIRMED_HOME,
+                  "this home cannot confirm that it still is one",
+                  500));
     } finally {
       dispatching = false;
     }
@@ -514,7 +529,10 @@
             Duration.ZERO,
             () ->
                 refuse(
-                    item, "others that can still be in time take the servers", RETRY_AFTER_MILLIS));
+                    item,
+                    Refusal.OVERTAKEN,
+                    "others that can still be in time take the servers",
+                    RETRY_AFTER_MILLIS));
       } else {
         queue.add(item);
       }
@@ -879,7 +897,7 @@
     } else if (item.attempts < MAX_ATTEMPTS) {
       requeue(item);
     } else {
-      refuse(item, "server " + server.backend.id() + " was lost", 100);
+      refuse(item, Refusal.SERVER_LOST, "server " + server.backend.id() + " was lost", 100);
     }
   }
 
@@ -919,7 +937,7 @@
         item.excludedReplicaId = c.server.primary ? null : server;
         requeue(item);
       } else {
-        refuse(item, "server " + server + " did not answer", 100);
+        refuse(item, Refusal.SERVER_LOST, "server " + server + " did not answer", 100);
       }
     } else {
       abort(item, "the connection to server " + server + " was lost");
@@ -935,7 +953,8 @@
    * Answers a statement as overloaded; one within a transaction that has begun is answered as
    * aborted, and its connection is closed.
    */
-  private void refuse(QueuedWork item, String reason, long retryMillis) {
+  private void refuse(QueuedWork item, Refusal refusal, String reason, long retryMillis) {
+    metrics.recordRefusal(refusal);
     removeTransaction(item);
     queue.refund(item);
     String text = reason + "; retry after " + Math.max(20, retryMillis) + " ms";
@@ -997,7 +1016,14 @@
       }
     }
     if (failure != null) {
-      line.with("reason", answer.text()).with("queued", queue.size());
+      line.with("reason", answer.text())
+          .with("queued", queue.size())
+          .with("account", item.work.account())
+          .with("priority", item.work.priority())
+          .with("account_priority", item.accountPriority)
+          .with("excess", item.excess)
+          .with("late", Boolean.toString(item.late))
+          .with("expected_wait_ms", item.expectedWaitMillis);
     }
     line.with("term", term).write();
     item.handler.onAnswer(answer);
@@ -1032,7 +1058,7 @@
 
   private void enforceTimeLimits(long now) {
     for (QueuedWork item : queue.removeMatching(item -> now > item.deadlineNanos())) {
-      refuse(item, "no server had room in time", expectedWaitMillis(item));
+      refuse(item, Refusal.OUT_OF_TIME, "no server had room in time", expectedWaitMillis(item));
     }
     for (PoolTransaction t : new ArrayList<>(transactions.values())) {
       if (!t.running && now - t.lastUsedNanos > transactionIdleNanos) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -53,6 +53,11 @@
         .update(millis);
   }
 
+  /** Records that a statement was refused. */
+  void recordRefusal(Refusal refusal) {
+    count(refusal.metricName());
+  }
+
   /** Records a statement that was dropped before it was sent, because its client had left. */
   void recordDropped() {
     count("statements.dropped");
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
@@ -74,6 +74,9 @@
   /** What is charged to the account. */
   final List<AccountShares.Charge> charges = new ArrayList<>(0);
 
+  /** The wait that was expected when the work arrived, in milliseconds; -1 if no server could. */
+  long expectedWaitMillis = -1;
+
   int attempts;
   long notBeforeNanos;
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -25,6 +25,7 @@
   private static final Duration ATTENTION_INTERVAL = Duration.ofMillis(50);
 
   final VirtualScheduler scheduler = new VirtualScheduler();
+  final MetricRegistry registry = new MetricRegistry();
   final ModelGroup group = new ModelGroup(scheduler, "plans", 3);
   final Map<String, Answer> answers = new HashMap<>();
   final Map<String, Long> tookMillis = new HashMap<>();
@@ -58,7 +59,7 @@
             DecisionLog.none(),
             now -> mayServe,
             server -> server.draining() ? drainLeft.toNanos() : Long.MAX_VALUE,
-            new PoolMetrics(new MetricRegistry()),
+            new PoolMetrics(registry),
             new PoolListener() {
               @Override
               public void onServerLost(String serverId, ServerLoss loss) {
