--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -317,22 +317,31 @@
     QueuedWork item = new QueuedWork(work, handler, now, nextSequence++, transaction, serviceNanos);
     StatementQuota.Refusal overQuota = isNewWork(item) ? quota.checkNew(work) : null;
     if (overQuota != null) {
-      refuse(item, overQuota.reason(), overQuota.retryMillis());
+      refuse(item, Refusal.OVER_QUOTA, overQuota.reason(), overQuota.retryMillis());
       return;
     }
     queue.place(item);
     long wait = expectedWaitMillis(item);
     if (wait < 0 && now - lastPrimaryAnswerNanos > PRIMARY_OUTAGE_NANOS) {
       long down = (now - lastPrimaryAnswerNanos) / 1_000_000;
-      refuse(item, "no server can take it, the primary since " + down + " ms", RETRY_AFTER_MILLIS);
+      refuse(
+          item,
+          Refusal.NO_SERVER,
+          "no server can take it, the primary since " + down + " ms",
+          RETRY_AFTER_MILLIS);
       return;
     }
     if (!item.isPinned() && wait > item.maxTimelyWaitMillis() * MAX_WAIT_SHARE) {
       item.late = true;
       wait = expectedWaitMillis(item);
     }
+    item.expectedWaitMillis = wait;
     if (!item.isPinned() && wait > work.budgetMillis() * MAX_WAIT_SHARE) {
-      refuse(item, "queue of " + queue.size() + " takes about " + wait + " ms", wait / 2);
+      refuse(
+          item,
+          Refusal.QUEUE_TOO_LONG,
+          "queue of " + queue.size() + " takes about " + wait + " ms",
+          wait / 2);
       return;
     }
     queue.add(item);
@@ -347,6 +356,26 @@
     }
   }
 
+  /**
+   * Drops the single statements that were submitted with a handler equal to {@code handler} and
+   * have not been sent to a server since, because their client has left. The handler is not called.
+   * A statement that was sent is left to finish.
+   */
+  public void drop(WorkHandler handler) {
+    for (QueuedWork item :
+        queue.removeMatching(i -> i.transaction == null && i.handler.equals(handler))) {
+      queue.refund(item);
+      metrics.recordDropped();
+      log.event(DecisionLog.Priority.FAILURE, "dropped")
+          .with("request", item.work.requestId())
+          .with("group", group)
+          .with("account", item.work.account())
+          .with("waited_ms", (scheduler.nanoTime() - item.arrivedNanos) / 1_000_000)
+          .with("attempts", item.attempts)
+          .write();
+    }
+  }
+
   /** Rolls back all transactions that came over the link {@code owner}. */
   public void abandonAll(Object owner) {
     for (PoolTransaction transaction : new ArrayList<>(transactions.values())) {
@@ -355,7 +384,9 @@
         rollBack(transaction);
       }
     }
-    queue.removeMatching(item -> item.transaction != null && item.transaction.abandoned);
+    queue
+        .removeMatching(item -> item.transaction != null && item.transaction.abandoned)
+        .forEach(queue::refund);
   }
 
   /** Closes the idle connections of a client account, which may run no further statements. */
@@ -477,6 +508,7 @@
         QueuedWork item = i.next();
         if (item.transaction != null && item.transaction.abandoned) {
           i.remove();
+          queue.refund(item);
         } else if (!allowed) {
           i.remove();
           refused.add(item);
@@ -484,7 +516,13 @@
           i.remove();
         }
       }
-      refused.forEach(item -> refuse(item, "this home cannot confirm that it still is one", 500));
+      refused.forEach(
+          item ->
+              refuse(
+                  item,
+                  Refusal.UNCONFIRMED_HOME,
+                  "this home cannot confirm that it still is one",
+                  500));
     } finally {
       dispatching = false;
     }
@@ -520,7 +558,10 @@
             Duration.ZERO,
             () ->
                 refuse(
-                    item, "others that can still be in time take the servers", RETRY_AFTER_MILLIS));
+                    item,
+                    Refusal.OVERTAKEN,
+                    "others that can still be in time take the servers",
+                    RETRY_AFTER_MILLIS));
       } else {
         queue.add(item);
       }
@@ -586,7 +627,9 @@
     if (refusal == null) {
       return true;
     }
-    scheduler.schedule(Duration.ZERO, () -> refuse(item, refusal.reason(), refusal.retryMillis()));
+    scheduler.schedule(
+        Duration.ZERO,
+        () -> refuse(item, Refusal.OVER_QUOTA, refusal.reason(), refusal.retryMillis()));
     return false;
   }
 
@@ -595,7 +638,7 @@
    * are sent to free slots only, so that those of other accounts do not wait behind them there.
    */
   private static boolean hasRoomFor(QueuedWork item, PoolServer server) {
-    return !item.aboveShare || server.inFlight < server.slots();
+    return item.excess == 0 || server.inFlight < server.slots();
   }
 
   /** Sends a statement over a connection, after the commands that prepare the connection. */
@@ -924,7 +967,7 @@
     } else if (item.attempts < MAX_ATTEMPTS) {
       requeue(item);
     } else {
-      refuse(item, "server " + server.backend.id() + " was lost", 100);
+      refuse(item, Refusal.SERVER_LOST, "server " + server.backend.id() + " was lost", 100);
     }
   }
 
@@ -964,7 +1007,7 @@
         item.excludedReplicaId = c.server.primary ? null : server;
         requeue(item);
       } else {
-        refuse(item, "server " + server + " did not answer", 100);
+        refuse(item, Refusal.SERVER_LOST, "server " + server + " did not answer", 100);
       }
     } else {
       abort(item, "the connection to server " + server + " was lost");
@@ -980,7 +1023,8 @@
    * Answers a statement as overloaded; one within a transaction that has begun is answered as
    * aborted, and its connection is closed.
    */
-  private void refuse(QueuedWork item, String reason, long retryMillis) {
+  private void refuse(QueuedWork item, Refusal refusal, String reason, long retryMillis) {
+    metrics.recordRefusal(refusal);
     removeTransaction(item);
     queue.refund(item);
     String text = reason + "; retry after " + Math.max(20, retryMillis) + " ms";
@@ -1051,7 +1095,14 @@
       }
     }
     if (failure != null) {
-      line.with("reason", answer.text()).with("queued", queue.size());
+      line.with("reason", answer.text())
+          .with("queued", queue.size())
+          .with("account", item.work.account())
+          .with("priority", item.work.priority())
+          .with("account_priority", item.accountPriority)
+          .with("excess", item.excess)
+          .with("late", Boolean.toString(item.late))
+          .with("expected_wait_ms", item.expectedWaitMillis);
     }
     line.with("term", term).write();
     item.handler.onAnswer(answer);
@@ -1086,7 +1137,7 @@
 
   private void enforceTimeLimits(long now) {
     for (QueuedWork item : queue.removeMatching(item -> now > item.deadlineNanos())) {
-      refuse(item, "no server had room in time", expectedWaitMillis(item));
+      refuse(item, Refusal.OUT_OF_TIME, "no server had room in time", expectedWaitMillis(item));
     }
     for (PoolTransaction t : new ArrayList<>(transactions.values())) {
       if (!t.running && now - t.lastUsedNanos > transactionIdleNanos) {
@@ -1116,7 +1167,7 @@
       double answeredNanos = scheduler.nanoTime() + wait * 1e6 + item.serviceNanos;
       boolean isTooLate = answeredNanos > item.deadlineNanos();
       if (wait > 0 && isTooLate && !queue.removeMatching(other -> other == item).isEmpty()) {
-        refuse(item, "no server accepts a connection of its account", wait);
+        refuse(item, Refusal.NO_CONNECTION, "no server accepts a connection of its account", wait);
       }
     }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -115,7 +115,9 @@
       case PING -> onPing(channel, frame.getPing());
       case ABANDON -> {
         HomeElection election = elections.apply(frame.getAbandon().getGroup());
-        if (election != null) {
+        if (election != null && frame.getAbandon().getCall() != 0) {
+          election.drop(new MeshCall(channel, frame.getAbandon().getCall()));
+        } else if (election != null) {
           election.abandon(channel, frame.getAbandon().getTransaction());
         }
       }
@@ -139,23 +141,44 @@
       channel.send(MeshMessages.notHomeFrame(work.getCall()));
       return;
     }
-    election.submit(
-        channel,
-        MeshMessages.decodeWork(work),
-        new WorkHandler() {
-          @Override
-          public void onAnswer(Answer answer) {
-            if (answer.failure() == FailureCode.UNKNOWN_KEY) {
-              sendConfiguration(channel);
-            }
-            channel.send(MeshMessages.answerFrame(work.getCall(), answer));
-          }
-
-          @Override
-          public void onNotHome() {
-            channel.send(MeshMessages.notHomeFrame(work.getCall()));
-          }
-        });
+    election.submit(channel, MeshMessages.decodeWork(work), new MeshCall(channel, work.getCall()));
+  }
+
+  /**
+   * Answers a statement of an entry. Equal to other objects for the same call, so that the entry
+   * can abandon it by its number.
+   */
+  private final class MeshCall implements WorkHandler {
+    private final MeshChannel channel;
+    private final long call;
+
+    MeshCall(MeshChannel channel, long call) {
+      this.channel = channel;
+      this.call = call;
+    }
+
+    @Override
+    public void onAnswer(Answer answer) {
+      if (answer.failure() == FailureCode.UNKNOWN_KEY) {
+        sendConfiguration(channel);
+      }
+      channel.send(MeshMessages.answerFrame(call, answer));
+    }
+
+    @Override
+    public void onNotHome() {
+      channel.send(MeshMessages.notHomeFrame(call));
+    }
+
+    @Override
+    public boolean equals(@Nullable Object other) {
+      return other instanceof MeshCall c && call == c.call && channel.equals(c.channel);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * channel.hashCode() + Long.hashCode(call);
+    }
   }
 
   /** Sends the configuration to an entry that accepts a key which this home does not. */
