Quota: spend what the deployment's tolerance leaves

Cause: homes filled their shares at the declared rate, so about two thirds of what the deployment allows in a window was usable. Change: what the tolerance leaves beside the capacity, the debts of two homes of a group and the validity of loans is added to the rate.

--- a/chicorylane/src/main/java/org/chicorylane/internal/quota/QuotaMargins.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/quota/QuotaMargins.java
@@ -29,7 +29,15 @@
   /** Part of the slack that may be debt, after one statement for each group. */
   private static final double DEBT_PER_SLACK = 0.5;
 
-  /** Returns the share of one of {@code groups} groups in the limit of {@code account}. */
+  /**
+   * Debts for which the limit has room: a home that replaces another one does not know its debt.
+   */
+  private static final double RESERVED_DEBTS = 2;
+
+  /**
+   * Returns the share of one of {@code groups} groups in the limit of {@code account}. What the
+   * tolerance leaves beside the capacity and the debts is added to the rate.
+   */
   static QuotaMargins of(ClientAccount account, AccountRules.Quota quota, int groups) {
     double rate = account.ratePerSecond();
     double burst = account.burst();
@@ -40,6 +48,13 @@
             ? 0
             : DEBT_PER_OVERAGE * quota.overage() * burst
                 + DEBT_PER_SLACK * Math.max(0, quota.slack() - groups);
-    return new QuotaMargins(rate / groups, (burst + rate * extraSeconds) / groups, debt / groups);
+    double capacity = burst + rate * extraSeconds;
+    double allowed = (rate * windowSeconds + burst) * (1 + quota.overage()) + quota.slack();
+    double spendable = allowed - capacity - RESERVED_DEBTS * debt;
+    double fill =
+        rate == 0
+            ? 0
+            : Math.max(rate, spendable / (windowSeconds + LOAN_VALIDITY.toMillis() / 1e3));
+    return new QuotaMargins(fill / groups, capacity / groups, debt / groups);
   }
 }
