Close idle connections of accounts that have lost all keys

What callers saw: nothing yet; connections of a withdrawn account took the place of others' until they were evicted. Change: a pool that learns of the accounts closes the idle connections of those without keys. Evidence: AccountConnectionsTest#testConnectionsOfAccountThatLosesAllKeysAreClosed failed before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/account/ClientAccounts.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/account/ClientAccounts.java
@@ -64,6 +64,12 @@
     return byName.get(name);
   }
 
+  /** Returns whether some key gives access to the account with this name. */
+  public boolean hasKeys(String name) {
+    ClientAccount account = byName.get(name);
+    return account != null && !account.keys().isEmpty();
+  }
+
   /** Returns whether {@code access} is still granted: its key belongs to its account. */
   public boolean isGranted(AccountAccess access) {
     ClientAccount account = byKey.get(access.key());
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -175,6 +175,11 @@
   /** Sets the client accounts that share the servers, null if none are declared. */
   public void setAccounts(@Nullable ClientAccounts accounts) {
     queue.setAccounts(accounts);
+    if (accounts != null) {
+      connections.accountsWithIdle().stream()
+          .filter(name -> !accounts.hasKeys(name))
+          .forEach(connections::closeIdleOf);
+    }
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -382,6 +384,15 @@
     connector.connect(s.target(owner), opening);
   }
 
+  /** Returns the names of the accounts that have an idle connection to any server. */
+  Set<String> accountsWithIdle() {
+    Set<String> accounts = new HashSet<>();
+    for (PoolServer s : servers) {
+      s.idle.forEach(c -> accounts.add(c.account));
+    }
+    return accounts;
+  }
+
   /** Closes the idle connections of an account to all servers, and forgets its demand. */
   void closeIdleOf(String account) {
     for (PoolServer s : servers) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsTest.java
@@ -4,7 +4,10 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.chicorylane.internal.account.AccountAccess;
+import org.chicorylane.internal.account.ClientAccount;
+import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.account.KeyFingerprint;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ServerConnector;
@@ -152,6 +155,22 @@
     assertThat(connector.countOf("server-a", "b")).isEqualTo(1);
   }
 
+  @Test
+  void testConnectionsOfAccountThatLosesAllKeysAreClosed() {
+    fixture.submit(write("a/1"));
+    fixture.submit(write("b/1"));
+    fixture.advance(100);
+    KeyFingerprint key = KeyFingerprint.of("key");
+    fixture.pool.setAccounts(
+        ClientAccounts.of(
+            List.of(
+                new ClientAccount("a", Set.of(), 0, 100, 100),
+                new ClientAccount("b", Set.of(key), 0, 100, 100))));
+    fixture.advance(10);
+    assertThat(connector.countOf("server-a", "a")).isEqualTo(0);
+    assertThat(connector.countOf("server-a", "b")).isEqualTo(1);
+  }
+
   @Test
   void testConnectionsAreOpenedAgainSoonAfterRefusals() {
     fixture.submit(write("a/1"));
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/HotAccountLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/HotAccountLoadTest.java
@@ -38,7 +38,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(longs = {11, 12, 13})
+  @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
   void testOthersAreNotSlowedOnOneRoute(long seed) {
     long calm = p99OfOthers(seed, 1, 0, 0, 1);
     long hot = p99OfOthers(seed, HOT_FACTOR, 0, 0, 1);
