Statements of accounts above their share do not wait for a free slot in vain

Cause: work above its account's share used free slots only, and the others kept all slots of a busy primary taken. Change: after a quarter of its target it may use the place beyond the slots, too.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -83,6 +83,9 @@
    */
   private static final double MAX_WAIT_SHARE = 0.75;
 
+  /** Share of its target time for which a statement waits for a slot while other room is free. */
+  private static final double MAX_HELD_SHARE = 0.25;
+
   private final String group;
   private final Scheduler scheduler;
   private final DecisionLog log;
@@ -602,10 +605,10 @@
             halt,
             floors,
             now,
-            server -> hasRoomFor(item, server) && request.test(server),
+            server -> hasRoomFor(item, server, now) && request.test(server),
             random,
             queue.size());
-    if (best != null && !hasRoomFor(item, best)) {
+    if (best != null && !hasRoomFor(item, best, now)) {
       return false;
     }
     PooledConnection c = best == null ? null : connections.takeIdle(best, item.work);
@@ -640,10 +643,13 @@
 
   /**
    * Returns whether the server may be sent the statement now. Those of an account above its share
-   * are sent to free slots only, so that those of other accounts do not wait behind them there.
+   * are sent to free slots only, so that those of other accounts do not wait behind them there;
+   * after a while also to a server that has room beyond its slots, so that none waits in vain.
    */
-  private static boolean hasRoomFor(QueuedWork item, PoolServer server) {
-    return item.excess == 0 || server.inFlight < server.slots();
+  private static boolean hasRoomFor(QueuedWork item, PoolServer server, long now) {
+    return item.excess == 0
+        || server.inFlight < server.slots()
+        || now - item.arrivedNanos > MAX_HELD_SHARE * item.work.targetMillis() * 1e6;
   }
 
   /** Sends a statement over a connection, after the commands that prepare the connection. */
