Quota: room for each holder's last statement; accounts without a rate do not distort shares

What callers saw: nothing yet, found by reading. With more groups than the debts of an account, the fill added before could spend the room for the statement that each holder sends with an empty bucket; an account without a rate made the weights of all others nearly 0. Change: the larger of both is reserved; unlimited rates are left out of the mean rate.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/AccountShares.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/AccountShares.java
@@ -44,6 +44,9 @@
   /** Number of accounts of a priority beyond which those without a backlog are removed. */
   private static final int MAX_IDLE_ACCOUNTS = 1_024;
 
+  /** Rates in statements per second from here on limit nothing, and say nothing of a share. */
+  private static final double UNLIMITED_RATE = 1e12;
+
   private final TreeMap<Integer, PriorityShares> byPriority = new TreeMap<>();
   private @Nullable ClientAccounts accounts;
 
@@ -63,7 +66,7 @@
     meanRate =
         declared.all().stream()
             .mapToDouble(ClientAccount::ratePerSecond)
-            .filter(rate -> rate > 0)
+            .filter(rate -> rate > 0 && rate < UNLIMITED_RATE)
             .average()
             .orElse(1);
     lastPriority = declared.all().stream().mapToInt(ClientAccount::priority).max().orElse(0);
--- a/chicorylane/src/main/java/org/chicorylane/internal/quota/QuotaMargins.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/quota/QuotaMargins.java
@@ -29,14 +29,11 @@
   /** Part of the slack that may be debt, after one statement for each group. */
   private static final double DEBT_PER_SLACK = 0.5;
 
-  /**
-   * Debts for which the limit has room: a home that replaces another one does not know its debt.
-   */
-  private static final double RESERVED_DEBTS = 2;
-
   /**
    * Returns the share of one of {@code groups} groups in the limit of {@code account}. What the
-   * tolerance leaves beside the capacity and the debts is added to the rate.
+   * tolerance leaves beside the capacity and the debts is added to the rate. It has room for the
+   * debts twice, because a new holder does not know those of the previous one, or for the last
+   * statement of each holder, which may be sent with an empty bucket.
    */
   static QuotaMargins of(ClientAccount account, AccountRules.Quota quota, int groups) {
     double rate = account.ratePerSecond();
@@ -50,7 +47,7 @@
                 + DEBT_PER_SLACK * Math.max(0, quota.slack() - groups);
     double capacity = burst + rate * extraSeconds;
     double allowed = (rate * windowSeconds + burst) * (1 + quota.overage()) + quota.slack();
-    double spendable = allowed - capacity - RESERVED_DEBTS * debt;
+    double spendable = allowed - capacity - debt - Math.max(debt, groups);
     double fill =
         rate == 0
             ? 0
