--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 rm -rf review/target
 mkdir -p review/target
 javac -nowarn -d review/target -cp target/chicorylane-platform.jar \
-  standins/src/main/java/org/chicorylane/standin/metadata/*.java review/src/*.java
+  standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java review/src/*.java
--- a/review/src/DatabaseGroup.java
+++ b/review/src/DatabaseGroup.java
@@ -53,6 +53,7 @@
       if (s.id.equals(id)) {
         if (s != primary) {
           primary = s;
+          s.heldTerm = 0;
           term++;
         }
         return true;
@@ -75,6 +76,7 @@
     final ServerSocket listener = new ServerSocket();
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private int connections;
+    private long heldTerm;
 
     Server(String id) throws IOException {
       this.id = id;
@@ -191,8 +193,15 @@
         }
         switch (f[0]) {
           case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
+            if (f[0].equals("PAUSE") && !isPrimary && Long.parseLong(f[1]) > term) {
+              server.heldTerm = Long.parseLong(f[1]);
+            } else if (f[0].equals("RESUME")) {
+              server.heldTerm = 0;
+            }
             return row(
-                server.role() + " " + term + " " + position() + " 0 0 0 " + server.connections, "-");
+                server.role() + " " + term + " " + position() + " " + server.heldTerm + " 0 0 "
+                    + server.connections,
+                "-");
           case "BEGIN":
             if (f.length == 1 && !isPrimary) {
               return error("READONLY");
--- a/review/src/Deployment.java
+++ b/review/src/Deployment.java
@@ -15,10 +15,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.chicorylane.standin.metadata.StandInMetadataStore;
 
 /**
- * A small deployment on loopback addresses: the project's stand-in of the platform's store, one
+ * A small deployment on loopback addresses: a stand-in of the platform's store, one
  * database group, and instances that run the command of the deploy file in processes of their own.
  */
 final class Deployment implements AutoCloseable {
@@ -46,8 +45,8 @@
     }
   }
 
-  final StandInMetadataStore store = new StandInMetadataStore();
   final DatabaseGroup group = new DatabaseGroup(GROUP);
+  final Store store = new Store((service, id) -> group.promote(id));
   final List<Instance> instances = new CopyOnWriteArrayList<>();
   private final List<Socket> reservations = new ArrayList<>();
   private final Path root;
@@ -59,23 +58,25 @@
     this.folder = folder;
     Runtime.getRuntime()
         .addShutdownHook(new Thread(() -> instances.forEach(i -> i.process.destroyForcibly())));
-    store.onPromotion((service, id) -> group.promote(id));
-    for (DatabaseGroup.Server s : group.servers) {
-      JsonObject e = new JsonObject();
-      e.addProperty("service", GROUP);
-      e.addProperty("address", s.address());
-      e.addProperty("zone", "hall-liben");
-      e.addProperty("version", "v1");
-      e.addProperty("slots", 3);
-      e.addProperty("state", "ready");
-      e.addProperty("cold_remaining_ms", 0);
-      e.addProperty("database_role", s.role());
-      e.addProperty("sequence", 1);
-      put("servers/" + s.id, e.toString());
-    }
+    group.servers.forEach(s -> register(s, "ready"));
     putConfiguration(1, null);
   }
 
+  /** Writes the entry of a server. */
+  void register(DatabaseGroup.Server s, String state) {
+    JsonObject e = new JsonObject();
+    e.addProperty("service", GROUP);
+    e.addProperty("address", s.address());
+    e.addProperty("zone", "hall-liben");
+    e.addProperty("version", "v1");
+    e.addProperty("slots", 3);
+    e.addProperty("state", state);
+    e.addProperty("cold_remaining_ms", 0);
+    e.addProperty("database_role", s.role());
+    e.addProperty("sequence", 1);
+    put("servers/" + s.id, e.toString());
+  }
+
   /** Writes a configuration with one route of each kind. */
   void putConfiguration(long version, JsonArray tenants) {
     JsonArray routes = new JsonArray();
@@ -118,7 +119,7 @@
 
   void put(String key, String value) {
     String text = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
-    store.engine().transact(Map.of(), Map.of(key, text), List.of());
+    store.engine.transact(Map.of(), Map.of(key, text), List.of());
   }
 
   private int port() throws IOException {
@@ -131,9 +132,14 @@
 
   /** Starts an instance and waits until it is ready. */
   Instance start(String name) throws IOException, InterruptedException {
+    return start(name, store.address());
+  }
+
+  /** Starts an instance that reaches the platform's promotion call at the given address. */
+  Instance start(String name, String promotionAddress) throws IOException, InterruptedException {
     Instance i = new Instance(name, port(), port(), port(), port());
     Path settings = folder.resolve(name + ".json");
-    Files.writeString(settings, settings(i).toString());
+    Files.writeString(settings, settings(i, promotionAddress).toString());
     ProcessBuilder b = new ProcessBuilder(command());
     b.directory(root.toFile());
     b.environment().put("CHICORYLANE_CONFIG", settings.toString());
@@ -156,7 +162,7 @@
     throw new IOException("no run in deploy/system.toml");
   }
 
-  private JsonObject settings(Instance i) {
+  private JsonObject settings(Instance i, String promotionAddress) {
     JsonObject o = new JsonObject();
     o.addProperty("instance", i.name);
     o.addProperty("availabilityZone", "hall-liben");
@@ -168,7 +174,7 @@
     ports.add(i.metrics);
     o.add("instancePorts", ports);
     o.addProperty("storeAddress", store.address());
-    o.addProperty("promotionAddress", store.address());
+    o.addProperty("promotionAddress", promotionAddress);
     o.addProperty("processorShare", 0.75);
     o.addProperty("processorSpeed", 1);
     o.addProperty("linkMegabits", 1000.0);
--- a/review/src/Record.java
+++ b/review/src/Record.java
@@ -20,6 +20,11 @@
     out.flush();
   }
 
+  /** Returns a time of the monotonic clock in milliseconds since the start. */
+  long at(long nanos) {
+    return (nanos - startNanos) / 1_000_000;
+  }
+
   @Override
   public void close() {
     out.close();
