A leaving home ends only after later homes know that it stopped

What callers saw: nothing yet. A home that shuts down while its promotion call has no answer ended in the same 50 ms in which it began to hand its groups over. The next home learnt of it from a refused connection only, and took that as proof that the process had ended.

Cause: the drain ended as soon as no work was running, whether or not the groups had been handed over and the next home had asked for the stop.

Evidence: LeavingHomePromotionTest#testLeavingHomeConfirmsItsStopBeforeItEnds failed before (no home-stopped line for the leaving home) and passes now.

Change: an instance that was a home and is idle waits up to 1.2 s until it has confirmed its stop.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -148,6 +148,9 @@
   /** Time at which the group was first seen without a record; 0 before that. */
   private long noHomeSinceNanos;
 
+  /** Whether this instance was the home and has not confirmed to a later home that it stopped. */
+  private boolean owesStopConfirmation;
+
   /** This instance does not stand in under a record up to this revision. */
   private long barredUpToRevision = -1;
 
@@ -253,6 +256,14 @@
     return !isPromotionUnanswered() && pools().stream().allMatch(GroupPool::isIdle);
   }
 
+  /**
+   * Returns whether another instance can replace the primary without waiting for this one's lease:
+   * it was never the home, or has confirmed to a later home that it stopped.
+   */
+  public boolean isReleased() {
+    return !owesStopConfirmation;
+  }
+
   private List<GroupPool> pools() {
     List<GroupPool> all = new ArrayList<>(retiringPools);
     if (pool != null) {
@@ -520,6 +531,7 @@
       return new PeerClient.StopReply(false, null);
     }
     List.copyOf(retiringPools).forEach(this::stopRetiredPool);
+    owesStopConfirmation = false;
     return new PeerClient.StopReply(true, acknowledged());
   }
 
@@ -832,6 +844,7 @@
 
   private void startAsHome() {
     lostSinceNanos = 0;
+    owesStopConfirmation = true;
     handover.onHomeBegun(now());
     GroupPool p = pool == null ? openPool() : pool;
     HomeRecord r = record;
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -104,6 +104,11 @@
    */
   private static final Duration LOAD_BALANCER_DELAY = Duration.ofMillis(2_200);
 
+  /**
+   * Longest time that an idle instance continues so that later homes can ask whether it stopped.
+   */
+  private static final Duration RELEASE_TIMEOUT = Duration.ofMillis(1_200);
+
   private final PeerInstance self;
   private final Ports ports;
   private final AccountRules accountRules;
@@ -405,7 +410,9 @@
   /**
    * Drains the instance: hands its groups over and closes sessions as they become idle.
    *
-   * <p>Ends at the latest after 5/4 of {@code limit}, whatever still runs.
+   * <p>Once it is idle, waits for a moment until later homes of its groups know that it stopped; a
+   * home that cannot ask any more has to wait for this instance's lease. Ends at the latest after
+   * 5/4 of {@code limit}, whatever still runs.
    *
    * @param limit the time after which all sessions are closed, idle or not
    * @param onDone called once, at the end of the drain
@@ -423,11 +430,17 @@
     registry.leave();
     elections.values().forEach(HomeElection::leave);
     long startedNanos = ports.scheduler().nanoTime();
-    continueDrain(startedNanos, limit, onDone);
+    continueDrain(startedNanos, startedNanos, limit, onDone);
   }
 
-  private void continueDrain(long startedNanos, Duration limit, Runnable onDone) {
-    long elapsedNanos = ports.scheduler().nanoTime() - startedNanos;
+  /**
+   * Checks whether the drain has ended.
+   *
+   * @param busyNanos the last time at which clients' work was running
+   */
+  private void continueDrain(long startedNanos, long busyNanos, Duration limit, Runnable onDone) {
+    long now = ports.scheduler().nanoTime();
+    long elapsedNanos = now - startedNanos;
     boolean isPastLimit = elapsedNanos > limit.toNanos();
     int open = sessions.count();
     if (elapsedNanos > LOAD_BALANCER_DELAY.toNanos()) {
@@ -438,12 +451,18 @@
             && router.isIdle()
             && elections.values().stream().allMatch(HomeElection::isIdle)
             && elapsedNanos > LOAD_BALANCER_DELAY.toNanos();
-    if (idle || elapsedNanos > limit.toNanos() * 5 / 4) {
+    boolean released =
+        elections.values().stream().allMatch(HomeElection::isReleased)
+            || now - busyNanos > RELEASE_TIMEOUT.toNanos();
+    if ((idle && released) || elapsedNanos > limit.toNanos() * 5 / 4) {
       ports.log().event(DecisionLog.Priority.BELIEF, "stopped").with("sessions", open).write();
       onDone.run();
       return;
     }
-    ports.scheduler().schedule(TICK_INTERVAL, () -> continueDrain(startedNanos, limit, onDone));
+    long lastBusyNanos = idle ? busyNanos : now;
+    ports
+        .scheduler()
+        .schedule(TICK_INTERVAL, () -> continueDrain(startedNanos, lastBusyNanos, limit, onDone));
   }
 
   private boolean isAnyHome() {
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LeavingHomePromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LeavingHomePromotionTest.java
@@ -57,6 +57,24 @@
     scenario.finish();
   }
 
+  // Guards against a process that ends before the next home has heard that it stopped.
+  @Test
+  void testLeavingHomeConfirmsItsStopBeforeItEnds() {
+    scenario.begin();
+    final ModelHost home = scenario.home();
+    fleet.promotionService.losesCalls = true;
+    fleet.group.primary().crash();
+    scenario.advanceUntilLogged("promotion-call", 4_000);
+    home.instance.drain(STOP_LIMIT, home::kill);
+    fleet.advance(100);
+    fleet.promotionService.losesCalls = false;
+    scenario.advanceUntil("the end of the process", 6_000, () -> !home.running);
+    String confirmed = " home-stopped group=plans home=" + home.name + " ";
+    assertThat(fleet.lines.stream().filter(l -> l.contains(confirmed)).toList()).isNotEmpty();
+    scenario.recover();
+    scenario.finish();
+  }
+
   @Test
   void testLeavingHomeSendsNoFurtherCall() {
     stopHomeDuringPromotion(Duration.ofMillis(2_600));
