--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
@@ -41,6 +41,9 @@
    */
   LEARN_BOUND_AFTER_EXCLUSION,
 
+  /** An instance that refuses connections counts as running until its lease has ended. */
+  COUNT_CONFIRMED_STOPS_ONLY,
+
   /** The bound becomes unknown when an instance is excluded that did not tell its successes. */
   LOSE_BOUND_WITH_UNKNOWN_HOLDER,
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/HomeStep.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/HomeStep.java
@@ -179,6 +179,24 @@
     }
   },
 
+  /** A partition refuses the connection; the instance behind it runs and learns nothing. */
+  EXCLUDE_BY_REFUSAL(Range.INSTANCE, Range.INSTANCE, "{a} is refused a connection to {b}") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int other) {
+      return !rules.keeps(Condition.COUNT_CONFIRMED_STOPS_ONLY)
+          && isChanging(s, i)
+          && isToBeExcluded(s, i, other);
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int other) {
+      s.set(Instance.EXCLUDED, i, s.get(Instance.EXCLUDED, i) | bit(other));
+      if (rules.keeps(Condition.LOSE_BOUND_WITH_UNKNOWN_HOLDER)) {
+        s.set(Instance.BOUND_KNOWN, i, 0);
+      }
+    }
+  },
+
   /** The lease of another instance ends, at the latest when a home regards it as ended. */
   EXCLUDE_BY_TIME(Range.INSTANCE, Range.INSTANCE, "for {a}, the lease of {b} has surely ended") {
     @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/PromotionRuleTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/PromotionRuleTest.java
@@ -127,6 +127,18 @@
         Violation.LOST);
   }
 
+  // Guards against a read at the old primary by a home that refused connections and still runs.
+  @Test
+  void testRefusedConnectionCountsAsStop_readIsStale() {
+    assertViolation(Condition.COUNT_CONFIRMED_STOPS_ONLY, SMALL, Violation.STALE);
+  }
+
+  // Guards against a commit that such a home acknowledges during the promotion.
+  @Test
+  void testRefusedConnectionCountsAsStop_commitIsLost() {
+    assertViolation(Condition.COUNT_CONFIRMED_STOPS_ONLY, SMALL, Violation.LOST);
+  }
+
   // Guards against a bound that does not include the successes of a successor that fell silent.
   @Test
   void testSilentSuccessorNotCounted_commitIsLost() {
