An instance that does not know a group does not confirm its stop

What callers could see: STALE, if a home replaces the primary while its successor, which has just started and is then cut off, stands in.

Cause: MeshService confirmed each request to stop for a group without an election. The successor is named in the record from its registration on, before it has read the configuration; it can stand in under that record later.

Evidence: MeshServiceTest#testInstanceThatDoesNotKnowTheGroupDoesNotConfirmItsStop failed before. Change: such an instance confirms only the end of an earlier process at its address.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -53,6 +53,7 @@
 
   private static final String STORE_UNAVAILABLE = "the store does not answer this instance either";
 
+  private final String selfIncarnation;
   private final Scheduler scheduler;
   private final AttentionClock attention;
   private final ServerConnector connector;
@@ -74,12 +75,14 @@
   /**
    * Creates a service.
    *
+   * @param selfIncarnation id of this process start
    * @param attention tells whether this instance is too slow to tell that another process is silent
    * @param followers the followers of the store by their prefix, which relay its changes
    * @param confirmer tells the age of this instance's confirmation of the configuration
    * @param quota lends other instances tokens of client accounts
    */
   MeshService(
+      String selfIncarnation,
       Scheduler scheduler,
       AttentionClock attention,
       ServerConnector connector,
@@ -93,6 +96,7 @@
       Map<String, PrefixFollower> followers,
       ConfigurationConfirmer confirmer,
       FleetQuota quota) {
+    this.selfIncarnation = selfIncarnation;
     this.confirmer = confirmer;
     this.quota = quota;
     this.servers = servers;
@@ -267,11 +271,15 @@
     }
   }
 
-  private static void stopHome(
+  /**
+   * Answers a request to stop. Without a configuration this process has served no group, but it may
+   * be the successor under the present record and stand in once it has read it.
+   */
+  private void stopHome(
       MeshChannel channel, MeshQuestion question, @Nullable HomeElection election, boolean atOnce) {
     PeerClient.StopReply stop =
         election == null
-            ? new PeerClient.StopReply(true, null)
+            ? new PeerClient.StopReply(!question.getIncarnation().equals(selfIncarnation), null)
             : election.stopWork(
                 question.getIncarnation(), Long.parseLong(question.getArguments(0)), atOnce);
     reply(channel, question, stop.stopped(), stop.acknowledged());
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -207,6 +207,7 @@
             metrics);
     this.service =
         new MeshService(
+            self.incarnation(),
             scheduler,
             attention,
             ports.connector(),
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
@@ -59,6 +59,26 @@
     assertThat(answer.getReply().getYes()).isFalse();
   }
 
+  private MeshQuestion.Builder requestToStop(String incarnation) {
+    return MeshQuestion.newBuilder()
+        .setKind(PeerQuestion.NUMBERS.number(PeerQuestion.STOP_HOME))
+        .setGroup("not-configured")
+        .setInstance("i0")
+        .setIncarnation(incarnation)
+        .addArguments("7");
+  }
+
+  // Guards against a successor that says it stopped before it knows the group, and stands in later.
+  @Test
+  void testInstanceThatDoesNotKnowTheGroupDoesNotConfirmItsStop() {
+    assertThat(answerTo(requestToStop("i0-1")).getReply().getYes()).isFalse();
+  }
+
+  @Test
+  void testInstanceThatDoesNotKnowTheGroupConfirmsTheEndOfAnEarlierProcess() {
+    assertThat(answerTo(requestToStop("i0-0")).getReply().getYes()).isTrue();
+  }
+
   private MeshQuestion.Builder questionForConfirmation(long version) {
     fleet.accountRules = new AccountRules(true, Duration.ofSeconds(5), true, null);
     fleet.putAccounts(Map.of("key-0", "account-0"));
