A primary that refuses the home is replaced only if no instance reaches it

What callers saw: a primary that works for all other instances was replaced, and its group had no writes meanwhile, if a partition that resets connections lay between the home and the primary.

Cause: ServerLoss.REFUSED counted as certain for all instances.

Evidence: RefusedServerTest#testPrimaryThatRefusesOnlyTheHomeIsKept failed before (no other home took the group).

Change: other instances are asked as after a silence; one that reaches the primary takes the group. Unlike a silence, a refusal needs no second witness, so a crash beside the loss of all other instances is still noticed (testCrashedPrimaryIsReplacedThoughNoOtherInstanceAnswers).

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -324,9 +324,9 @@
         .with("reached_by", reachedBy == null ? null : reachedBy.name())
         .with("not_reached_by", findings.notReachedCount())
         .write();
-    if (!pool.canReach(serverId)
-        && reachedBy == null
-        && (findings.notReachedCount() > 0 || findings.noWitnesses())) {
+    boolean isConfirmed =
+        findings.notReachedCount() > 0 || findings.noWitnesses() || !loss.needsWitness();
+    if (!pool.canReach(serverId) && reachedBy == null && isConfirmed) {
       startChange(false, "primary " + serverId + ": " + loss);
       return;
     }
