Entries with odd numbers name no server

Reported by other operators: an odd entry among those of the servers (nested deeply, a number too large, a port out of range) ended the readers of the list, or they stopped following it.

Found here: neither happens. A log line of an unreadable entry could be as long as the entry.

Change: JsonNumbers reads whole numbers within limits for servers, instances, home records and the configuration's counts; ObjectFields uses the same code. Problems are shortened to 300 characters. An endpoint of the instance list with an unreadable port is skipped, where the whole list failed before (read, no test on the product). An instance address that cannot be parsed fails as a connection, not as an exception.

--- a/chicorylane/src/main/java/org/chicorylane/internal/declaration/ObjectFields.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/declaration/ObjectFields.java
@@ -4,15 +4,16 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
-import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
+import org.chicorylane.internal.json.JsonNumbers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -124,13 +125,9 @@
     if (e == null) {
       return min;
     }
-    if (isNumber(e)) {
-      BigDecimal n = e.getAsBigDecimal();
-      boolean inRange =
-          n.compareTo(BigDecimal.valueOf(min)) >= 0 && n.compareTo(BigDecimal.valueOf(max)) <= 0;
-      if (inRange && n.stripTrailingZeros().scale() <= 0) {
-        return n.intValueExact();
-      }
+    OptionalLong value = JsonNumbers.toInteger(e, min, max);
+    if (value.isPresent()) {
+      return (int) value.getAsLong();
     }
     report(key, quote(e) + " is not a whole number from " + min + " to " + max);
     return min;
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeRecord.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import org.chicorylane.internal.json.JsonNumbers;
 import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.jspecify.annotations.Nullable;
@@ -56,6 +57,9 @@
   /** Prefix of the keys under which records are stored. */
   public static final String KEY_PREFIX = "lane/groups/";
 
+  /** The largest number in a record; terms and epochs still grow above it without overflow. */
+  private static final long MAX_NUMBER = Long.MAX_VALUE / 2;
+
   /** Maximum number of earlier homes that a record lists. */
   private static final int MAX_PRIOR_HOMES = 16;
 
@@ -366,21 +370,22 @@
           .forEach((id, address) -> members.put(id, address.getAsString()));
     }
     Builder record =
-        new Builder(
-                o.get("epoch").getAsLong(),
-                readHolder(o.get("home")),
-                o.get("writer").getAsString())
-            .primary(readText(o, "primary"), o.get("term").getAsLong())
+        new Builder(number(o, "epoch"), readHolder(o.get("home")), o.get("writer").getAsString())
+            .primary(readText(o, "primary"), number(o, "term"))
             .promoting(readText(o, "promoting"))
             .successor(o.has("successor") ? readHolder(o.get("successor")) : null)
             .limitedPriorHomes(prior)
             .members(members)
             .outstanding(readText(o, "outstanding"))
-            .settledEra(o.has("settled_era") ? o.get("settled_era").getAsLong() : 0);
+            .settledEra(JsonNumbers.integer(o, "settled_era", 0, MAX_NUMBER, 0));
     boolean omitted = o.has("prior_omitted") && o.get("prior_omitted").getAsBoolean();
     return omitted ? record.omittedPriorHomes().build() : record.build();
   }
 
+  private static long number(JsonObject o, String name) {
+    return JsonNumbers.integer(o, name, 0, MAX_NUMBER);
+  }
+
   private static @Nullable String readText(JsonObject o, String name) {
     JsonElement e = o.get(name);
     return e == null || e.isJsonNull() ? null : e.getAsString();
--- a/chicorylane/src/main/java/org/chicorylane/internal/json/UntrustedJson.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/json/UntrustedJson.java
@@ -1,11 +1,13 @@
 package org.chicorylane.internal.json;
 
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 /**
  * Reads JSON objects from untrusted sources. A text that is not a JSON object, or lacks a field
@@ -19,6 +21,9 @@
  */
 public final class UntrustedJson {
 
+  /** Maximum number of characters of a reported problem. */
+  private static final int MAX_PROBLEM_LENGTH = 300;
+
   private UntrustedJson() {}
 
   /**
@@ -30,8 +35,23 @@
    */
   public static <T> Optional<T> read(
       String text, Function<JsonObject, T> reader, Consumer<String> onProblem) {
+    return convert(() -> reader.apply(JsonParser.parseString(text).getAsJsonObject()), onProblem);
+  }
+
+  /**
+   * Converts an element of an object that was read; empty if the element or a field is invalid.
+   *
+   * @param reader converts the element; may throw what {@link #read} allows
+   * @param onProblem receives the reason why nothing was converted
+   */
+  public static <T> Optional<T> readElement(
+      JsonElement element, Function<JsonObject, T> reader, Consumer<String> onProblem) {
+    return convert(() -> reader.apply(element.getAsJsonObject()), onProblem);
+  }
+
+  private static <T> Optional<T> convert(Supplier<T> conversion, Consumer<String> onProblem) {
     try {
-      return Optional.of(reader.apply(JsonParser.parseString(text).getAsJsonObject()));
+      return Optional.of(conversion.get());
     } catch (JsonParseException
         | IllegalStateException
         | IllegalArgumentException
@@ -39,8 +59,15 @@
         | NullPointerException
         | ClassCastException
         | UnsupportedOperationException e) {
-      onProblem.accept(String.valueOf(e.getMessage()));
+      onProblem.accept(shorten(String.valueOf(e.getMessage())));
       return Optional.empty();
     }
   }
+
+  /** Shortens a problem, since it may quote the whole text. */
+  private static String shorten(String problem) {
+    return problem.length() <= MAX_PROBLEM_LENGTH
+        ? problem
+        : problem.substring(0, MAX_PROBLEM_LENGTH) + "...";
+  }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/NettyMeshTransport.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/NettyMeshTransport.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
 import org.chicorylane.internal.runtime.Addresses;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -44,6 +45,16 @@
 
   @Override
   public void connect(String address, Listener listener) {
+    InetSocketAddress target;
+    try {
+      target = Addresses.parse(address);
+    } catch (IllegalArgumentException e) {
+      log.event(DecisionLog.Priority.BELIEF, "instance-address-unreadable")
+          .with("problem", e.getMessage())
+          .write();
+      group.next().execute(() -> listener.onFailure(false));
+      return;
+    }
     new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
@@ -57,7 +68,7 @@
                 channel.pipeline().addLast(new OpenedHandler(listener, log));
               }
             })
-        .connect(Addresses.parse(address))
+        .connect(target)
         .addListener(
             future -> {
               if (!future.isSuccess()) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/platform/EndpointSliceInstanceList.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/platform/EndpointSliceInstanceList.java
@@ -4,18 +4,19 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
-import com.google.gson.JsonParseException;
-import com.google.gson.JsonParser;
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.PlatformHttpClient.Answer;
 import org.chicorylane.internal.platform.PlatformHttpClient.HttpResult;
 import org.chicorylane.internal.platform.PlatformHttpClient.NoAnswer;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * Reads the instance list from a Kubernetes EndpointSlice. Ports come from the slice's named ports
@@ -27,12 +28,14 @@
  * InstanceList list = new EndpointSliceInstanceList(endpoints, Duration.ofSeconds(1), metrics);
  * }</pre>
  *
- * <p>Thread-safe. Endpoints without an id, an address or both ports are skipped.
+ * <p>Thread-safe. Endpoints that are unreadable or lack an id, an address or a port are skipped.
  */
 public final class EndpointSliceInstanceList implements InstanceList {
 
   private static final String PORT_LABEL = "chicorylane.example/";
 
+  private static final int MAX_PORT = 65_535;
+
   private final PlatformHttpClient http;
 
   /**
@@ -58,11 +61,11 @@
     if (!answer.isOk()) {
       return new Unavailable("HTTP status " + answer.status());
     }
-    try {
-      return new Listed(parseInstances(JsonParser.parseString(answer.body()).getAsJsonObject()));
-    } catch (JsonParseException | IllegalStateException | ClassCastException e) {
-      return new Unavailable("malformed instance list: " + e.getMessage());
-    }
+    List<String> problems = new ArrayList<>();
+    return UntrustedJson.read(
+            answer.body(), EndpointSliceInstanceList::parseInstances, problems::add)
+        .<ListResult>map(Listed::new)
+        .orElseGet(() -> new Unavailable("malformed instance list: " + problems.get(0)));
   }
 
   private static List<ListedInstance> parseInstances(JsonObject slice) {
@@ -70,7 +73,10 @@
     JsonArray endpoints = slice.getAsJsonArray("endpoints");
     if (endpoints != null) {
       for (JsonElement endpoint : endpoints) {
-        parseInstance(slice, endpoint.getAsJsonObject()).ifPresent(instances::add);
+        UntrustedJson.readElement(
+                endpoint, e -> parseInstance(slice, e), EndpointSliceInstanceList::logUnreadable)
+            .flatMap(Function.identity())
+            .ifPresent(instances::add);
       }
     }
     return instances;
@@ -104,20 +110,33 @@
     JsonObject topology = endpoint.getAsJsonObject("deprecatedTopology");
     String label = PORT_LABEL + name + "-port";
     if (topology != null && topology.has(label)) {
-      return topology.get(label).getAsInt();
+      return port(label, topology.get(label));
     }
     JsonArray ports = slice.getAsJsonArray("ports");
     if (ports != null) {
       for (JsonElement element : ports) {
         JsonObject port = element.getAsJsonObject();
         if (textOf(port.get("name")).equals(name)) {
-          return port.get("port").getAsInt();
+          return port(name, port.get("port"));
         }
       }
     }
     return 0;
   }
 
+  /** Returns a port, which the list holds as a number or as text. */
+  private static int port(String name, JsonElement value) {
+    int port = Integer.parseInt(value.getAsString());
+    if (port < 1 || port > MAX_PORT) {
+      throw new IllegalArgumentException(name + " must be a port from 1 to 65535, not " + port);
+    }
+    return port;
+  }
+
+  private static void logUnreadable(String problem) {
+    Logger.warn("endpoint of the instance list is unreadable: {}", problem);
+  }
+
   private static boolean isTerminating(@Nullable JsonObject conditions) {
     return conditions != null
         && conditions.has("terminating")
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.chicorylane.internal.json.JsonNumbers;
 import org.chicorylane.internal.json.UntrustedJson;
 import org.chicorylane.internal.platform.KeyValueEntry;
 import org.chicorylane.internal.platform.KeyValueStore;
@@ -146,7 +147,7 @@
             o.get("incarnation").getAsString(),
             o.get("address").getAsString(),
             o.get("zone").getAsString(),
-            o.get("weight").getAsInt());
+            (int) JsonNumbers.integer(o, "weight", 0, Integer.MAX_VALUE));
     return new Entry(instance, o.has(RELAYS_FIELD) && o.get(RELAYS_FIELD).getAsBoolean());
   }
 }
