Waits for another process do not end by a jump of the system clock

Cause: the scheduler's clock runs ahead after a jump of the system clock. That ends an instance's own lease early, which is safe, and the wait for another one's lease as well, which is not.

Change: Scheduler.waitNanoTime, the steady clock, for waits for leases, earlier eras, orders under way and members without an entry.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -291,7 +291,7 @@
     declaration = declared;
     transactionIdleLimit = idleLimit;
     servers = presentServers;
-    members.update(presentServers, now());
+    members.update(presentServers, waitNow());
     if (pool != null) {
       pool.configure(declared.maximumConnections(), idleLimit);
       pool.setServers(presentServers);
@@ -362,7 +362,7 @@
   private HomeRecord completed(HomeRecord stored) {
     if (stored.home().equals(context.self()) && !areEarlierErasOver()) {
       // A write of an earlier era may have taken effect late and replaced another home.
-      eraWaitStartNanos = now();
+      eraWaitStartNanos = waitNow();
     }
     HomeRecord known = recordBeforeRestore;
     if (known == null) {
@@ -381,7 +381,7 @@
    * its end, because other instances wait for it before a promotion.
    */
   public void onStoreRestored() {
-    eraWaitStartNanos = now();
+    eraWaitStartNanos = waitNow();
     if (record != null) {
       recordBeforeRestore = record;
     }
@@ -398,7 +398,7 @@
       return true;
     }
     long seen = Math.max(context.store().eraSeenNanos(), eraWaitStartNanos);
-    return now() - seen > context.timings().validity().toNanos();
+    return waitNow() - seen > context.timings().validity().toNanos();
   }
 
   /**
@@ -434,7 +434,7 @@
     Duration delay = context.timings().confirmInterval().multipliedBy(1 + rankOfSelf(""));
     return isHomeHere
         || known.home().equals(context.self())
-        || now() - eraWaitStartNanos > delay.toNanos();
+        || waitNow() - eraWaitStartNanos > delay.toNanos();
   }
 
   /**
@@ -850,7 +850,7 @@
     GroupPool p = pool == null ? openPool() : pool;
     HomeRecord r = record;
     if (r != null) {
-      members.add(r.members(), now());
+      members.add(r.members(), waitNow());
     }
     PrimarySupervisor started = new PrimarySupervisor(this, context, p, now());
     supervisor = started;
@@ -931,6 +931,11 @@
     return context.scheduler().nanoTime();
   }
 
+  /** Returns the time by which the end of what others hold is waited for. */
+  private long waitNow() {
+    return context.scheduler().waitNanoTime();
+  }
+
   /** Forwards the pool's events to the primary's supervisor, if there is one. */
   private final class Listener implements PoolListener {
     @Override
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeExclusion.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.chicorylane.internal.position.LogPosition;
+import org.chicorylane.internal.runtime.Scheduler;
 
 /**
  * Fences the earlier homes and the successor of a group: ensures that no other instance uses the
@@ -14,7 +15,7 @@
  * lease when the validity has passed. A refused connection, a silent one and a missing registration
  * confirm nothing.
  *
- * <p>Confined to the instance's thread.
+ * <p>All times are those of {@link Scheduler#waitNanoTime}. Confined to the instance's thread.
  */
 final class HomeExclusion {
 
@@ -69,7 +70,7 @@
     this.election = election;
     this.context = context;
     this.onStopped = onStopped;
-    this.startNanos = context.scheduler().nanoTime();
+    this.startNanos = context.scheduler().waitNanoTime();
     HomeRecord r = election.record();
     if (r != null) {
       r.priorHomes().forEach(h -> listedNanos.put(h, startNanos));
@@ -94,7 +95,7 @@
    */
   boolean havePriorHomesStopped(HomeRecord r) {
     long validity = context.timings().validity().toNanos();
-    long now = context.scheduler().nanoTime();
+    long now = context.scheduler().waitNanoTime();
     updateListed(r);
     boolean omittedExpired = !r.hasOmittedPriorHomes() || now - startNanos > validity;
     return omittedExpired
@@ -111,7 +112,7 @@
   private void updateListed(HomeRecord r) {
     listedNanos.keySet().retainAll(r.priorHomes());
     for (HomeRecord.Holder h : r.priorHomes()) {
-      boolean isNew = listedNanos.putIfAbsent(h, context.scheduler().nanoTime()) == null;
+      boolean isNew = listedNanos.putIfAbsent(h, context.scheduler().waitNanoTime()) == null;
       if (isNew) {
         // It may have stood in again since it stopped last.
         stopped.remove(h);
@@ -148,7 +149,7 @@
   /** Asks earlier homes that have not stopped, at intervals, to stop once their work has ended. */
   void endPriorHomes(HomeRecord r) {
     updateListed(r);
-    long now = context.scheduler().nanoTime();
+    long now = context.scheduler().waitNanoTime();
     for (HomeRecord.Holder home : r.priorHomes()) {
       long last = lastEndRequestNanos.getOrDefault(home, startNanos);
       if (!stopped.contains(home) && now - last > END_REQUEST_INTERVAL.toNanos()) {
@@ -210,7 +211,7 @@
 
   /** Tells operators why a change of primary does not proceed, and for how long at most. */
   private void logWait(HomeRecord.Holder other) {
-    long now = context.scheduler().nanoTime();
+    long now = context.scheduler().waitNanoTime();
     long waitedNanos = now - listedNanos.getOrDefault(other, now);
     long leftNanos = context.timings().validity().toNanos() - waitedNanos;
     election
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -133,10 +133,10 @@
   void start() {
     HomeRecord r = election.record();
     if (r != null && r.promoting() != null) {
-      orders.inherit(r.promoting(), now());
+      orders.inherit(r.promoting(), waitNow());
       startChange(false, "an earlier home was promoting " + r.promoting());
     } else if (r != null && r.outstanding() != null) {
-      orders.inheritOutstanding(r.outstanding(), now());
+      orders.inheritOutstanding(r.outstanding(), waitNow());
     }
   }
 
@@ -152,7 +152,7 @@
 
   /** Returns whether a promotion that was ordered here may still be on its way. */
   boolean isPromotionUnanswered() {
-    return orders.isUnanswered(now());
+    return orders.isUnanswered(waitNow());
   }
 
   /**
@@ -233,7 +233,7 @@
     if (!exclusion.havePriorHomesStopped(r)) {
       return;
     }
-    orders.onSenderExcluded(now());
+    orders.onSenderExcluded(waitNow());
     if (inheritedBound != null && !exclusion.areRemovedSuccessorsAccounted()) {
       inheritedBound = null;
       excludedNanos = 0;
@@ -392,7 +392,7 @@
       return;
     }
     if (r.promoting() != null) {
-      orders.inherit(r.promoting(), now());
+      orders.inherit(r.promoting(), waitNow());
       startChange(false, "the promotion of " + r.promoting() + " is pending");
       return;
     }
@@ -461,8 +461,8 @@
 
   /** Records servers that joined, so that a later home knows of them even without an entry. */
   private void recordMembers(HomeRecord r) {
-    Map<String, String> members = election.members().all(now());
-    String outstanding = orders.outstanding(now());
+    Map<String, String> members = election.members().all(waitNow());
+    String outstanding = orders.outstanding(waitNow());
     boolean forgetsOrder = r.outstanding() != null && outstanding == null;
     if (!writingMembers
         && (!r.members().keySet().containsAll(members.keySet()) || forgetsOrder)
@@ -503,7 +503,7 @@
         || writingRecord
         || r == null
         || (r.term() == term && serverId.equals(r.primaryId()))
-        || !orders.permits(serverId, now())
+        || !orders.permits(serverId, waitNow())
         || (step == Step.PROMOTING && !serverId.equals(promotedServerId))) {
       return;
     }
@@ -553,8 +553,8 @@
             serverId,
             term,
             exclusion.havePriorHomesStopped(before),
-            election.members().all(now()),
-            orders.outstanding(now()),
+            election.members().all(waitNow()),
+            orders.outstanding(waitNow()),
             context.ids().next()),
         revision -> {
           writingRecord = false;
@@ -574,7 +574,7 @@
    * earlier eras and orders to end, and would hold writes back meanwhile.
    */
   private boolean mayStartPlannedChange() {
-    return election.areEarlierErasOver() && orders.outstanding(now()) == null;
+    return election.areEarlierErasOver() && orders.outstanding(waitNow()) == null;
   }
 
   /**
@@ -661,7 +661,7 @@
     if (r == null) {
       return;
     }
-    orders.onSenderExcluded(now());
+    orders.onSenderExcluded(waitNow());
     election.haltPrimary(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.COMMITS);
     long sealTerm = 1 + latestTerm(r);
     reports.start(sealTerm, now());
@@ -677,7 +677,7 @@
 
   /** Returns whether another server than the recorded primary may lead already. */
   private boolean mayHaveOtherPrimary(HomeRecord r) {
-    PromotionOrders.State order = orders.state(now());
+    PromotionOrders.State order = orders.state(waitNow());
     boolean mayOrderedLead =
         order != null && !order.expired() && !order.serverId().equals(r.primaryId());
     return r.promoting() != null || mayOrderedLead;
@@ -739,13 +739,13 @@
     PromotionChoice.Basis basis =
         new PromotionChoice.Basis(
             election.servers(),
-            election.members().missing(now()),
+            election.members().missing(waitNow()),
             reports,
             r.primaryId(),
             r.term(),
             inherited == null ? null : inherited.max(acknowledged),
             acknowledged,
-            orders.state(now()));
+            orders.state(waitNow()));
     PromotionChoice choice = PromotionChoice.choose(basis);
     logChoice(choice, basis);
     if (choice instanceof PromotionChoice.Leads leads) {
@@ -775,7 +775,7 @@
 
   /** Asks an instance that reaches the server whose promotion is pending to become the home. */
   private void handOverToInstanceReachingOrdered() {
-    PromotionOrders.State order = orders.state(now());
+    PromotionOrders.State order = orders.state(waitNow());
     BackendServer server = order == null ? null : findServer(order.serverId());
     if (server == null || pool.canReach(server.id())) {
       return;
@@ -843,7 +843,7 @@
         || election.isLeaving()) {
       return;
     }
-    orders.onSent(target, now());
+    orders.onSent(target, waitNow());
     election.log("promotion-call").with("server", target).with("token", token).write();
     context
         .promoter()
@@ -858,7 +858,7 @@
                   .with("token", token)
                   .with("outcome", outcome)
                   .write();
-              orders.onOutcome(target, outcome, now());
+              orders.onOutcome(target, outcome, waitNow());
               if (generation != stepGeneration || step != Step.PROMOTING) {
                 return;
               }
@@ -933,7 +933,7 @@
       return;
     }
     election.write(
-        r.withMembers(election.members().all(now()), r.outstanding(), context.ids().next()),
+        r.withMembers(election.members().all(waitNow()), r.outstanding(), context.ids().next()),
         revision -> {
           promotionUnsettled = false;
           resume.run();
@@ -1007,4 +1007,9 @@
   private long now() {
     return context.scheduler().nanoTime();
   }
+
+  /** Returns the time by which the end of what others hold is waited for. */
+  private long waitNow() {
+    return context.scheduler().waitNanoTime();
+  }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerConnector.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerConnector.java
@@ -33,7 +33,7 @@
 
   /** Why a connection could not be opened. */
   enum ConnectFailure {
-    /** The connection was refused: no process listens at the address. */
+    /** The connection was refused, by the server's host or by a partition on the way. */
     REFUSED,
     /** The server did not answer in time. */
     SILENT,
--- a/chicorylane/src/main/java/org/chicorylane/internal/platform/RestorableStore.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/platform/RestorableStore.java
@@ -23,6 +23,7 @@
 
   private final KeyValueStore store;
   private final LongSupplier nanoTime;
+  private final LongSupplier waitNanoTime;
   private final Runnable onRestored;
   private final RevisionTimes revisionTimes = new RevisionTimes();
   private final List<EraWatch> watches = new ArrayList<>();
@@ -39,14 +40,17 @@
    * Creates a client.
    *
    * @param store the store, whose revisions are qualified
-   * @param nanoTime the clock, in nanoseconds
+   * @param nanoTime the clock by which calls are timed, in nanoseconds
+   * @param waitNanoTime the clock by which the end of an earlier era is waited for, in nanoseconds
    * @param onRestored called when the era has risen, before any result of the new era is delivered;
    *     called again when a write of this client took effect on a revision of the new era that the
    *     client had expected from an earlier one
    */
-  public RestorableStore(KeyValueStore store, LongSupplier nanoTime, Runnable onRestored) {
+  public RestorableStore(
+      KeyValueStore store, LongSupplier nanoTime, LongSupplier waitNanoTime, Runnable onRestored) {
     this.store = store;
     this.nanoTime = nanoTime;
+    this.waitNanoTime = waitNanoTime;
     this.onRestored = onRestored;
   }
 
@@ -61,11 +65,11 @@
   }
 
   /**
-   * Returns the time in nanoseconds at which this client first saw the present era, the current
+   * Returns the time of the wait clock at which this client first saw the present era, the current
    * time before the first answer. The era began before that.
    */
   public long eraSeenNanos() {
-    return eraKnown ? eraSeenNanos : nanoTime.getAsLong();
+    return eraKnown ? eraSeenNanos : waitNanoTime.getAsLong();
   }
 
   /** Applies the era of any answer of the store, also of one that reports an error. */
@@ -73,10 +77,10 @@
     if (!eraKnown) {
       eraKnown = true;
       era = seen;
-      eraSeenNanos = nanoTime.getAsLong();
+      eraSeenNanos = waitNanoTime.getAsLong();
     } else if (seen > era) {
       era = seen;
-      eraSeenNanos = nanoTime.getAsLong();
+      eraSeenNanos = waitNanoTime.getAsLong();
       List<EraWatch> outdated = List.copyOf(watches);
       watches.clear();
       onRestored.run();
@@ -153,7 +157,7 @@
             .anyMatch(c -> expectsRevision(c) && StoreEra.of(c.expectedModRevision()) != answered);
     if (expectedOtherEra) {
       // It may have replaced a record of the new era, whose holder then cannot be known.
-      eraSeenNanos = nanoTime.getAsLong();
+      eraSeenNanos = waitNanoTime.getAsLong();
       onRestored.run();
       return new WriteResult.Unavailable("the store was restored before the write", true);
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/InstanceRegistry.java
@@ -147,7 +147,7 @@
             o.get("incarnation").getAsString(),
             o.get("address").getAsString(),
             o.get("zone").getAsString(),
-            (int) JsonNumbers.integer(o, "weight", 0, Integer.MAX_VALUE));
+            (int) JsonNumbers.integer(o, "weight", 1, Integer.MAX_VALUE));
     return new Entry(instance, o.has(RELAYS_FIELD) && o.get(RELAYS_FIELD).getAsBoolean());
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -176,6 +176,7 @@
                 links::to,
                 self.name()),
             scheduler::nanoTime,
+            scheduler::waitNanoTime,
             this::onStoreRestored);
     this.servers =
         new ServerDirectory(
--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/EventLoopScheduler.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/EventLoopScheduler.java
@@ -16,17 +16,23 @@
 
   private final EventLoop loop;
   private final LongSupplier clock;
+  private final LongSupplier waitClock;
   private final Consumer<RuntimeException> onFailure;
 
   /**
    * Creates a scheduler.
    *
-   * @param clock returns monotonic nanoseconds
+   * @param clock returns monotonic nanoseconds that include suspensions
+   * @param waitClock returns monotonic nanoseconds that never run ahead
    * @param onFailure called with the error of a task that failed; the event loop keeps it to itself
    */
   public EventLoopScheduler(
-      EventLoop loop, LongSupplier clock, Consumer<RuntimeException> onFailure) {
+      EventLoop loop,
+      LongSupplier clock,
+      LongSupplier waitClock,
+      Consumer<RuntimeException> onFailure) {
     this.onFailure = onFailure;
+    this.waitClock = waitClock;
     this.loop = loop;
     this.clock = clock;
   }
@@ -36,6 +42,11 @@
     return clock.getAsLong();
   }
 
+  @Override
+  public long waitNanoTime() {
+    return waitClock.getAsLong();
+  }
+
   @Override
   public Timer schedule(Duration delay, Runnable task) {
     Future<?> future =
--- a/chicorylane/src/main/java/org/chicorylane/internal/runtime/Scheduler.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/runtime/Scheduler.java
@@ -16,11 +16,20 @@
 public interface Scheduler {
 
   /**
-   * Returns a monotonic time in nanoseconds. It includes the time during which the instance was
-   * suspended, as far as the system clock shows it.
+   * Returns a monotonic time in nanoseconds, by which what this instance holds ends: its leases and
+   * confirmations. It includes the time during which the instance was suspended, as far as the
+   * system clock shows it, and so runs ahead after a jump of the system clock.
    */
   long nanoTime();
 
+  /**
+   * Returns a monotonic time in nanoseconds, by which this instance waits for the end of what
+   * another process may hold, such as its lease or an order under way. It never runs ahead: a
+   * suspension is left out, and a jump of the system clock has no effect. Its values are not
+   * comparable with those of {@link #nanoTime}.
+   */
+  long waitNanoTime();
+
   /** Runs {@code task} once, {@code delay} from now. */
   Timer schedule(Duration delay, Runnable task);
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/platform/RestorableStoreTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/platform/RestorableStoreTest.java
@@ -22,7 +22,7 @@
   private final List<Long> restores = new ArrayList<>();
   private long nanos = 1_000;
   private final RestorableStore store =
-      new RestorableStore(delayed, () -> nanos, () -> restores.add(inner.era()));
+      new RestorableStore(delayed, () -> nanos, () -> nanos, () -> restores.add(inner.era()));
 
   private long put(String value) {
     WriteResult result = inner.transact(StoreTransaction.builder().put(KEY, value).build()).join();
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -69,6 +69,9 @@
   boolean storeUnreachable;
   boolean losesStoreAnswers;
 
+  /** Fault: by how much the system clock has jumped ahead, which the process cannot tell. */
+  Duration clockJump = Duration.ZERO;
+
   /** Fault: all that this process does happens this much later; zero if it is not slow. */
   Duration slowness = Duration.ZERO;
 
@@ -199,6 +202,11 @@
 
   @Override
   public long nanoTime() {
+    return fleet.scheduler.nanoTime() + clockJump.toNanos();
+  }
+
+  @Override
+  public long waitNanoTime() {
     return fleet.scheduler.nanoTime();
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/runtime/EventLoopSchedulerTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/runtime/EventLoopSchedulerTest.java
@@ -19,7 +19,7 @@
   private final DefaultEventLoop loop = new DefaultEventLoop();
   private final LinkedBlockingQueue<RuntimeException> failures = new LinkedBlockingQueue<>();
   private final EventLoopScheduler scheduler =
-      new EventLoopScheduler(loop, System::nanoTime, failures::add);
+      new EventLoopScheduler(loop, System::nanoTime, System::nanoTime, failures::add);
 
   @AfterEach
   void stop() {
--- a/chicorylane/src/test/java/org/chicorylane/internal/runtime/VirtualScheduler.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/runtime/VirtualScheduler.java
@@ -24,6 +24,11 @@
     return now;
   }
 
+  @Override
+  public long waitNanoTime() {
+    return now;
+  }
+
   @Override
   public Timer schedule(Duration delay, Runnable action) {
     boolean[] cancelled = new boolean[1];
