Count and log what servers send that answers no command

A log line answer-unexpected now names server, connection, the request under way, the one answered last and the beginning of what was received; answers.unsolicited and answers.malformed count them. No decision changes.

--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerCommand.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerCommand.java
@@ -6,6 +6,11 @@
 /** A command that an instance sends to a backend server on an open connection. */
 public sealed interface ServerCommand {
 
+  /** Returns the id of the client's request, null if the proxy sends the command for itself. */
+  default @Nullable String requestId() {
+    return null;
+  }
+
   /**
    * A client's statement with its text unchanged; the server refuses it if its log has not reached
    * {@code floor}, which is null for none.
--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerConnector.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerConnector.java
@@ -54,5 +54,8 @@
      * ServerLink.AnswerHandler#onLost} of all commands without an answer.
      */
     void onClosed();
+
+    /** The server sent something that is not the answer to the command under way. */
+    default void onUnexpected(UnexpectedAnswer answer) {}
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import org.chicorylane.internal.passthrough.FailureCode;
+import org.chicorylane.internal.passthrough.UnexpectedAnswer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -108,6 +109,11 @@
     count("connections." + reason.label());
   }
 
+  /** Records something that a server sent and that answered no command. */
+  void recordUnexpectedAnswer(UnexpectedAnswer.Kind kind) {
+    count("answers." + kind.label());
+  }
+
   /** Records that a statement has to wait for a connection of its account. */
   void recordConnectionWait() {
     count("connections.waits");
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -13,6 +13,7 @@
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.TransactionState;
+import org.chicorylane.internal.passthrough.UnexpectedAnswer;
 import org.chicorylane.internal.pool.ConnectionShares.Side;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -92,6 +93,7 @@
   private final Listener listener;
   private final Collection<PoolServer> servers;
   private final ConnectionShares shares = new ConnectionShares();
+  private final UnexpectedAnswers unexpected;
 
   /** The statements for which a connection is being opened, with their last opening. */
   private final Map<QueuedWork, OpenListener> awaited = new HashMap<>();
@@ -114,6 +116,7 @@
       Listener listener) {
     this.log = log;
     this.metrics = metrics;
+    this.unexpected = new UnexpectedAnswers(log, metrics);
     this.servers = servers;
     this.connector = connector;
     this.scheduler = scheduler;
@@ -568,5 +571,10 @@
         listener.onClosed(connection);
       }
     }
+
+    @Override
+    public void onUnexpected(UnexpectedAnswer answer) {
+      unexpected.record(server, answer);
+    }
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -8,6 +8,7 @@
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.ServerStatus;
+import org.chicorylane.internal.passthrough.UnexpectedAnswer;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -62,6 +63,7 @@
   private final PoolMetrics metrics;
   private final PoolListener listener;
   private final Pool pool;
+  private final UnexpectedAnswers unexpected;
 
   ServerMonitor(
       String group,
@@ -80,6 +82,7 @@
     this.metrics = metrics;
     this.listener = listener;
     this.pool = pool;
+    this.unexpected = new UnexpectedAnswers(log, metrics);
   }
 
   /**
@@ -172,6 +175,11 @@
         openControl(server);
       }
     }
+
+    @Override
+    public void onUnexpected(UnexpectedAnswer answer) {
+      unexpected.record(server, answer);
+    }
   }
 
   private void requestStatus(PoolServer s) {
