--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerLink.java
@@ -11,6 +11,11 @@
   /** Sends a command; the handler receives its answer or its loss. */
   void send(ServerCommand command, AnswerHandler handler);
 
+  /** Returns whether the connection may be given to another client. */
+  default boolean isReusable() {
+    return true;
+  }
+
   /**
    * Closes the connection; the server rolls back its open transaction. The handlers of unanswered
    * commands get {@link AnswerHandler#onLost}.
