--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerLink.java
@@ -11,7 +11,10 @@
   /** Sends a command; the handler receives its answer or its loss. */
   void send(ServerCommand command, AnswerHandler handler);
 
-  /** Returns whether the connection may be given to another client. */
+  /**
+   * Returns whether the connection may serve another client: each of its answers so far can be told
+   * from a copy of an earlier one.
+   */
   default boolean isReusable() {
     return true;
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -410,7 +410,8 @@
 
   /**
    * Makes a connection idle. Closes it instead if it cannot be reused: the pool is shutting down, a
-   * transaction is still open on it, or the server accepts no new work.
+   * transaction is still open on it, the server accepts no new work, or a later answer on it could
+   * not be told from a copy of an earlier one.
    *
    * @param last the last answer that came over the connection
    */
@@ -422,7 +423,8 @@
       long heldNanos = scheduler.nanoTime() - c.changedNanos;
       shares.onGivenBack(Side.of(c.server), c.account, heldNanos);
     }
-    if (closing || last.state() != TransactionState.IDLE || !c.server.acceptsNewWork()) {
+    boolean isReusable = last.state() == TransactionState.IDLE && c.link.isReusable();
+    if (closing || !isReusable || !c.server.acceptsNewWork()) {
       close(c);
       return;
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -49,6 +49,9 @@
   /** Fault: the next signed answer is lost, and all later ones on its connection. */
   public boolean loseNextAnswer;
 
+  /** Whether the connections to the server may serve another client after each answer. */
+  public boolean reusable = true;
+
   /** Fault: the next statement is refused as overloaded. */
   public boolean refuseNextStatement;
 
@@ -215,6 +218,11 @@
       connections.add(this);
     }
 
+    @Override
+    public boolean isReusable() {
+      return reusable;
+    }
+
     @Override
     public void send(ServerCommand command, AnswerHandler handler) {
       if (ended) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -94,6 +94,20 @@
     assertThat(fixture.group.server("server-a").log()).hasSize(1);
   }
 
+  // Guards against answers to one client that come on a connection whose server has stuttered.
+  @Test
+  void testConnectionThatIsNotReusableIsClosed() {
+    Set<Object> connections = new HashSet<>();
+    fixture.group.listener = (server, connection, id, values, state) -> connections.add(connection);
+    fixture.group.server("server-a").reusable = false;
+    for (int i = 0; i < 5; i++) {
+      fixture.submit(PoolFixture.write("w" + i));
+      fixture.advance(60);
+      assertThat(fixture.failureOf("w" + i)).isNull();
+    }
+    assertThat(connections).hasSize(5);
+  }
+
   @Test
   void testTransactionKeepsItsConnection() {
     Map<String, Set<Object>> connections = new HashMap<>();
