Floors of reads ignore positions from before the newest one

FloorTracker now remembers the highest position that the primary has reported in the term, sampled or not, and ignores lower ones.

FloorTrackerTest failed before: the position below the reported one was a sample (expected to be true).

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/FloorTracker.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/FloorTracker.java
@@ -29,11 +29,15 @@
 
   private long lastSampleNanos;
 
+  /** The highest position that the primary has reported in the term. */
+  private LogPosition newest = LogPosition.ZERO;
+
   /** Starts a term. Positions of earlier terms are discarded. */
   void startTerm(long newTerm) {
     if (newTerm != term) {
       term = newTerm;
       termStart = LogPosition.ZERO;
+      newest = LogPosition.ZERO;
       lastSampleNanos = 0;
       samples.clear();
     }
@@ -41,12 +45,14 @@
 
   /**
    * Adds a position that the primary reported in its answer to a request sent at {@code sentNanos}.
-   * Ignores null and positions of other terms.
+   * Ignores null, positions of other terms, and positions below one that was reported before, which
+   * are from before {@code sentNanos}.
    */
   void addSample(long sentNanos, @Nullable LogPosition position) {
-    if (position == null || position.term() != term) {
+    if (position == null || position.term() != term || position.compareTo(newest) < 0) {
       return;
     }
+    newest = position;
     if (termStart.term() != term) {
       termStart = position;
     }
