--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/ServerLink.java
@@ -11,6 +11,14 @@
   /** Sends a command; the handler receives its answer or its loss. */
   void send(ServerCommand command, AnswerHandler handler);
 
+  /**
+   * Returns whether the connection may serve another client: each of its answers so far can be told
+   * from a copy of an earlier one.
+   */
+  default boolean isReusable() {
+    return true;
+  }
+
   /**
    * Closes the connection; the server rolls back its open transaction. The handlers of unanswered
    * commands get {@link AnswerHandler#onLost}.
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -13,6 +13,7 @@
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.TransactionState;
+import org.chicorylane.internal.passthrough.UnexpectedAnswer;
 import org.chicorylane.internal.pool.ConnectionShares.Side;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.DecisionLog;
@@ -92,6 +93,7 @@
   private final Listener listener;
   private final Collection<PoolServer> servers;
   private final ConnectionShares shares = new ConnectionShares();
+  private final UnexpectedAnswers unexpected;
 
   /** The statements for which a connection is being opened, with their last opening. */
   private final Map<QueuedWork, OpenListener> awaited = new HashMap<>();
@@ -114,6 +116,7 @@
       Listener listener) {
     this.log = log;
     this.metrics = metrics;
+    this.unexpected = new UnexpectedAnswers(log, metrics);
     this.servers = servers;
     this.connector = connector;
     this.scheduler = scheduler;
@@ -407,7 +410,8 @@
 
   /**
    * Makes a connection idle. Closes it instead if it cannot be reused: the pool is shutting down, a
-   * transaction is still open on it, or the server accepts no new work.
+   * transaction is still open on it, the server accepts no new work, or a later answer on it could
+   * not be told from a copy of an earlier one.
    *
    * @param last the last answer that came over the connection
    */
@@ -419,7 +423,8 @@
       long heldNanos = scheduler.nanoTime() - c.changedNanos;
       shares.onGivenBack(Side.of(c.server), c.account, heldNanos);
     }
-    if (closing || last.state() != TransactionState.IDLE || !c.server.acceptsNewWork()) {
+    boolean isReusable = last.state() == TransactionState.IDLE && c.link.isReusable();
+    if (closing || !isReusable || !c.server.acceptsNewWork()) {
       close(c);
       return;
     }
@@ -568,5 +573,10 @@
         listener.onClosed(connection);
       }
     }
+
+    @Override
+    public void onUnexpected(UnexpectedAnswer answer) {
+      unexpected.record(server, answer);
+    }
   }
 }
