--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -330,7 +330,7 @@
   }
 
   private Answer failUnknownDatabase() {
-    return fail(FailureCode.UNKNOWN_DATABASE, "no database " + database);
+    return fail(FailureCode.UNKNOWN_DATABASE, host.describeUnknown(database));
   }
 
   private Answer withState(Answer answer) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionHost.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionHost.java
@@ -10,6 +10,9 @@
   /** Returns the route of a database, or null if no route has this name. */
   @Nullable DatabaseRoute route(String database);
 
+  /** Returns the error text for a database that no route has, with the configuration's version. */
+  String describeUnknown(String database);
+
   /** Returns whether the newest configuration grants {@code access}, null if there is none. */
   boolean isGranted(@Nullable AccountAccess access);
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/SessionRegistry.java
@@ -59,7 +59,7 @@
       access = new AccountAccess(account.name(), fingerprint);
     }
     if (route(database) == null) {
-      return new OpenResult.Refused(FailureCode.UNKNOWN_DATABASE, "no database " + database);
+      return new OpenResult.Refused(FailureCode.UNKNOWN_DATABASE, describeUnknown(database));
     }
     ClientSession session = new ClientSession(this, database, access);
     sessions.put(session, closeConnection);
@@ -104,6 +104,12 @@
     return c == null ? null : c.routes().get(database);
   }
 
+  @Override
+  public String describeUnknown(String database) {
+    Configuration c = configuration.get();
+    return "no database " + database + " in configuration " + (c == null ? 0 : c.version());
+  }
+
   @Override
   public boolean isGranted(@Nullable AccountAccess access) {
     Configuration c = configuration.get();
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -69,6 +69,10 @@
   private final Duration firstFollowDelay;
   private final Listener listener;
   private final RelayedPrefix relayed;
+
+  /** Where the entries that were reported last came from, for the log. */
+  private String source = "no read";
+
   private KeyValueStore.@Nullable Watch watch;
 
   /** Whether {@link #watch} reports changes; it does not after its history was lost. */
@@ -138,6 +142,11 @@
     relayed.ask(afterRevision, reply);
   }
 
+  /** Returns where the entries that were reported last came from, for the log. */
+  String source() {
+    return source;
+  }
+
   /** Returns whether other instances wait for changes from this one. */
   boolean isFollowed() {
     return relayed.isAsked();
@@ -176,6 +185,7 @@
                 // Lets answers that have already arrived be handled before the watch is requested.
                 scheduler.schedule(loaded ? Duration.ZERO : firstFollowDelay, this::onRead);
                 loaded = true;
+                source = "a read of the store";
                 onAll(read.entries(), read.revision());
               } else {
                 scheduler.schedule(loaded ? RETRY_DELAY : FIRST_READ_RETRY_DELAY, this::read);
@@ -229,6 +239,7 @@
             new WatchListener() {
               @Override
               public void onChanges(List<Change> changes, long reached) {
+                source = "a watch of the store";
                 PrefixFollower.this.onChanges(changes, reached);
                 if (!shouldWatchStore()) {
                   follow();
@@ -258,8 +269,9 @@
       scheduler.schedule(RELAY_RETRY_DELAY, () -> startRound(askedGeneration, rounds + 1));
       return;
     }
+    String address = order.get(asked).address();
     links
-        .apply(order.get(asked).address())
+        .apply(address)
         .askPatiently(
             StoreMessages.encodeWatch(prefix, revision),
             RELAY_TIMEOUT,
@@ -267,7 +279,7 @@
               if (askedGeneration != generation) {
                 return;
               }
-              if (reply != null && reply.getYes() && applyReply(reply)) {
+              if (reply != null && reply.getYes() && applyReply(reply, address)) {
                 boolean isQuiet = reply.getResultsCount() == 0;
                 askRelay(askedGeneration, isQuiet ? 0 : asked, 0);
               } else {
@@ -292,12 +304,13 @@
    * Applies a relay's reply; returns false if it does not continue what is known, such as one from
    * before the store was restored, or of an instance that does not know the question.
    */
-  private boolean applyReply(MeshReply reply) {
+  private boolean applyReply(MeshReply reply, String relay) {
     long reached = reply.getRevision();
     store.onEra(StoreEra.of(reached));
     if (StoreEra.of(reached) < store.era() || reached < revision) {
       return false;
     }
+    source = "relay " + relay;
     if (StoreMessages.hasAll(reply)) {
       onAll(StoreMessages.decodeAll(reply), reply.getRevision());
     } else {
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -31,6 +31,7 @@
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.ReadResult;
 import org.chicorylane.internal.platform.RestorableStore;
+import org.chicorylane.internal.platform.StoreEra;
 import org.chicorylane.internal.pool.GroupPool;
 import org.chicorylane.internal.pool.PoolMetrics;
 import org.chicorylane.internal.quota.FleetQuota;
@@ -160,7 +161,8 @@
     this.ports = ports;
     Scheduler scheduler = ports.scheduler();
     this.configuration =
-        new LatestConfiguration(ports.decoder(), ports.log(), this::onConfiguration);
+        new LatestConfiguration(
+            ports.decoder(), scheduler::nanoTime, ports.log(), this::onConfiguration);
     this.attention = new AttentionClock(scheduler, TICK_INTERVAL);
     this.links =
         new PeerLinks(
@@ -271,6 +273,8 @@
     metrics.gauge(
         "homes", () -> () -> elections.values().stream().filter(HomeElection::isHome).count());
     metrics.gauge("configuration.version", () -> configuration::version);
+    metrics.gauge("configuration.age_ms", () -> configuration::ageMillis);
+    metrics.gauge("configuration.report_age_ms", () -> configuration::reportAgeMillis);
     metrics.gauge("store.away", () -> () -> ports.storeUnavailable().getAsBoolean() ? 1 : 0);
     metrics.gauge("store.relay", () -> () -> relays.isRelay() ? 1 : 0);
     metrics.gauge("statements.queued", () -> this::countQueued);
@@ -633,6 +637,13 @@
     }
   }
 
+  /** Returns where an entry of the configuration came from, for the log. */
+  private String configurationSource(KeyValueEntry entry) {
+    PrefixFollower follower = followers.get(ports.decoder().configurationKey());
+    String source = follower == null ? "the store" : follower.source();
+    return source + " at revision " + StoreEra.revisionOf(entry.modRevision());
+  }
+
   private final class ConfigurationListener implements PrefixFollower.Listener {
     @Override
     public void onAll(List<KeyValueEntry> entries) {
@@ -642,7 +653,7 @@
     @Override
     public void onChange(KeyValueEntry entry, boolean deleted) {
       if (!deleted && entry.key().equals(ports.decoder().configurationKey())) {
-        configuration.update(entry.value(), "the store");
+        configuration.update(entry.value(), configurationSource(entry));
       }
     }
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ConfigurationConfirmerTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ConfigurationConfirmerTest.java
@@ -108,7 +108,7 @@
   private final PendingStore store = new PendingStore();
   private final AnsweringHome home = new AnsweringHome();
   private final LatestConfiguration configuration =
-      new LatestConfiguration(new ModelFleet(1), DecisionLog.none(), () -> {});
+      new LatestConfiguration(new ModelFleet(1), () -> 0, DecisionLog.none(), () -> {});
   private final ConfigurationFreshness freshness =
       new ConfigurationFreshness(scheduler::nanoTime, new AccountRules(true, BOUND, true, null));
   private final PeerLink link =
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LatestConfigurationTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LatestConfigurationTest.java
@@ -12,7 +12,7 @@
 
   private final List<Long> applied = new ArrayList<>();
   private final LatestConfiguration configuration =
-      new LatestConfiguration(new ModelFleet(0), DecisionLog.none(), this::recordVersion);
+      new LatestConfiguration(new ModelFleet(0), () -> 0, DecisionLog.none(), this::recordVersion);
 
   private void recordVersion() {
     applied.add(configuration.version());
