--- a/chicorylane/src/main/java/org/chicorylane/internal/passthrough/AnswerMatcher.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/passthrough/AnswerMatcher.java
@@ -17,7 +17,7 @@
  * <pre>{@code
  * switch (matcher.match(command, answer)) {
  *   case ANSWER -> handler.onAnswer(answer);
- *   case COPY -> { }
+ *   case COPY -> log.write(answer);
  *   case MISMATCH -> close();
  * }
  * }</pre>
