A relay's read of the configuration brings a change that its watch has missed

Cause: a watch whose answer is lost waits for its timeout, 11.5 s, while a configuration may take 3 s. A relay that other instances follow reads the configuration each second, to notice a silent store, and threw the result away, so that it and its followers stayed behind.

Change: the relay's follower reports the entry that was read, to its own listener and to the instances that follow it. No further calls of the store. ModelHost can lose answers to watches.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -147,6 +147,18 @@
     return source;
   }
 
+  /**
+   * Reports an entry that was read by itself if its change is not known yet. A watch whose answer
+   * was lost does not report it before its timeout. The prefix must have no other key whose changes
+   * matter, as they count as known up to this entry's revision.
+   */
+  void onEntryRead(KeyValueEntry entry) {
+    if (loaded && !reading && entry.modRevision() > revision) {
+      source = "a read of its key";
+      onChanges(List.of(new WatchListener.Change(entry, false)), entry.modRevision());
+    }
+  }
+
   /** Returns whether other instances wait for changes from this one. */
   boolean isFollowed() {
     return relayed.isAsked();
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/ProxyInstance.java
@@ -324,11 +324,12 @@
   }
 
   /**
-   * Adapts the followers. Calls the store if other instances depend on its watch here, as a watch
-   * does not tell for seconds that the store has fallen silent.
+   * Adapts the followers. Reads the configuration if other instances depend on a watch here, as a
+   * watch does not tell for seconds that the store has fallen silent or that its answer was lost.
    */
   private void tickFollowers() {
     followers.values().forEach(PrefixFollower::tick);
+    PrefixFollower follower = followers.get(ports.decoder().configurationKey());
     if (ports.storeUnavailable().getAsBoolean()
         || followers.values().stream().noneMatch(PrefixFollower::isFollowed)) {
       return;
@@ -340,6 +341,8 @@
             result -> {
               if (result instanceof ReadResult.Unavailable) {
                 followers.values().forEach(PrefixFollower::tick);
+              } else if (result instanceof ReadResult.Read read && follower != null) {
+                read.entries().forEach(follower::onEntryRead);
               }
             });
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelHost.java
@@ -41,6 +41,10 @@
   static final Duration ONE_WAY = Duration.ofMillis(1);
   private static final Duration STORE_DELAY = Duration.ofMillis(4);
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_500);
+
+  /** Time after which an unanswered request of a watch is sent again. */
+  static final Duration WATCH_TIMEOUT = Duration.ofMillis(11_500);
+
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
   final ModelFleet fleet;
@@ -69,6 +73,9 @@
   boolean storeUnreachable;
   boolean losesStoreAnswers;
 
+  /** Fault: the store's answers to watches are lost, so that the watches wait for their timeout. */
+  boolean losesWatchAnswers;
+
   /** Fault: by how much the system clock has jumped ahead, which the process cannot tell. */
   Duration clockJump = Duration.ZERO;
 
@@ -478,6 +485,7 @@
     boolean[] closed = new boolean[1];
     openWatches++;
     int ownIncarnation = incarnation;
+    long[] silentUntilMillis = {Long.MIN_VALUE};
     Watch[] inner = new Watch[1];
     inner[0] =
         store()
@@ -497,7 +505,15 @@
                       // An answer that was not sent before the store was restored is never sent.
                       return;
                     }
-                    if (storeUnreachable || fleet.storeDown) {
+                    long now = fleet.scheduler.millis();
+                    if (losesWatchAnswers && now >= silentUntilMillis[0]) {
+                      silentUntilMillis[0] = now + WATCH_TIMEOUT.toMillis();
+                    }
+                    if (now < silentUntilMillis[0]) {
+                      runAfter(
+                          Duration.ofMillis(silentUntilMillis[0] - now),
+                          () -> deliver(changes, revision, era));
+                    } else if (storeUnreachable || fleet.storeDown) {
                       runAfter(Duration.ofMillis(300), () -> deliver(changes, revision, era));
                     } else {
                       runAfter(
