Stand-in servers: messages end at CR LF only, rows of any bytes, answers that come twice

The stand-in servers and their client ended messages as the product does, at a lone LF or CR too, answered once, and returned the row "row" to every read. A client could not tell a row of another request from its own.

WireReader is the one reader of messages. WireRows derives one to three rows from the request id; EVERY_BYTE holds ends of lines and text that looks like messages. AnswerFaults sends a share of the answers twice (at once, late, under a later request; all, unsigned, greetings, status), refuses a share of the statements with BUSY, and writes answers in pieces. A server in a failed transaction answers MALFORMED and rolls back at COMMIT. The training run uses each request id once, as clients do.

--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedConnection.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedConnection.java
@@ -1,10 +1,7 @@
 package org.chicorylane.standin.wire;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -58,16 +55,20 @@
   public void run() {
     try (socket) {
       socket.setTcpNoDelay(true);
-      BufferedReader in =
-          new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-      for (String line = in.readLine(); line != null; line = in.readLine()) {
+      WireReader in = new WireReader(socket.getInputStream());
+      AnswerWriter out =
+          new AnswerWriter(
+              socket.getOutputStream(), server.faults(), group.timer(), server::answers);
+      for (String line = in.read(); line != null; line = in.read()) {
         noteArrival(line, System.nanoTime());
+        if (group.awaitThaw(server, incarnation)) {
+          out.onRequest();
+        }
         String answer = group.awaitThaw(server, incarnation) ? answer(line) : null;
         if (answer == null || !group.awaitThaw(server, incarnation)) {
           return;
         }
-        socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+        out.write(line, answer);
         if (answer.startsWith("ERROR") && line.startsWith("STARTUP")) {
           return;
         }
@@ -87,6 +88,7 @@
   private void noteArrival(String line, long nanos) {
     String[] words = line.split(" ", -1);
     int verb = words.length > 2 && words[2].equals("SINCE") ? 4 : 2;
+    noteText(line, words, verb);
     boolean isStatement =
         words[0].equals("QUERY") && words.length > verb && STATEMENTS.contains(words[verb]);
     if (isStatement && (state == 'I' || awaitsFirstStatement)) {
@@ -97,6 +99,19 @@
     }
   }
 
+  /** Reports a statement without its position, and every message that is no part of a session. */
+  private void noteText(String line, String[] words, int verb) {
+    if (words[0].equals("STARTUP") || line.equals("TERMINATE")) {
+      return;
+    }
+    boolean isQuery = words[0].equals("QUERY") && words.length > verb;
+    String requestId = isQuery ? words[1] : "";
+    String text = isQuery ? line.split(" ", verb + 1)[verb] : line;
+    synchronized (group) {
+      group.onStatement(server, requestId, text);
+    }
+  }
+
   /** Returns the answer to a line, null if the connection ends without one. */
   private @Nullable String answer(String line) throws IOException, InterruptedException {
     String[] words = line.split(" ", -1);
@@ -129,6 +144,9 @@
     if (state == 'E' && !endsTransaction) {
       return error("MALFORMED");
     }
+    if (StandInWireServer.REFUSABLE.contains(name) && server.faults().drawRefusal()) {
+      return error("BUSY");
+    }
     return switch (name) {
       case "STATUS", "PAUSE", "RESUME", "STEPDOWN" -> control(words, verb);
       case "BEGIN" -> begin(words.length > verb + 1, floor);
@@ -211,7 +229,9 @@
         return error(refusal);
       }
       group.onRead(server, requestId);
-      return "DATAROW row" + END + complete("sig." + requestId);
+      StringBuilder rows = new StringBuilder();
+      group.rows().of(requestId).forEach(r -> rows.append("DATAROW ").append(r).append(END));
+      return rows + complete("sig." + requestId);
     }
   }
 
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroup.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroup.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,27 +27,32 @@
 
   private final String name;
   private final Executor executor;
+  private final ScheduledExecutorService timer;
   private final ReplicatedGroupListener listener;
   private final Random random;
   private final List<ReplicatedServer> servers = new ArrayList<>();
   private final List<Order> orders = new ArrayList<>();
+  private volatile WireRows rows = WireRows.PRINTABLE;
 
   /**
    * Starts three servers, of which the first is the primary.
    *
    * @param ports reserves the servers' ports
    * @param executor runs the servers' connections
+   * @param timer writes late copies of answers
    * @param seed determines the delays of promotions
    */
   ReplicatedGroup(
       String name,
       LoopbackPorts ports,
       Executor executor,
+      ScheduledExecutorService timer,
       ReplicatedGroupListener listener,
       long seed)
       throws IOException {
     this.name = name;
     this.executor = executor;
+    this.timer = timer;
     this.listener = listener;
     this.random = new Random(seed);
     for (int i = 0; i < SERVERS; i++) {
@@ -62,6 +68,19 @@
     return name;
   }
 
+  /** Sets the rows of answers to reads. */
+  public void setRows(WireRows newRows) {
+    rows = newRows;
+  }
+
+  WireRows rows() {
+    return rows;
+  }
+
+  ScheduledExecutorService timer() {
+    return timer;
+  }
+
   /** Returns the servers in the order of their creation. */
   public List<ReplicatedServer> servers() {
     return List.copyOf(servers);
@@ -173,6 +192,10 @@
     listener.onArrival(server, requestId, nanos);
   }
 
+  void onStatement(ReplicatedServer server, String requestId, String text) {
+    listener.onStatement(server, requestId, text);
+  }
+
   void onRead(ReplicatedServer server, String requestId) {
     listener.onRead(server, requestId);
   }
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroupListener.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedGroupListener.java
@@ -23,6 +23,14 @@
    */
   default void onArrival(ReplicatedServer server, String requestId, long nanos) {}
 
+  /**
+   * A statement has reached a server.
+   *
+   * @param requestId the request id; empty if the message is none of the protocol
+   * @param text the statement without the position that precedes it, or the whole message
+   */
+  default void onStatement(ReplicatedServer server, String requestId, String text) {}
+
   /** A server runs a read on its log as it is now. */
   void onRead(ReplicatedServer server, String requestId);
 
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedServer.java
@@ -38,6 +38,7 @@
 
   private final ReplicatedGroup group;
   private final int port;
+  private final AnswerFaults faults;
   private final Semaphore slots = new Semaphore(SLOTS);
   private final List<Socket> sockets = new ArrayList<>();
   private final List<LogEntry> log = new ArrayList<>();
@@ -64,6 +65,7 @@
     this.id = id;
     this.primary = primary;
     this.port = port;
+    this.faults = new AnswerFaults(id.hashCode());
     append(List.of());
     applied = 1;
     listen();
@@ -81,6 +83,11 @@
     }
   }
 
+  /** Returns what the server does wrong with its answers. */
+  public AnswerFaults faults() {
+    return faults;
+  }
+
   /** Returns the group. */
   public ReplicatedGroup group() {
     return group;
--- a/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/ReplicatedSystem.java
@@ -37,6 +37,7 @@
   private final LoopbackPorts ports = new LoopbackPorts();
   private final ExecutorService connections = Executors.newCachedThreadPool();
   private final ScheduledExecutorService ticks = Executors.newSingleThreadScheduledExecutor();
+  private final ScheduledExecutorService copyTimer = Executors.newScheduledThreadPool(2);
   private final List<ReplicatedGroup> groups = new ArrayList<>();
   private final PromotionEndpoint promotions;
   private final ServerRegistrar registrar;
@@ -58,7 +59,7 @@
     registrar = new ServerRegistrar(store.engine(), path);
     for (String name : groupNames) {
       long groupSeed = seed * 31 + groups.size();
-      groups.add(new ReplicatedGroup(name, ports, connections, listener, groupSeed));
+      groups.add(new ReplicatedGroup(name, ports, connections, copyTimer, listener, groupSeed));
     }
     promotions = new PromotionEndpoint(this::order);
     tick();
@@ -164,6 +165,7 @@
       group.close();
     }
     connections.shutdownNow();
+    copyTimer.shutdownNow();
     promotions.close();
     store.close();
     ports.close();
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInWireClient.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireClient.java
@@ -1,8 +1,6 @@
 package org.chicorylane.standin.wire;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -19,7 +17,7 @@
   private static final int TIMEOUT_MILLIS = 5_000;
 
   private final Socket socket = new Socket();
-  private final BufferedReader in;
+  private final WireReader in;
   private final OutputStream out;
 
   /**
@@ -34,9 +32,7 @@
             address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
         TIMEOUT_MILLIS);
     socket.setSoTimeout(TIMEOUT_MILLIS);
-    in =
-        new BufferedReader(
-            new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+    in = new WireReader(socket.getInputStream());
     out = socket.getOutputStream();
   }
 
@@ -46,9 +42,9 @@
     out.flush();
   }
 
-  /** Reads one line; returns an empty string if the connection has ended. */
+  /** Reads one message without its end; returns an empty string if the connection has ended. */
   public String line() throws IOException {
-    String line = in.readLine();
+    String line = in.read();
     return line == null ? "" : line;
   }
 
@@ -56,7 +52,7 @@
    * Sends a message and reads its answer.
    *
    * @param message the message without its line end
-   * @return the lines up to and including READY, or up to an empty line or the end of the
+   * @return the messages up to and including READY, or up to an empty one or the end of the
    *     connection
    */
   public List<String> ask(String message) throws IOException {
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInWireServer.java
@@ -1,20 +1,18 @@
 package org.chicorylane.standin.wire;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
@@ -25,13 +23,21 @@
  */
 public final class StandInWireServer implements AutoCloseable {
 
+  /** Statements that a server may refuse with BUSY. */
+  static final Set<String> REFUSABLE = Set.of("READ", "WRITE", "EXECUTE", "BEGIN");
+
+  private static final Set<String> TRANSACTION_ENDS = Set.of("COMMIT", "ROLLBACK");
+
   private final String service;
   private final String id;
   private final boolean startsAsPrimary;
   private final AtomicLong commits;
   private final ServerSocket listener;
   private final ExecutorService executor = Executors.newCachedThreadPool();
+  private final ScheduledExecutorService copyTimer = Executors.newSingleThreadScheduledExecutor();
+  private final AnswerFaults faults;
   private final List<String> received = new ArrayList<>();
+  private final List<String> writes = new ArrayList<>();
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private volatile boolean primary;
   private volatile long term = 1;
@@ -41,6 +47,8 @@
 
   private volatile boolean loseNextAnswer;
 
+  private volatile WireRows rows = WireRows.PRINTABLE;
+
   /**
    * Starts a server.
    *
@@ -56,6 +64,7 @@
     this.startsAsPrimary = primary;
     this.primary = primary;
     this.commits = commits;
+    this.faults = new AnswerFaults(id.hashCode());
     this.listener = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
     executor.execute(this::accept);
   }
@@ -80,7 +89,24 @@
     return startsAsPrimary;
   }
 
-  /** Returns the lines received on all connections so far, in order of arrival. */
+  /** Returns what the server does wrong with its answers. */
+  public AnswerFaults faults() {
+    return faults;
+  }
+
+  /** Sets the rows of answers to reads. */
+  public void setRows(WireRows newRows) {
+    rows = newRows;
+  }
+
+  /** Returns the request ids of the writes and commits that have taken effect so far, in order. */
+  public List<String> writes() {
+    synchronized (received) {
+      return List.copyOf(writes);
+    }
+  }
+
+  /** Returns the messages received on all connections so far, in order of arrival. */
   public List<String> received() {
     synchronized (received) {
       return List.copyOf(received);
@@ -114,6 +140,12 @@
     }
   }
 
+  private void noteWrites(List<String> requestIds) {
+    synchronized (received) {
+      writes.addAll(requestIds);
+    }
+  }
+
   /** Makes this server the primary of {@code newTerm}. */
   public void promote(long newTerm) {
     term = newTerm;
@@ -153,18 +185,18 @@
   private void serve(Socket socket) {
     Session session = new Session();
     try (socket) {
-      BufferedReader in =
-          new BufferedReader(
-              new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-      OutputStream out = socket.getOutputStream();
-      for (String line = in.readLine(); line != null; line = in.readLine()) {
+      socket.setTcpNoDelay(true);
+      WireReader in = new WireReader(socket.getInputStream());
+      AnswerWriter out =
+          new AnswerWriter(socket.getOutputStream(), faults, copyTimer, () -> !socket.isClosed());
+      for (String line = in.read(); line != null; line = in.read()) {
         recordLine(line);
+        out.onRequest();
         String answer = session.answer(line);
         if (answer == null) {
           return;
         }
-        out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
-        out.flush();
+        out.write(line, answer);
       }
     } catch (IOException e) {
       // The client disconnected, or close() closed the socket; the session ends either way.
@@ -179,6 +211,7 @@
       socket.close();
     }
     executor.shutdownNow();
+    copyTimer.shutdownNow();
   }
 
   /** The protocol state of one connection. */
@@ -186,7 +219,10 @@
     /** Whether a prepared statement is a READ or a WRITE, by its name. */
     private final Map<String, String> prepared = new HashMap<>();
 
-    /** {@code I} outside a transaction, {@code T} inside one. */
+    /** The request ids of the writes of the open transaction. */
+    private final List<String> pending = new ArrayList<>();
+
+    /** {@code I} outside a transaction, {@code T} inside one, {@code E} in a failed one. */
     private char state = 'I';
 
     @Nullable String answer(String line) {
@@ -208,6 +244,13 @@
     }
 
     private String statement(String requestId, String[] words, int verbIndex) {
+      boolean endsTransaction = TRANSACTION_ENDS.contains(words[verbIndex]);
+      if (state == 'E' && !endsTransaction) {
+        return error("MALFORMED " + id);
+      }
+      if (REFUSABLE.contains(words[verbIndex]) && faults.drawRefusal()) {
+        return error("BUSY " + id);
+      }
       return switch (words[verbIndex]) {
         case "PAUSE" -> {
           pausedTerm = primary ? 0 : Long.parseLong(words[verbIndex + 1]);
@@ -227,44 +270,62 @@
         }
         case "WRITE" -> write(requestId);
         case "EXECUTE" -> execute(requestId, words[verbIndex + 1]);
-        case "READ" -> "DATAROW row\r\n" + done("sig." + requestId);
+        case "READ" -> read(requestId);
         default -> done("-");
       };
     }
 
     private String begin(boolean readOnly) {
       if (!primary && !readOnly) {
-        return "ERROR READONLY " + id + "\r\n" + ready();
+        return error("READONLY " + id);
       }
       state = 'T';
       return done("-");
     }
 
     private String commit(String requestId) {
+      boolean failed = state == 'E';
       state = 'I';
+      if (failed) {
+        pending.clear();
+        return error("ABORTED " + id);
+      }
       commits.incrementAndGet();
+      pending.add(requestId);
+      noteWrites(pending);
+      pending.clear();
       return done("sig." + requestId);
     }
 
     private String rollback() {
       state = 'I';
+      pending.clear();
       return done("-");
     }
 
     private String execute(String requestId, String name) {
       String mode = prepared.get(name);
       if (mode == null) {
-        return "ERROR UNPREPARED " + name + "\r\n" + ready();
+        return error("UNPREPARED " + name);
       }
-      return mode.equals("WRITE") ? write(requestId) : "DATAROW row\r\n" + done("sig." + requestId);
+      return mode.equals("WRITE") ? write(requestId) : read(requestId);
+    }
+
+    private String read(String requestId) {
+      StringBuilder answer = new StringBuilder();
+      rows.of(requestId).forEach(row -> answer.append("DATAROW ").append(row).append("\r\n"));
+      return answer + done("sig." + requestId);
     }
 
     private String write(String requestId) {
       if (!primary) {
-        return "ERROR READONLY " + id + "\r\n" + ready();
+        return error("READONLY " + id);
       }
-      if (state == 'I') {
+      if (state == 'T') {
+        pending.add(requestId);
+      } else {
         commits.incrementAndGet();
+        noteWrites(List.of(requestId));
       }
       return done("sig." + requestId);
     }
@@ -285,6 +346,11 @@
           + done("-");
     }
 
+    private String error(String text) {
+      state = state == 'I' ? 'I' : 'E';
+      return "ERROR " + text + "\r\n" + ready();
+    }
+
     private String done(String signature) {
       return "COMPLETE " + signature + "\r\n" + ready();
     }
--- a/standins/src/main/java/org/chicorylane/standin/wire/TrainingRun.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/TrainingRun.java
@@ -28,6 +28,9 @@
 
   private static final String FURTHER_GROUP = "billing";
 
+  /** Number of sessions so far, which makes the request ids unique. */
+  private static int sessions;
+
   private TrainingRun() {}
 
   /**
@@ -113,20 +116,21 @@
   }
 
   private static void exercise(String address, String database) throws IOException {
+    String query = nextQuery();
     try (StandInWireClient client = new StandInWireClient(address)) {
       client.ask("STARTUP " + database + " trainer");
-      client.ask("QUERY s1 SET zone a");
-      client.ask("QUERY s2 PREPARE p WRITE shape");
+      client.ask(query + "s1 SET zone a");
+      client.ask(query + "s2 PREPARE p WRITE shape");
       for (int i = 0; i < ROUNDS; i++) {
-        client.ask("QUERY r" + i + " READ item" + i);
-        client.ask("QUERY w" + i + " WRITE item" + i + " data");
-        client.ask("QUERY e" + i + " EXECUTE p item" + i + " data");
-        client.ask("QUERY b" + i + (i % 2 == 0 ? " BEGIN" : " BEGIN READ"));
-        client.ask("QUERY t" + i + " READ item");
-        client.ask("QUERY c" + i + (i % 3 == 0 ? " ROLLBACK" : " COMMIT"));
+        client.ask(query + "r" + i + " READ item" + i);
+        client.ask(query + "w" + i + " WRITE item" + i + " data");
+        client.ask(query + "e" + i + " EXECUTE p item" + i + " data");
+        client.ask(query + "b" + i + (i % 2 == 0 ? " BEGIN" : " BEGIN READ"));
+        client.ask(query + "t" + i + " READ item");
+        client.ask(query + "c" + i + (i % 3 == 0 ? " ROLLBACK" : " COMMIT"));
       }
-      client.ask("QUERY x EXECUTE unknown item");
-      client.ask("QUERY y NONSENSE");
+      client.ask(query + "x EXECUTE unknown item");
+      client.ask(query + "y NONSENSE");
       client.send("TERMINATE\r\n");
     }
     abandonTransaction(address, database);
@@ -134,11 +138,18 @@
 
   /** Opens a transaction and resets the connection, so that the transaction is rolled back. */
   private static void abandonTransaction(String address, String database) throws IOException {
+    String query = nextQuery();
     try (StandInWireClient client = new StandInWireClient(address)) {
       client.ask("STARTUP " + database + " trainer");
-      client.ask("QUERY b BEGIN");
-      client.ask("QUERY r READ item");
+      client.ask(query + "b BEGIN");
+      client.ask(query + "r READ item");
       client.reset();
     }
   }
+
+  /** Returns how the statements of a further session begin. */
+  private static String nextQuery() {
+    sessions++;
+    return "QUERY " + sessions + "-";
+  }
 }
