Stand-in store: a share of the responses comes twice

The HTTP server of the JDK writes exactly one response to a request, so a relay in front of the store sends whole copies, at once or late. Instances reach the store through it.

--- a/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
@@ -33,6 +33,9 @@
   /** Header of all answers with the era, which rises when the store is restored from a copy. */
   private static final String ERA_HEADER = "Store-Era";
 
+  /** Determines which responses are sent twice. */
+  private static final long RELAY_SEED = 45;
+
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int CONFLICT = 409;
@@ -50,6 +53,7 @@
 
   private final MetadataEngine engine = new MetadataEngine();
   private final HttpServer server;
+  private final ResponseRelay relay;
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final AtomicInteger answersToLose = new AtomicInteger();
   private final List<PromotionCall> promotionCalls = new ArrayList<>();
@@ -65,6 +69,7 @@
     server.setExecutor(executor);
     server.createContext("/", this::handle);
     server.start();
+    relay = new ResponseRelay(server.getAddress(), RELAY_SEED);
   }
 
   /** Returns host and port, separated by a colon. */
@@ -72,6 +77,27 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
+  /** Returns host and port under which responses can come twice, separated by a colon. */
+  public String relayedAddress() {
+    return relay.address();
+  }
+
+  /**
+   * Sends a share of the responses of {@link #relayedAddress} twice, half of the copies at once and
+   * half of them late.
+   *
+   * @param share the share, 0 to 1
+   * @param maxDelayMillis the longest delay of a late copy, in milliseconds
+   */
+  public void copyResponses(double share, int maxDelayMillis) {
+    relay.copy(share, maxDelayMillis);
+  }
+
+  /** Returns the number of responses that were drawn to be sent twice. */
+  public long copiedResponses() {
+    return relay.copies();
+  }
+
   /** Returns the content of the store. */
   public MetadataEngine engine() {
     return engine;
@@ -117,7 +143,8 @@
   }
 
   @Override
-  public void close() {
+  public void close() throws IOException {
+    relay.close();
     server.stop(0);
     executor.shutdownNow();
   }
--- a/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/StandInSystem.java
@@ -194,7 +194,8 @@
    */
   public String writeSettings(Path file, String instance) throws IOException {
     InstanceSettings settings =
-        new InstanceSettings(instance, "zone-a", ports, store.address(), store.address());
+        new InstanceSettings(
+            instance, "zone-a", ports, store.relayedAddress(), store.relayedAddress());
     Files.writeString(file, settings.toJson());
     return settings.clientAddress();
   }
--- a/standins/src/test/java/org/chicorylane/standin/metadata/StandInMetadataStoreTest.java
+++ b/standins/src/test/java/org/chicorylane/standin/metadata/StandInMetadataStoreTest.java
@@ -32,7 +32,7 @@
   }
 
   @AfterEach
-  void stop() {
+  void stop() throws IOException {
     store.close();
   }
 
