Monitored links exchange configuration versions while they are busy

Cause: instances tell each other the version of the configuration with pings, but a link sends a ping only after 2 s without a frame (0.25 s with calls). Under traffic frames never stop, so an instance whose watch waits for its timeout is not told by homes that have the change.

Seen to fail before: LostWatchAnswerFleetTest.testConfigurationIsInForceThoughAWatchAnswerWasLost, three instances with 9 clients (virtual time): 'ms until in force, answer to i0 lost: expected to be less than: 3000 but was: 11510'.

Change: a monitored link sends a ping at least each second. Each ping and its answer carry the versions, as before, and the older side is sent the newer text. Two hops stay below 3 s.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -54,6 +54,12 @@
   /** Minimum time between two attempts to connect. */
   private static final long RECONNECT_DELAY_NANOS = Duration.ofMillis(100).toNanos();
 
+  /**
+   * Time after a ping after which a monitored link sends the next one though frames arrive. Pings
+   * carry the configuration's version in both directions.
+   */
+  private static final long VERSION_EXCHANGE_NANOS = Duration.ofSeconds(1).toNanos();
+
   /** Receives the result of a statement. */
   public interface WorkResultHandler {
     /** Called with the home's answer. */
@@ -125,6 +131,9 @@
 
   private boolean pingSent;
 
+  /** Time at which the last ping was sent. */
+  private long lastPingNanos;
+
   /** Whether the peer was reported as lost because it did not answer that ping. */
   private boolean silent;
 
@@ -155,6 +164,7 @@
     this.listener = listener;
     this.lastConnectNanos = scheduler.nanoTime() - RECONNECT_DELAY_NANOS;
     this.startingEndNanos = scheduler.nanoTime();
+    this.lastPingNanos = scheduler.nanoTime();
   }
 
   /** Returns the peer's address. */
@@ -338,11 +348,15 @@
     long now = scheduler.nanoTime();
     if (pingSent) {
       checkSilence();
-    } else if (now - lastFrameNanos > pingDelayNanos()) {
+    } else if (now - lastFrameNanos > pingDelayNanos() || isVersionExchangeDue(now)) {
       sendPing(c);
     }
   }
 
+  private boolean isVersionExchangeDue(long now) {
+    return monitored && now - lastPingNanos > VERSION_EXCHANGE_NANOS;
+  }
+
   /** Reports a peer that does not answer as lost, and closes the link some time later. */
   private void checkSilence() {
     long silenceNanos = attention.nanoTime() - pingSentNanos;
@@ -367,6 +381,7 @@
   private void sendPing(MeshChannel c) {
     pingSent = true;
     pingSentNanos = attention.nanoTime();
+    lastPingNanos = scheduler.nanoTime();
     c.send(
         MeshFrame.newBuilder()
             .setPing(
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LostWatchAnswerFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LostWatchAnswerFleetTest.java
@@ -1,6 +1,7 @@
 package org.chicorylane.internal.proxy;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
 import java.util.List;
@@ -41,6 +42,20 @@
     return millis;
   }
 
+  // Guards against a configuration that waits for the timeout of a watch whose answer was lost.
+  @Test
+  void testConfigurationIsInForceThoughAWatchAnswerWasLost() {
+    ModelFleet fleet = start(3, 1);
+    for (ModelHost host : fleet.hosts()) {
+      host.losesWatchAnswers = true;
+      fleet.scheduler.schedule(Duration.ofMillis(100), () -> host.losesWatchAnswers = false);
+      assertWithMessage("ms until in force, answer to %s lost", host.name)
+          .that(millisUntilInForce(fleet))
+          .isLessThan(APPLY_MILLIS);
+      fleet.advance(LIMIT_MILLIS);
+    }
+  }
+
   // Guards against a change that a relay misses, and with it all instances that follow the relay.
   @Test
   void testConfigurationReachesFollowersOfRelaysWhoseWatchAnswersWereLost() {
