--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LostWatchAnswerFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LostWatchAnswerFleetTest.java
@@ -66,4 +66,14 @@
         Duration.ofMillis(100), () -> hosts.forEach(h -> h.losesWatchAnswers = false));
     assertThat(millisUntilInForce(fleet)).isLessThan(APPLY_MILLIS);
   }
+
+  // Guards against a configuration that no instance has, because every watch answer was lost.
+  @Test
+  void testConfigurationIsInForceThoughAllWatchAnswersWereLost() {
+    ModelFleet fleet = start(7, 3);
+    fleet.hosts().forEach(h -> h.losesWatchAnswers = true);
+    fleet.scheduler.schedule(
+        Duration.ofMillis(100), () -> fleet.hosts().forEach(h -> h.losesWatchAnswers = false));
+    assertThat(millisUntilInForce(fleet)).isLessThan(APPLY_MILLIS);
+  }
 }
