--- a/standins/src/main/java/org/chicorylane/standin/wire/AnswerFaults.java
+++ b/standins/src/main/java/org/chicorylane/standin/wire/AnswerFaults.java
@@ -58,6 +58,12 @@
         return !answer.startsWith("COMPLETE sig.") && !answer.contains("\r\nCOMPLETE sig.");
       }
     },
+    ERRORS {
+      @Override
+      boolean matches(String request, String answer) {
+        return answer.startsWith("ERROR ");
+      }
+    },
     GREETING {
       @Override
       boolean matches(String request, String answer) {
