Soak: statements and rows of any bytes, answers and store responses that come twice

Sessions send items, data, values and shapes with lone line ends and text that looks like messages, and expect exactly the rows and the signature of their own request; before, only the signature of reads and writes was compared. The checker compares every text at a server with what the client sent under that id, and values and prepared statements that instances set with those of clients. New faults: STUTTER_SERVER, REFUSE_STATEMENTS and STUTTER_STORE, drawn beside the others.

--- a/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/Fault.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Random;
+import org.chicorylane.standin.wire.AnswerFaults.CopiedAnswers;
+import org.chicorylane.standin.wire.AnswerFaults.CopyTime;
 import org.chicorylane.standin.wire.InstanceSettings;
 import org.chicorylane.standin.wire.ReplicatedGroup;
 import org.chicorylane.standin.wire.ReplicatedServer;
@@ -181,6 +183,46 @@
       fleet.after(millis, () -> fleet.system().store().setDown(false));
     }
   },
+  /** A server sends a share of its answers twice for a time, in pieces in half of the cases. */
+  STUTTER_SERVER(false, 4) {
+    @Override
+    void inject(SoakFleet fleet, ReplicatedGroup group, Random random) {
+      ReplicatedServer server = choose(group.servers(), random);
+      CopiedAnswers answers = choose(List.of(CopiedAnswers.values()), random);
+      CopyTime time = choose(List.of(CopyTime.values()), random);
+      boolean isRare = answers == CopiedAnswers.GREETING || answers == CopiedAnswers.STATUS;
+      double share = isRare ? 1 : random.nextDouble() * MAX_COPY_SHARE;
+      boolean splits = random.nextBoolean();
+      fleet.event("stutters (" + answers + ", " + time + "): " + server.describe());
+      server.faults().copy(share, answers, time);
+      server.faults().split(splits);
+      fleet.after(
+          500 + random.nextInt(6_000),
+          () -> {
+            server.faults().copy(0, answers, time);
+            server.faults().split(false);
+          });
+    }
+  },
+  /** A server refuses a share of its statements for a time. */
+  REFUSE_STATEMENTS(false, 2) {
+    @Override
+    void inject(SoakFleet fleet, ReplicatedGroup group, Random random) {
+      ReplicatedServer server = choose(group.servers(), random);
+      fleet.event("refuses statements: " + server.describe());
+      server.faults().refuse(random.nextDouble() * MAX_REFUSAL_SHARE);
+      fleet.after(500 + random.nextInt(5_000), () -> server.faults().refuse(0));
+    }
+  },
+  /** The store sends a share of its responses twice for a time. */
+  STUTTER_STORE(false, 2) {
+    @Override
+    void inject(SoakFleet fleet, ReplicatedGroup group, Random random) {
+      fleet.event("store stutters");
+      fleet.system().store().copyResponses(random.nextDouble(), random.nextInt(2_000));
+      fleet.after(500 + random.nextInt(5_000), () -> fleet.system().store().copyResponses(0, 0));
+    }
+  },
   /** Calls for promotions or their answers arrive late. */
   CUT_PROMOTIONS(false, 3) {
     @Override
@@ -202,6 +244,9 @@
 
   private static final int SHORT_PAUSE_MILLIS = 2_500;
 
+  private static final double MAX_COPY_SHARE = 0.2;
+  private static final double MAX_REFUSAL_SHARE = 0.5;
+
   private final boolean planned;
   private final int weight;
 
--- a/bench/src/main/java/org/chicorylane/bench/soak/PromiseChecker.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/PromiseChecker.java
@@ -12,6 +12,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongBiFunction;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.chicorylane.standin.wire.InstanceSettings;
 import org.chicorylane.standin.wire.LogEntry;
 import org.chicorylane.standin.wire.ReplicatedGroup;
@@ -29,6 +31,14 @@
 
   private static final int MAX_LISTED = 3;
 
+  /** A statement with the name of a prepared one. */
+  private static final Pattern NAMED =
+      Pattern.compile("(EXECUTE|PREPARE) [^ ]*(.*)", Pattern.DOTALL);
+
+  /** What instances send on their own. */
+  private static final Pattern OWN_TEXT =
+      Pattern.compile("BEGIN( READ)?|ROLLBACK|DISCARD|STATUS|RESUME|(PAUSE|STEPDOWN) [0-9]+");
+
   private static final String PRIMARY = "primary";
   private static final String OWN_WRITES = "read_your_writes";
 
@@ -63,6 +73,12 @@
   private final Map<String, History> histories = new ConcurrentHashMap<>();
   private final Set<String> run = ConcurrentHashMap.newKeySet();
 
+  /** The texts of the clients' statements by request id, without the names of prepared ones. */
+  private final Map<String, String> sent = new ConcurrentHashMap<>();
+
+  /** The values and prepared statements of clients, which instances set and prepare themselves. */
+  private final Set<String> sessionTexts = ConcurrentHashMap.newKeySet();
+
   /**
    * Creates a checker.
    *
@@ -91,6 +107,46 @@
     }
   }
 
+  /** Notes that a client is about to send a statement. */
+  void onStatementSent(String requestId, String text) {
+    sent.put(requestId, withoutName(text));
+    if (text.startsWith("SET ") || text.startsWith("PREPARE ")) {
+      sessionTexts.add(withoutName(text));
+    }
+  }
+
+  /** Returns a text without the name of a prepared statement, which instances may replace. */
+  private static String withoutName(String text) {
+    Matcher named = NAMED.matcher(text);
+    return named.matches() ? named.group(1) + named.group(2) : text;
+  }
+
+  @Override
+  public void onStatement(ReplicatedServer server, String requestId, String text) {
+    boolean isOwn = requestId.equals("-");
+    String bare = withoutName(text);
+    boolean isAsked =
+        isOwn
+            ? OWN_TEXT.matcher(text).matches() || sessionTexts.contains(bare)
+            : bare.equals(sent.get(requestId));
+    if (!isAsked) {
+      timeline.violation(
+          "UNASKED",
+          String.format(
+              Locale.ROOT,
+              "%s received \"%s\" as %s, for which \"%s\" was sent",
+              server.describe(),
+              printable(text),
+              printable(requestId),
+              printable(sent.getOrDefault(requestId, ""))));
+    }
+  }
+
+  /** Returns a text in one line, with a question mark for each byte that is not printable. */
+  static String printable(String text) {
+    return text.replace("\n", "\\n").replace("\r", "\\r").replaceAll("[^ -~]", "?");
+  }
+
   /** Notes that a client was told that its write or commit succeeded. */
   void onAcknowledged(ReplicatedGroup group, String requestId, String session) {
     synchronized (group) {
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakFleet.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakFleet.java
@@ -19,6 +19,7 @@
 import org.chicorylane.standin.wire.ReplicatedGroupListener;
 import org.chicorylane.standin.wire.ReplicatedServer;
 import org.chicorylane.standin.wire.ReplicatedSystem;
+import org.chicorylane.standin.wire.WireRows;
 
 /** The processes of a soak, the stand-ins that they use, and the links between them. */
 final class SoakFleet implements AutoCloseable {
@@ -55,6 +56,7 @@
     this.timeline = timeline;
     List<String> groups = IntStream.range(0, options.groups()).mapToObj(i -> "group-" + i).toList();
     system = new ReplicatedSystem(groups, listener, options.seed(), this::linkAddress);
+    system.groups().forEach(g -> g.setRows(WireRows.EVERY_BYTE));
   }
 
   /** Returns the address of the link to a server, which is opened if there is none yet. */
@@ -80,7 +82,7 @@
   void startInstances() throws IOException {
     Runtime.getRuntime().addShutdownHook(shutdownHook);
     for (int i = 0; i < options.instances(); i++) {
-      LinkProxy store = openLink(system.store().address());
+      LinkProxy store = openLink(system.store().relayedAddress());
       LinkProxy promotions = openLink(system.promotionAddress());
       storeLinks.add(store);
       promotionLinks.add(promotions);
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakSession.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakSession.java
@@ -1,6 +1,7 @@
 package org.chicorylane.bench.soak;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
@@ -9,6 +10,8 @@
 import org.chicorylane.standin.wire.ReplicatedGroup;
 import org.chicorylane.standin.wire.ReplicatedSystem;
 import org.chicorylane.standin.wire.StandInWireClient;
+import org.chicorylane.standin.wire.WireRows;
+import org.chicorylane.standin.wire.WireTexts;
 
 /**
  * A client that reads, writes and runs transactions on one route. It keeps a connection until it
@@ -86,7 +89,9 @@
       pause(MAX_PAUSE_MILLIS);
       return;
     }
-    boolean isPrepared = ask(client, instance, nextId(), "PREPARE p WRITE shape") == Result.SUCCESS;
+    String shape = WireTexts.last(random, connectionName());
+    boolean isPrepared =
+        ask(client, instance, nextId(), "PREPARE p WRITE " + shape) == Result.SUCCESS;
     int left = isPrepared ? 1 + random.nextInt(MAX_STATEMENTS_PER_CONNECTION) : 0;
     while (left > 0 && !fleet.isEnding()) {
       left = operate(client, instance) ? left - 1 : 0;
@@ -97,20 +102,33 @@
 
   /** Runs one operation; returns whether the connection can be used for another one. */
   private boolean operate(StandInWireClient client, InstanceProcess instance) throws IOException {
-    return switch (random.nextInt(10)) {
+    return switch (random.nextInt(11)) {
       case 0, 1, 2, 3 -> read(client, instance, System.nanoTime()) != Result.BROKEN;
-      case 4, 5, 6 -> write(client, instance, "WRITE item data");
-      case 7 -> write(client, instance, "EXECUTE p item data");
+      case 4, 5, 6 -> write(client, instance, "WRITE " + drawItemAndData());
+      case 7 -> write(client, instance, "EXECUTE p " + drawItemAndData());
       case 8 -> readTransaction(client, instance);
+      case 9 -> set(client, instance);
       default -> transaction(client, instance);
     };
   }
 
+  /** Draws the item and the data of a write, which hold any bytes. */
+  private String drawItemAndData() {
+    String unique = connectionName() + "-" + requests;
+    return WireTexts.inner(random, unique + "i") + " " + WireTexts.last(random, unique + "d");
+  }
+
+  /** Sets a value of the session; an error ends the session. */
+  private boolean set(StandInWireClient client, InstanceProcess instance) throws IOException {
+    String value = WireTexts.last(random, connectionName() + "-" + requests);
+    return ask(client, instance, nextId(), "SET zone " + value) == Result.SUCCESS;
+  }
+
   private Result read(StandInWireClient client, InstanceProcess instance, long sinceNanos)
       throws IOException {
     String id = nextId();
     checker.onReadSent(group, id, kind, connectionName(), sinceNanos);
-    return ask(client, instance, id, "READ item");
+    return ask(client, instance, id, "READ " + WireTexts.last(random, id));
   }
 
   private boolean write(StandInWireClient client, InstanceProcess instance, String text)
@@ -143,7 +161,7 @@
     }
     for (int i = 0; i < 2 && result == Result.SUCCESS; i++) {
       pause(MAX_TRANSACTION_PAUSE_MILLIS);
-      result = ask(client, instance, nextId(), "WRITE item data");
+      result = ask(client, instance, nextId(), "WRITE " + drawItemAndData());
     }
     if (result != Result.SUCCESS) {
       return false;
@@ -157,6 +175,7 @@
   private Result ask(
       StandInWireClient client, InstanceProcess instance, String id, String statement)
       throws IOException {
+    checker.onStatementSent(id, statement);
     long sentNanos = System.nanoTime();
     List<String> answer;
     try {
@@ -170,23 +189,44 @@
       onNoAnswer(instance, id, statement, sentNanos, "the connection ended");
       return Result.BROKEN;
     }
-    String result = answer.get(answer.size() - 2);
-    if (result.startsWith("ERROR ")) {
-      if (PROMISES.contains(result.split(" ", -1)[1])) {
+    List<String> before = answer.subList(0, answer.size() - 1);
+    if (before.size() == 1 && before.get(0).startsWith("ERROR ")) {
+      if (PROMISES.contains(before.get(0).split(" ", -1)[1])) {
         checker.onRefused(group, id);
       }
       return last.startsWith("READY I") ? Result.ERROR : Result.BROKEN;
     }
-    boolean needsSignature =
-        statement.startsWith("READ ")
-            || statement.startsWith("WRITE ")
-            || statement.startsWith("EXECUTE ");
-    if (needsSignature && !result.equals("COMPLETE sig." + id)) {
-      timeline.violation("MIXED", name + " got \"" + result + "\" for " + id + " " + statement);
+    List<String> expected = expectedAnswer(id, statement);
+    if (!before.equals(expected)) {
+      timeline.violation(
+          "MIXED",
+          String.format(
+              Locale.ROOT,
+              "%s got \"%s\" for %s %s, expected \"%s\"",
+              name,
+              PromiseChecker.printable(String.join("|", before)),
+              id,
+              PromiseChecker.printable(statement),
+              PromiseChecker.printable(String.join("|", expected))));
     }
     return Result.SUCCESS;
   }
 
+  /** Returns the messages that answer a statement with success, without READY. */
+  private static List<String> expectedAnswer(String id, String statement) {
+    List<String> messages = new ArrayList<>();
+    if (statement.startsWith("READ ")) {
+      WireRows.EVERY_BYTE.of(id).forEach(row -> messages.add("DATAROW " + row));
+    }
+    boolean hasSignature =
+        statement.startsWith("READ ")
+            || statement.startsWith("WRITE ")
+            || statement.startsWith("EXECUTE ")
+            || statement.equals("COMMIT");
+    messages.add("COMPLETE " + (hasSignature ? "sig." + id : "-"));
+    return messages;
+  }
+
   private void onNoAnswer(
       InstanceProcess instance, String id, String statement, long sentNanos, String reason) {
     long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
