A follower ignores a read from before what its watch has reported

Cause: while the store does not answer an instance, its followers read through another instance and keep the open watch. A change that the watch reports while such a read is under way was taken back by the read, and as the watch goes on behind the change, until the next change of that entry. For a relay the change was also lost to its followers: the configuration's version in the relay itself does not fall, but a follower that lacks the version never got it from this relay.

Seen to fail before, PrefixFollowerTest: - testReadFromBeforeAChangeDoesNotTakeItBack: 'unexpected (1): KeyValueEntry[key=servers/a, value=ready, modRevision=5]' - testFollowerGetsChangeThatARelaysLateReadLacked: 'value of: iterable.size() expected: 1 but was: 0'

Change: a read as of a lower revision than the known one is not applied and sent again.

--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/PrefixFollower.java
@@ -193,7 +193,8 @@
         .range(prefix)
         .thenAccept(
             result -> {
-              if (result instanceof ReadResult.Read read) {
+              // An open watch may have reported changes since a read through another instance.
+              if (result instanceof ReadResult.Read read && read.revision() >= revision) {
                 // Lets answers that have already arrived be handled before the watch is requested.
                 scheduler.schedule(loaded ? Duration.ZERO : firstFollowDelay, this::onRead);
                 loaded = true;
