--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/LostWatchAnswerFleetTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/LostWatchAnswerFleetTest.java
@@ -44,7 +44,7 @@
 
   // Guards against a configuration that waits for the timeout of a watch whose answer was lost.
   @Test
-  void testConfigurationIsInForceThoughAWatchAnswerWasLost() {
+  void testConfigurationIsInForceThoughWatchAnswerWasLost() {
     ModelFleet fleet = start(3, 1);
     for (ModelHost host : fleet.hosts()) {
       host.losesWatchAnswers = true;
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/PrefixFollowerTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/PrefixFollowerTest.java
@@ -72,7 +72,7 @@
 
   // Guards against a read through another instance that takes back a change of the open watch.
   @Test
-  void testReadFromBeforeAChangeDoesNotTakeItBack() {
+  void testReadFromBeforeChangeDoesNotTakeItBack() {
     readBeforeChangeOfWatch();
     assertThat(reported).containsExactly(OLD, NEW).inOrder();
     scheduler.advance(Duration.ofSeconds(1));
@@ -82,7 +82,7 @@
 
   // Guards against followers that never get a change which their relay's late read took back.
   @Test
-  void testFollowerGetsChangeThatARelaysLateReadLacked() {
+  void testFollowerGetsChangeThatLateReadOfRelayLacked() {
     readBeforeChangeOfWatch();
     scheduler.advance(Duration.ofSeconds(1));
     if (!reads.isEmpty()) {
