Transactions begin on connections where their beginning can be told

With four such connections idle it would have been answered BUSY.

The pool now prefers connections on which the beginning will look different, and closes one of the others if there is none, so that a new one can be opened. Connections that are being closed are not taken any more: a write that was sent there was reported as in doubt though it never left. connections.not_reusable counts the closes.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ConnectionClose.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ConnectionClose.java
@@ -2,12 +2,14 @@
 
 import java.util.Locale;
 
-/** Why the pool closed an idle connection to a server. */
+/** Why the pool closed a connection to a server that was not broken. */
 enum ConnectionClose {
   /** Another account needs the connection more. */
   EVICTED,
   /** The connection's account was withdrawn. */
-  WITHDRAWN;
+  WITHDRAWN,
+  /** A later answer on the connection could not be told from a copy of an earlier one. */
+  NOT_REUSABLE;
 
   /** Returns the name of the reason in metrics and in the log. */
   String label() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -726,6 +726,9 @@
       }
       Answer failure = failed;
       boolean isTooLate = isNewWork(item) && !connection.server.acceptsNewWork();
+      if (failure == null && item.transaction != null && item.work.begins()) {
+        connection.onBegun(answer.position());
+      }
       if (failure == null && !isTooLate) {
         sendStatement(item, connection, floor, scheduler.nanoTime());
         return;
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolMetrics.java
@@ -104,7 +104,7 @@
     count("connections.failed");
   }
 
-  /** Records that the pool closed an idle connection. */
+  /** Records that the pool closed a connection that was not broken. */
   void recordConnectionClosed(ConnectionClose reason) {
     count("connections." + reason.label());
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PoolServer.java
@@ -193,13 +193,16 @@
   /**
    * Removes and returns the idle connection of {@code account} that needs the fewest commands to
    * set {@code values}; of several, the one used last. Returns null if no connection is idle.
+   *
+   * @param begins whether a transaction is to begin on the connection
    */
-  @Nullable PooledConnection takeIdle(String account, Map<String, String> values) {
+  @Nullable PooledConnection takeIdle(String account, Map<String, String> values, boolean begins) {
     PooledConnection best = null;
     int bestCost = Integer.MAX_VALUE;
     for (Iterator<PooledConnection> i = idle.descendingIterator(); i.hasNext(); ) {
       PooledConnection c = i.next();
-      if (!c.account.equals(account)) {
+      boolean isUsable = c.link.isReusable() && (!begins || c.canTellBeginning());
+      if (!c.account.equals(account) || !isUsable) {
         continue;
       }
       int cost = c.setupCost(values);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/PooledConnection.java
@@ -7,6 +7,7 @@
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.passthrough.ServerLink;
 import org.chicorylane.internal.passthrough.StatementTemplate;
+import org.chicorylane.internal.position.LogPosition;
 import org.jspecify.annotations.Nullable;
 
 /** A connection to a server, with a record of the session state that the server keeps for it. */
@@ -34,12 +35,31 @@
 
   @Nullable PoolTransaction transaction;
 
+  private boolean hasBegun;
+
+  /** The server's position when a transaction last began here; null if unknown. */
+  private @Nullable LogPosition begunAt;
+
   PooledConnection(PoolServer server, ServerLink link, String account) {
     this.server = server;
     this.link = link;
     this.account = account;
   }
 
+  /** Records that a transaction has begun while the server reported {@code position}. */
+  void onBegun(@Nullable LogPosition position) {
+    hasBegun = true;
+    begunAt = position;
+  }
+
+  /**
+   * Returns whether the answer to the beginning of a transaction would differ from an earlier one
+   * on the connection, so that it cannot be a copy.
+   */
+  boolean canTellBeginning() {
+    return !hasBegun || (begunAt != null && begunAt.compareTo(server.position) < 0);
+  }
+
   /** Returns an upper bound on the commands needed to set the session's values; 0 if none are. */
   int setupCost(Map<String, String> wanted) {
     if (values.equals(wanted)) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -167,8 +167,9 @@
    */
   @Nullable PooledConnection takeIdle(PoolServer s, Work work) {
     String account = work.account();
-    PooledConnection idle = s.takeIdle(account, work.values());
+    PooledConnection idle = s.takeIdle(account, work.values(), work.begins());
     if (idle == null) {
+      makeRoomForBeginning(s, work);
       if (account.isEmpty()) {
         openShared(s);
       }
@@ -182,6 +183,17 @@
     return idle;
   }
 
+  /** Closes an idle connection if a transaction can begin on none of them. */
+  private void makeRoomForBeginning(PoolServer s, Work work) {
+    if (work.begins() && s.opening == 0) {
+      PooledConnection used = s.takeIdle(work.account(), work.values(), false);
+      if (used != null) {
+        metrics.recordConnectionClosed(ConnectionClose.NOT_REUSABLE);
+        close(used);
+      }
+    }
+  }
+
   /**
    * Opens a connection for a statement that has none and must wait, unless one is being opened for
    * it, one of its account's will be free sooner, or it would come too late. Statements must be
@@ -425,6 +437,9 @@
     }
     boolean isReusable = last.state() == TransactionState.IDLE && c.link.isReusable();
     if (closing || !isReusable || !c.server.acceptsNewWork()) {
+      if (!c.link.isReusable()) {
+        metrics.recordConnectionClosed(ConnectionClose.NOT_REUSABLE);
+      }
       close(c);
       return;
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
@@ -426,7 +426,7 @@
       if (best == null) {
         return null;
       }
-      PooledConnection c = best.takeIdle(account, Map.of());
+      PooledConnection c = best.takeIdle(account, Map.of(), false);
       if (c == null) {
         open(best, account);
       }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -94,7 +94,7 @@
     assertThat(fixture.group.server("server-a").log()).hasSize(1);
   }
 
-  // Guards against answers to one client that come on a connection whose server has stuttered.
+  // Guards against answers to one client on a connection that has received a copy of an answer.
   @Test
   void testConnectionThatIsNotReusableIsClosed() {
     Set<Object> connections = new HashSet<>();
@@ -108,6 +108,49 @@
     assertThat(connections).hasSize(5);
   }
 
+  // Guards against a connection that is closed, and a retry, for each transaction on a quiet log.
+  @Test
+  void testTransactionsBeginWhereTheirBeginningCanBeTold() {
+    Set<Object> connections = new HashSet<>();
+    fixture.group.listener = (server, connection, id, values, state) -> connections.add(connection);
+    for (int i = 1; i <= 4; i++) {
+      fixture.submit(
+          PoolFixture.work("r" + i, WorkKind.READ, Freshness.LATEST)
+              .inTransaction(i, true, false)
+              .build());
+      fixture.advance(60);
+      fixture.submit(
+          PoolFixture.work("c" + i, WorkKind.COMMIT, Freshness.LATEST)
+              .inTransaction(i, false, false)
+              .build());
+      fixture.advance(60);
+      assertThat(fixture.failureOf("r" + i)).isNull();
+      assertThat(fixture.failureOf("c" + i)).isNull();
+    }
+    assertThat(connections).hasSize(4);
+  }
+
+  // Guards against needless connections: after a commit each beginning differs from earlier ones.
+  @Test
+  void testTransactionsShareConnectionWhileLogGrows() {
+    Set<Object> connections = new HashSet<>();
+    fixture.group.listener = (server, connection, id, values, state) -> connections.add(connection);
+    for (int i = 1; i <= 4; i++) {
+      fixture.submit(
+          PoolFixture.work("w" + i, WorkKind.WRITE, Freshness.OWN_WRITES)
+              .inTransaction(i, true, false)
+              .build());
+      fixture.advance(60);
+      fixture.submit(
+          PoolFixture.work("c" + i, WorkKind.COMMIT, Freshness.OWN_WRITES)
+              .inTransaction(i, false, false)
+              .build());
+      fixture.advance(60);
+      assertThat(fixture.failureOf("c" + i)).isNull();
+    }
+    assertThat(connections).hasSize(1);
+  }
+
   @Test
   void testTransactionKeepsItsConnection() {
     Map<String, Set<Object>> connections = new HashMap<>();
