A control connection that ends early is reopened after the usual interval

It was reopened at once, without a bound, and each connection takes one of the server's slots. Found by reading; not measured.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerMonitor.java
@@ -171,7 +171,6 @@
       if (server.control == link) {
         server.control = null;
         server.statusPending = false;
-        server.retryAtNanos = 0;
         openControl(server);
       }
     }
