The model's connections are not reusable only after a statement

GroupPoolTest#testConnectionThatIsNotReusableIsClosed expects a connection for each of five writes; since connections are not taken while they are not reusable, the model must let the first statement pass.

--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -49,7 +49,7 @@
   /** Fault: the next signed answer is lost, and all later ones on its connection. */
   public boolean loseNextAnswer;
 
-  /** Whether the connections to the server may serve another client after each answer. */
+  /** Whether a connection to the server may serve another client after a statement. */
   public boolean reusable = true;
 
   /** Fault: the next statement is refused as overloaded. */
@@ -213,6 +213,9 @@
     /** Whether a transaction has begun and none of its statements has arrived yet. */
     private boolean awaitsFirstStatement;
 
+    /** Whether a statement has arrived. */
+    private boolean hasRun;
+
     Connection(ServerConnector.Listener listener) {
       this.listener = listener;
       connections.add(this);
@@ -220,7 +223,7 @@
 
     @Override
     public boolean isReusable() {
-      return reusable;
+      return reusable || !hasRun;
     }
 
     @Override
@@ -297,6 +300,7 @@
 
     private void statement(
         String requestId, boolean writes, @Nullable LogPosition floor, AnswerHandler handler) {
+      hasRun = true;
       if (state == TransactionState.IDLE || awaitsFirstStatement) {
         awaitsFirstStatement = false;
         group.arrivalListener.onArrival(ModelServer.this, requestId, listener);
