--- a/review/src-2/Backend.java
+++ b/review/src-2/Backend.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,6 +25,7 @@
   static final int SLOTS = 3;
   static final int MAX_CONNECTIONS = 23;
   private static final long WORK_MILLIS = 6;
+  private static final long RESET_MILLIS = 3_000;
 
   /** What a server does with a message beside carrying it out. */
   enum Fate {
@@ -31,7 +33,14 @@
     /** Refuses it with BUSY; it is not run. */
     BUSY,
     /** Runs it and sends no answer; the connection stays open. */
-    LOSE_ANSWER
+    LOSE_ANSWER,
+    /** Runs it and sends no answer; the connection is reset some seconds later. */
+    LOSE_ANSWER_AND_RESET
+  }
+
+  /** Receives each statement of a client that is run, with the values of its connection. */
+  interface RunListener {
+    void onRun(String requestId, Map<String, String> values);
   }
 
   /** Decides the fate of a message. */
@@ -50,6 +59,7 @@
   final String id;
   final boolean primary;
   volatile Behaviour behaviour = SOUND;
+  volatile RunListener runListener = (requestId, values) -> {};
   final AtomicInteger connections = new AtomicInteger();
   final AtomicInteger openTransactions = new AtomicInteger();
   private final Log log;
@@ -99,7 +109,7 @@
   }
 
   private void serve(Socket socket) {
-    Connection connection = new Connection(nextConnection.incrementAndGet());
+    Connection connection = new Connection(nextConnection.incrementAndGet(), socket);
     int open = connections.incrementAndGet();
     try (socket) {
       socket.setTcpNoDelay(true);
@@ -144,12 +154,15 @@
 
   private final class Connection {
     private final int number;
+    private final Socket socket;
+    private final Map<String, String> values = new TreeMap<>();
     private final Map<String, String> prepared = new HashMap<>();
     private final List<String> written = new ArrayList<>();
     private char state = 'I';
 
-    Connection(int number) {
+    Connection(int number, Socket socket) {
       this.number = number;
+      this.socket = socket;
     }
 
     void end() {
@@ -187,12 +200,26 @@
       }
       Fate fate = behaviour.fateOf(word);
       String answer = fate == Fate.BUSY ? error("BUSY") : run(words[1], words, verb);
-      if (fate == Fate.BUSY || fate == Fate.LOSE_ANSWER) {
+      if (fate != Fate.ANSWER) {
         record.line(
             "server " + id + " connection " + number + " > "
                 + (fate == Fate.BUSY ? "BUSY" : "(answer lost) " + answer.replace("\r\n", " / ")));
       }
-      return fate == Fate.LOSE_ANSWER ? null : answer;
+      if (fate == Fate.LOSE_ANSWER_AND_RESET) {
+        start(this::resetLater);
+      }
+      return fate == Fate.ANSWER || fate == Fate.BUSY ? answer : null;
+    }
+
+    private void resetLater() {
+      try {
+        Thread.sleep(RESET_MILLIS);
+        record.line("server " + id + " connection " + number + " is reset");
+        socket.setSoLinger(true, 0);
+        socket.close();
+      } catch (IOException | InterruptedException e) {
+        // The connection has ended before.
+      }
     }
 
     private String run(String requestId, String[] words, int verb) throws InterruptedException {
@@ -220,6 +247,10 @@
           return complete("-");
         case "DISCARD":
           prepared.clear();
+          values.clear();
+          return complete("-");
+        case "SET":
+          values.put(words[verb + 1], words[verb + 2]);
           return complete("-");
         case "READ":
           return read(requestId);
@@ -237,7 +268,8 @@
       }
     }
 
-    private void work() throws InterruptedException {
+    private void work(String requestId) throws InterruptedException {
+      runListener.onRun(requestId, Map.copyOf(values));
       slots.acquire();
       try {
         Thread.sleep(WORK_MILLIS);
@@ -247,7 +279,7 @@
     }
 
     private String read(String requestId) throws InterruptedException {
-      work();
+      work(requestId);
       return "DATAROW row-" + requestId + "\r\n" + complete("sig." + requestId);
     }
 
@@ -255,7 +287,7 @@
       if (!primary) {
         return error("READONLY");
       }
-      work();
+      work(requestId);
       if (state == 'T') {
         written.add(requestId);
       } else {
@@ -271,7 +303,7 @@
         enter('I');
         return error("ABORTED");
       }
-      work();
+      work(requestId);
       if (!written.isEmpty()) {
         log.commits.incrementAndGet();
         record.line("server " + id + " connection " + number + " commits " + written);
