--- a/review/src-2/Fleet.java
+++ b/review/src-2/Fleet.java
@@ -18,6 +18,7 @@
 /** The instances of a case: the project's program in processes of its own, on loopback ports. */
 final class Fleet implements AutoCloseable {
 
+  private static final long STOP_INTERVAL_MILLIS = 300;
   private static final Pattern HOME = Pattern.compile("homes [1-9].*");
   private static final Pattern RUN = Pattern.compile("run = \"([^\"]*)\"");
 
@@ -47,6 +48,7 @@
   private final String storeAddress;
   private final String promotionAddress;
   private final Map<String, Instance> instances = new LinkedHashMap<>();
+  private Thread keeper;
 
   /**
    * Creates a fleet without instances.
@@ -148,9 +150,31 @@
   }
 
   /** Removes a machine: its process is stopped for good, as a machine without power answers nobody. */
-  static void remove(Instance instance) throws IOException, InterruptedException {
+  void remove(Instance instance) throws IOException, InterruptedException {
     instance.removed = true;
     signal(instance, "STOP");
+    if (keeper == null) {
+      keeper = new Thread(this::keepStopped);
+      keeper.setDaemon(true);
+      keeper.start();
+    }
+  }
+
+  /** Stops removed instances again: the kernel continues them if the script's shell ends. */
+  private void keepStopped() {
+    try {
+      while (true) {
+        Thread.sleep(STOP_INTERVAL_MILLIS);
+        for (Instance instance : all()) {
+          if (instance.removed && instance.process.isAlive()) {
+            signal(instance, "STOP");
+          }
+        }
+      }
+    } catch (IOException | InterruptedException e) {
+      // The program is about to end.
+      return;
+    }
   }
 
   /** Returns whether an instance reports on its metrics page that it is the home of a group. */
--- a/review/src-2/ReplacedMachines.java
+++ b/review/src-2/ReplacedMachines.java
@@ -48,7 +48,7 @@
       throws IOException, InterruptedException {
     record.say(
         "machine " + instance.name + " is gone" + (Fleet.isHome(instance) ? ", the home" : ""));
-    Fleet.remove(instance);
+    fleet.remove(instance);
     Thread.sleep(GAP_MILLIS);
     started++;
     Fleet.Instance next = fleet.start(nameOf(started), "zone-" + (started % MACHINES));
