A statement keeps the session values of its submission

Cause: ClientSession put its own map of values into the Work. A later SET changed that map under a statement that still waited at the home, and the set-up of a connection read it as it was then. Over the mesh the Work is encoded, which is a copy, so only one of the two routes was wrong and tests of the other said nothing of it.

Change: SessionValues is immutable; a session replaces its values instead of changing them, and a Work takes nothing else. No map is copied for a statement, only for a SET.

Evidence: EndedStatementTest#testWriteRunsWithValuesOfItsSubmission failed on at the home ("but was {tone=second}") and passed over the mesh; both pass now.

The model server can lose or delay the answer to a command, refuse a command, and reset the connections that wait for an answer.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -1,7 +1,6 @@
 package org.chicorylane.internal.entry;
 
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.chicorylane.internal.account.AccountAccess;
@@ -9,6 +8,7 @@
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ClientStatement;
 import org.chicorylane.internal.passthrough.FailureCode;
+import org.chicorylane.internal.passthrough.SessionValues;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.passthrough.TransactionState;
 import org.chicorylane.internal.pool.Work;
@@ -39,8 +39,8 @@
   private final SessionHost host;
   private final String database;
   private final @Nullable AccountAccess access;
-  private final Map<String, String> values = new LinkedHashMap<>();
   private final Map<String, StatementTemplate> prepared = new HashMap<>();
+  private SessionValues values = SessionValues.EMPTY;
   private TransactionState state = TransactionState.IDLE;
   private boolean readOnly;
   private boolean hasWritten;
@@ -285,10 +285,10 @@
   }
 
   private Answer set(ClientStatement.SetValue set) {
-    if (!values.containsKey(set.name()) && values.size() >= MAXIMUM_ENTRIES) {
+    if (!values.contains(set.name()) && values.size() >= MAXIMUM_ENTRIES) {
       return fail(FailureCode.TOO_LARGE, "a session holds at most " + MAXIMUM_ENTRIES + " values");
     }
-    values.put(set.name(), set.value());
+    values = values.with(set.name(), set.value());
     return Answer.success(state);
   }
 
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
@@ -1,7 +1,5 @@
 package org.chicorylane.internal.mesh;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.account.KeyFingerprint;
 import org.chicorylane.internal.mesh.generated.MeshAnswer;
@@ -10,6 +8,7 @@
 import org.chicorylane.internal.passthrough.AccessMode;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
+import org.chicorylane.internal.passthrough.SessionValues;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.passthrough.TransactionState;
 import org.chicorylane.internal.pool.Work;
@@ -58,6 +57,7 @@
       builder.setAccount(work.access().account()).setAccountKey(work.access().key().hex());
     }
     work.values()
+        .asMap()
         .forEach(
             (name, value) -> {
               builder.addValueNames(name);
@@ -67,10 +67,6 @@
   }
 
   static Work decodeWork(MeshWork message) {
-    Map<String, String> values = new LinkedHashMap<>();
-    for (int i = 0; i < Math.min(message.getValueNamesCount(), message.getValuesCount()); i++) {
-      values.put(message.getValueNames(i), message.getValues(i));
-    }
     StatementTemplate template =
         message.getShapeMode() == 0
             ? null
@@ -84,7 +80,7 @@
         FRESHNESS_NUMBERS.constant(message.getFreshness()),
         message.getMaximumAgeMillis(),
         message.hasSessionFloor() ? decodePosition(message.getSessionFloor()) : null,
-        values,
+        SessionValues.ofPairs(message.getValueNamesList(), message.getValuesList()),
         message.getTransaction(),
         message.getBegins(),
         message.getReadOnly(),
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -659,7 +659,7 @@
     queue.onDispatched(item, now);
     PoolTransaction t = item.transaction;
     List<ServerCommand> setup =
-        new ArrayList<>(c.prepareSetup(item.work.values(), item.work.template()));
+        new ArrayList<>(c.prepareSetup(item.work.values().asMap(), item.work.template()));
     if (t != null && !t.begun) {
       t.begun = true;
       setup.add(new ServerCommand.Begin(t.readOnly, t.readOnly ? floor : null));
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ServerConnections.java
@@ -167,7 +167,7 @@
    */
   @Nullable PooledConnection takeIdle(PoolServer s, Work work) {
     String account = work.account();
-    PooledConnection idle = s.takeIdle(account, work.values(), work.begins());
+    PooledConnection idle = s.takeIdle(account, work.values().asMap(), work.begins());
     if (idle == null) {
       makeRoomForBeginning(s, work);
       if (account.isEmpty()) {
@@ -186,7 +186,7 @@
   /** Closes an idle connection if a transaction can begin on none of them. */
   private void makeRoomForBeginning(PoolServer s, Work work) {
     if (work.begins() && s.opening == 0) {
-      PooledConnection used = s.takeIdle(work.account(), work.values(), false);
+      PooledConnection used = s.takeIdle(work.account(), work.values().asMap(), false);
       if (used != null) {
         metrics.recordConnectionClosed(ConnectionClose.NOT_REUSABLE);
         close(used);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
@@ -1,8 +1,8 @@
 package org.chicorylane.internal.pool;
 
-import java.util.Map;
 import org.chicorylane.internal.account.AccountAccess;
 import org.chicorylane.internal.passthrough.AccessMode;
+import org.chicorylane.internal.passthrough.SessionValues;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.topology.Freshness;
@@ -20,7 +20,7 @@
  * @param freshness the consistency that a read requires
  * @param maximumAgeMillis the maximum age of the data that a read accepts, in milliseconds
  * @param sessionFloor the position of the session's last write; null if it has written nothing
- * @param values the session's values, by name
+ * @param values the session's values when the statement was submitted
  * @param transaction the number of the transaction at its entry; 0 outside a transaction
  * @param begins whether this is the first statement of its transaction
  * @param readOnly whether the transaction is read-only
@@ -37,7 +37,7 @@
     Freshness freshness,
     int maximumAgeMillis,
     @Nullable LogPosition sessionFloor,
-    Map<String, String> values,
+    SessionValues values,
     long transaction,
     boolean begins,
     boolean readOnly,
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.chicorylane.internal.position.LogPosition;
@@ -61,6 +62,15 @@
   /** Fault: statements with these request ids are never answered, while the status is good. */
   public Predicate<String> hangsStatement = id -> false;
 
+  /** Fault: commands that are refused as overloaded. */
+  public Predicate<ServerCommand> refuses = command -> false;
+
+  /** Fault: commands that are carried out without an answer, while their connection stays open. */
+  public Predicate<ServerCommand> losesAnswer = command -> false;
+
+  /** Fault: time by which the answer to a command is late. */
+  public Function<ServerCommand, Duration> answerDelay = command -> Duration.ZERO;
+
   public long term = 1;
   public long sealedTerm;
   public Duration work = Duration.ofMillis(10);
@@ -120,6 +130,11 @@
     return ids;
   }
 
+  /** Breaks the connections on which a command has no answer yet. */
+  public void resetUnanswered() {
+    connections.stream().filter(c -> !c.open.isEmpty()).toList().forEach(Connection::breakDown);
+  }
+
   /** Ends the process and breaks its connections. */
   public void crash() {
     running = false;
@@ -240,35 +255,38 @@
       if (ended || !running || unresponsive) {
         return;
       }
-      if (command instanceof ServerCommand.Forward c) {
+      Consumer<Answer> reply = answer -> reply(command, handler, answer);
+      if (refuses.test(command)) {
+        reply.accept(failure(FailureCode.OVERLOADED));
+      } else if (command instanceof ServerCommand.Forward c) {
         boolean writes = c.text().startsWith("WRITE");
-        statement(c.requestId(), writes, c.floor(), handler);
+        statement(c.requestId(), writes, c.floor(), reply);
       } else if (command instanceof ServerCommand.Execute c) {
         StatementTemplate template = prepared.get(c.preparedName());
         if (template == null) {
-          reply(handler, failure(FailureCode.NOT_PREPARED));
+          reply.accept(failure(FailureCode.NOT_PREPARED));
         } else {
-          statement(c.requestId(), template.mode() == AccessMode.WRITE, c.floor(), handler);
+          statement(c.requestId(), template.mode() == AccessMode.WRITE, c.floor(), reply);
         }
       } else if (command instanceof ServerCommand.Commit c) {
-        occupy(Duration.ofMillis(2), () -> commit(c.requestId(), handler));
+        occupy(Duration.ofMillis(2), () -> commit(c.requestId(), reply));
       } else if (command instanceof ServerCommand.Begin c) {
-        begin(c, handler);
+        begin(c, reply);
       } else {
-        reply(handler, control(command));
+        reply.accept(control(command));
       }
     }
 
-    private void begin(ServerCommand.Begin c, AnswerHandler handler) {
+    private void begin(ServerCommand.Begin c, Consumer<Answer> reply) {
       if (!c.readOnly() && !primary) {
-        reply(handler, failure(FailureCode.NOT_PRIMARY));
+        reply.accept(failure(FailureCode.NOT_PRIMARY));
       } else if (c.floor() != null && applied().compareTo(c.floor()) < 0) {
-        reply(handler, failure(FailureCode.REPLICA_BEHIND));
+        reply.accept(failure(FailureCode.REPLICA_BEHIND));
       } else {
         state = TransactionState.OPEN;
         awaitsFirstStatement = true;
         readOnly = c.readOnly();
-        reply(handler, done(Answer.UNSIGNED));
+        reply.accept(done(Answer.UNSIGNED));
       }
     }
 
@@ -299,7 +317,7 @@
     }
 
     private void statement(
-        String requestId, boolean writes, @Nullable LogPosition floor, AnswerHandler handler) {
+        String requestId, boolean writes, @Nullable LogPosition floor, Consumer<Answer> reply) {
       hasRun = true;
       if (state == TransactionState.IDLE || awaitsFirstStatement) {
         awaitsFirstStatement = false;
@@ -307,15 +325,15 @@
       }
       if (refuseNextStatement) {
         refuseNextStatement = false;
-        reply(handler, failure(FailureCode.OVERLOADED));
+        reply.accept(failure(FailureCode.OVERLOADED));
         return;
       }
       if (writes && (!primary || (state == TransactionState.OPEN && readOnly))) {
-        reply(handler, failure(FailureCode.NOT_PRIMARY));
+        reply.accept(failure(FailureCode.NOT_PRIMARY));
         return;
       }
       if (floor != null && applied().compareTo(floor) < 0) {
-        reply(handler, failure(FailureCode.REPLICA_BEHIND));
+        reply.accept(failure(FailureCode.REPLICA_BEHIND));
         return;
       }
       if (hangsStatement.test(requestId)) {
@@ -327,39 +345,39 @@
           () -> {
             statements++;
             if (failsStatement.test(requestId)) {
-              reply(handler, failure(FailureCode.FAILED));
+              reply.accept(failure(FailureCode.FAILED));
               return;
             }
             group.onRun(ModelServer.this, this, requestId, Map.copyOf(values), state);
             if (!writes) {
-              reply(handler, done("signed-" + requestId));
+              reply.accept(done("signed-" + requestId));
             } else if (state == TransactionState.OPEN) {
               written.add(requestId);
-              reply(handler, done("signed-" + requestId));
+              reply.accept(done("signed-" + requestId));
             } else {
-              append(requestId, handler);
+              append(requestId, reply);
             }
           });
     }
 
-    private void commit(String requestId, AnswerHandler handler) {
+    private void commit(String requestId, Consumer<Answer> reply) {
       state = TransactionState.IDLE;
       if (written.isEmpty()) {
-        reply(handler, done("signed-" + requestId));
+        reply.accept(done("signed-" + requestId));
         return;
       }
       written.clear();
-      append(requestId, handler);
+      append(requestId, reply);
     }
 
-    private void append(String requestId, AnswerHandler handler) {
+    private void append(String requestId, Consumer<Answer> reply) {
       if (!primary) {
-        reply(handler, failure(FailureCode.NOT_PRIMARY));
+        reply.accept(failure(FailureCode.NOT_PRIMARY));
         return;
       }
       LogEntry entry = new LogEntry(new LogPosition(term, received().offset() + 1), requestId);
       log.add(entry);
-      group.replicate(ModelServer.this, entry, () -> reply(handler, done("signed-" + requestId)));
+      group.replicate(ModelServer.this, entry, () -> reply.accept(done("signed-" + requestId)));
     }
 
     private Answer done(String signature) {
@@ -373,16 +391,16 @@
       return new Answer(List.of(), null, code, id, state, applied(), null);
     }
 
-    private void reply(AnswerHandler handler, Answer answer) {
+    private void reply(ServerCommand command, AnswerHandler handler, Answer answer) {
       if (loseNextAnswer && answer.signature() != null && answer.signature().startsWith("signed")) {
         loseNextAnswer = false;
         reachable = false;
       }
-      if (!reachable) {
+      if (!reachable || losesAnswer.test(command)) {
         return;
       }
       scheduler.schedule(
-          group.oneWay(),
+          group.oneWay().plus(answerDelay.apply(command)),
           () -> {
             if (!ended && !unresponsive && open.remove(handler)) {
               handler.onAnswer(answer);
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/PoolFixture.java
@@ -13,6 +13,7 @@
 import org.chicorylane.internal.passthrough.ModelGroup;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.passthrough.ServerStatus;
+import org.chicorylane.internal.passthrough.SessionValues;
 import org.chicorylane.internal.passthrough.StatementTemplate;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.runtime.AttentionClock;
@@ -215,7 +216,7 @@
           freshness,
           1_500,
           floor,
-          values,
+          SessionValues.copyOf(values),
           transaction,
           begins,
           readOnly,
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -5,9 +5,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.SessionValues;
 import org.chicorylane.internal.topology.Freshness;
 import org.junit.jupiter.api.Test;
 
@@ -34,7 +34,7 @@
             Freshness.BOUNDED_AGE,
             1_500,
             null,
-            Map.of(),
+            SessionValues.EMPTY,
             0,
             false,
             false,
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/EndedStatementTest.java
@@ -0,0 +1,89 @@
+package org.chicorylane.internal.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chicorylane.internal.entry.ClientSession;
+import org.chicorylane.internal.passthrough.Answer;
+import org.chicorylane.internal.passthrough.ClientStatement;
+import org.chicorylane.internal.passthrough.ModelServer;
+import org.chicorylane.internal.passthrough.ServerCommand;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against statements that are sent to a server after their client was told how they ended,
+ * and against statements that run with other session values than those of their submission. Each
+ * case is played at an entry that is the home of the group, where a statement is passed on as an
+ * object, and at another one, where it goes over the mesh.
+ */
+final class EndedStatementTest {
+
+  /** A run of a client's statement. */
+  private record Run(String requestId, long millis, Map<String, String> values) {}
+
+  private final ModelFleet fleet = new ModelFleet(3);
+  private final List<Run> runs = new ArrayList<>();
+  private final Map<String, Answer> answers = new HashMap<>();
+  private final Map<String, Long> answeredMillis = new HashMap<>();
+
+  private ClientSession openSession(boolean atHome) {
+    fleet.start();
+    fleet.advance(2_000);
+    fleet.group.listener =
+        (server, connection, id, values, state) ->
+            runs.add(new Run(id, fleet.scheduler.millis(), values));
+    ModelHost home = fleet.home().orElseThrow();
+    ModelHost entry =
+        atHome ? home : fleet.hosts().stream().filter(h -> h != home).findFirst().orElseThrow();
+    openConnections(entry);
+    return entry.openSession(ModelFleet.LATEST, () -> {});
+  }
+
+  /** Runs statements at the same time, so that the pool has several idle connections. */
+  private void openConnections(ModelHost entry) {
+    for (int i = 0; i < 3; i++) {
+      ClientSession session = entry.openSession(ModelFleet.LATEST, () -> {});
+      run(session, "first-" + i, new ClientStatement.Write("WRITE 1a4 first"));
+    }
+    fleet.advance(200);
+    assertThat(answers.values().stream().filter(Answer::succeeded).toList()).hasSize(3);
+  }
+
+  private void run(ClientSession session, String id, ClientStatement statement) {
+    session.run(
+        id,
+        statement,
+        answer -> {
+          answers.put(id, answer);
+          answeredMillis.put(id, fleet.scheduler.millis());
+        });
+  }
+
+  private List<Run> runsOf(String id) {
+    return runs.stream().filter(run -> run.requestId().equals(id)).toList();
+  }
+
+  // Review case 7: a write in doubt ran later, with the values that its session had by then.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void testWriteRunsWithValuesOfItsSubmission(boolean atHome) {
+    ClientSession session = openSession(atHome);
+    ModelServer primary = fleet.group.primary();
+    primary.losesAnswer = command -> command instanceof ServerCommand.SetValue;
+    run(session, "s1", new ClientStatement.SetValue("tone", "first"));
+    run(session, "w", new ClientStatement.Write("WRITE 1a4 data"));
+    fleet.advance(2_250);
+    assertThat(answers).containsKey("w");
+    run(session, "s2", new ClientStatement.SetValue("tone", "second"));
+    primary.losesAnswer = command -> false;
+    primary.resetUnanswered();
+    fleet.advance(3_000);
+    for (Run run : runsOf("w")) {
+      assertThat(run.values()).containsExactly("tone", "first");
+    }
+  }
+}
--- a/chicorylane/src/test/java/org/chicorylane/internal/quota/QuotaFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/quota/QuotaFleet.java
@@ -15,6 +15,7 @@
 import org.chicorylane.internal.account.ClientAccount;
 import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.account.KeyFingerprint;
+import org.chicorylane.internal.passthrough.SessionValues;
 import org.chicorylane.internal.pool.StatementQuota;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkKind;
@@ -340,7 +341,7 @@
         Freshness.LATEST,
         0,
         null,
-        Map.of(),
+        SessionValues.EMPTY,
         phase == StatementPhase.SINGLE ? 0 : 1,
         phase == StatementPhase.FIRST,
         false,
