Bound the wait for the commands that prepare a connection

When the connection stayed open, the place at the server was lost for good; a handful of these stopped a group.

Cause: SetupHandler waited for the answers to SET, PREPARE, DISCARD and BEGIN without a limit. Only statements that had been sent were looked at by the periodic check.

The statement, which was not sent, goes over another connection, a read to another replica; within a transaction it is aborted. A log line and a counter tell it apart from other losses.

Evidence: the five tests of StatementEndTest failed on (no answer, an answer after 2 s, or no place left after 12 lost answers).

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ConnectionClose.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ConnectionClose.java
@@ -9,7 +9,9 @@
   /** The connection's account was withdrawn. */
   WITHDRAWN,
   /** A later answer on the connection could not be told from a copy of an earlier one. */
-  NOT_REUSABLE;
+  NOT_REUSABLE,
+  /** A command that prepares the connection for a statement was not answered in time. */
+  UNPREPARED;
 
   /** Returns the name of the reason in metrics and in the log. */
   String label() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -65,6 +65,12 @@
    */
   private static final long MIN_OVERDUE_WRITE_NANOS = Duration.ofMillis(600).toNanos();
 
+  /**
+   * Maximum time for the commands that prepare a connection for a statement. They take no slot, so
+   * that their answers take little more than a round trip.
+   */
+  private static final long MAX_SETUP_NANOS = Duration.ofMillis(260).toNanos();
+
   /**
    * Time without an answer from the primary after which a statement that no server can take is
    * refused at once instead of queued. A change of primary takes less time, so statements wait for
@@ -97,6 +103,7 @@
   private final Map<String, PoolServer> servers = new HashMap<>();
   private final Map<PoolTransaction.Key, PoolTransaction> transactions = new HashMap<>();
   private final WorkQueue queue = new WorkQueue();
+  private final Set<SetupHandler> preparing = new LinkedHashSet<>();
   private final Set<StatementHandler> running = new LinkedHashSet<>();
   private final FloorTracker floors = new FloorTracker();
   private final ServiceTimes serviceTimes = new ServiceTimes();
@@ -670,6 +677,7 @@
       return;
     }
     SetupHandler handler = new SetupHandler(item, c, statementFloor, setup.size());
+    preparing.add(handler);
     setup.forEach(command -> c.link.send(command, handler));
   }
 
@@ -724,6 +732,7 @@
       if (--outstanding > 0) {
         return;
       }
+      preparing.remove(this);
       Answer failure = failed;
       boolean isTooLate = isNewWork(item) && !connection.server.acceptsNewWork();
       if (failure == null && item.transaction != null && item.work.begins()) {
@@ -745,12 +754,30 @@
 
     @Override
     public void onLost() {
-      if (outstanding > 0) {
-        outstanding = 0;
+      if (preparing.remove(this)) {
         connection.server.inFlight--;
         retryUnsent(item, connection.server);
       }
     }
+
+    /** Returns whether an answer is so late that it counts as lost. */
+    boolean isOverdue(long now) {
+      return now - sentNanos > MAX_SETUP_NANOS;
+    }
+
+    /** Closes the connection, whose state is unknown; the statement is sent over another one. */
+    void giveUp(long now) {
+      metrics.recordConnectionClosed(ConnectionClose.UNPREPARED);
+      log.event(DecisionLog.Priority.FAILURE, "connection-unprepared")
+          .with("request", item.work.requestId())
+          .with("group", group)
+          .with("server", connection.server.backend.id())
+          .with("unanswered", outstanding)
+          .with("waited_ms", (now - sentNanos) / 1_000_000)
+          .with("attempts", item.attempts)
+          .write();
+      connections.close(connection);
+    }
   }
 
   /** Handles the answer to a client's statement. */
@@ -976,6 +1003,7 @@
 
   /** Retries or fails a statement whose connection was lost before the statement was sent. */
   private void retryUnsent(QueuedWork item, PoolServer server) {
+    item.excludedReplicaId = server.primary ? null : server.backend.id();
     if (item.transaction != null && !item.work.begins()) {
       abort(item, "the connection to server " + server.backend.id() + " was lost");
     } else if (item.attempts < MAX_ATTEMPTS) {
@@ -1145,6 +1173,7 @@
         running.stream().filter(handler -> handler.isOverdue(now)).toList()) {
       connections.close(late.connection);
     }
+    preparing.stream().filter(h -> h.isOverdue(now)).toList().forEach(h -> h.giveUp(now));
     enforceTimeLimits(now);
     dispatchQueued();
   }
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -0,0 +1,123 @@
+package org.chicorylane.internal.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+import org.chicorylane.internal.passthrough.ModelServer;
+import org.chicorylane.internal.passthrough.ServerCommand;
+import org.chicorylane.internal.topology.Freshness;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against statements that a pool sends after they have ended, and against statements that
+ * wait for the preparation of a connection without an end.
+ */
+final class StatementEndTest {
+
+  private static final Map<String, String> VALUES = Map.of("tone", "first");
+
+  private final PoolFixture fixture = new PoolFixture();
+  private final ModelServer primary = fixture.group.server("server-a");
+  private final List<String> runs = new ArrayList<>();
+
+  @BeforeEach
+  void openConnections() {
+    for (int i = 0; i < 3; i++) {
+      fixture.submit(PoolFixture.write("first-" + i));
+    }
+    for (int i = 0; i < 8; i++) {
+      fixture.submit(PoolFixture.read("read-" + i));
+    }
+    fixture.advance(200);
+    fixture.group.listener = (server, connection, id, values, state) -> runs.add(id + values);
+  }
+
+  private static Work write(String id, int budgetMillis) {
+    return PoolFixture.work(id, WorkKind.WRITE, Freshness.OWN_WRITES)
+        .values(VALUES)
+        .budget(budgetMillis)
+        .build();
+  }
+
+  /** Returns a condition that holds for the first {@code count} set-up commands. */
+  private static Predicate<ServerCommand> setupCommands(int count) {
+    AtomicInteger left = new AtomicInteger(count);
+    return command -> command instanceof ServerCommand.SetValue && left.getAndDecrement() > 0;
+  }
+
+  // Review case 7: a statement waited for the answer to a SET for as long as its connection lived.
+  @Test
+  void testStatementIsSentOverAnotherConnectionWhenAnswerToSetupIsLost() {
+    primary.losesAnswer = setupCommands(1);
+    fixture.submit(write("w", 1_000));
+    fixture.advance(500);
+    assertThat(fixture.failureOf("w")).isNull();
+    assertThat(runs).containsExactly("w" + VALUES);
+  }
+
+  // Review case 9: each lost answer to a SET took away a place at the server for good.
+  @Test
+  void testLostAnswersToSetupLeaveRoomForLaterStatements() {
+    for (int i = 0; i < 12; i++) {
+      primary.losesAnswer = setupCommands(1);
+      fixture.submit(write("w" + i, 1_000));
+      fixture.advance(500);
+    }
+    fixture.submit(write("last", 1_000));
+    fixture.advance(100);
+    assertThat(fixture.failureOf("last")).isNull();
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
+
+  @Test
+  void testStatementWithinTransactionIsAbortedWhenAnswerToSetupIsLost() {
+    fixture.submit(
+        PoolFixture.work("w1", WorkKind.WRITE, Freshness.OWN_WRITES)
+            .inTransaction(1, true, false)
+            .build());
+    fixture.advance(60);
+    primary.losesAnswer = setupCommands(1);
+    fixture.submit(
+        PoolFixture.work("w2", WorkKind.WRITE, Freshness.OWN_WRITES)
+            .values(VALUES)
+            .inTransaction(1, false, false)
+            .build());
+    fixture.advance(500);
+    assertThat(fixture.answers.get("w2").text()).contains("was lost");
+    assertThat(fixture.pool.isIdle()).isTrue();
+    assertThat(primary.log()).hasSize(3);
+  }
+
+  @Test
+  void testReadGoesToAnotherReplicaWhenAnswerToSetupIsLost() {
+    for (String id : List.of("server-b", "server-c")) {
+      fixture.group.server(id).losesAnswer = setupCommands(1);
+    }
+    fixture.submit(
+        PoolFixture.work("r", WorkKind.READ, Freshness.BOUNDED_AGE)
+            .values(VALUES)
+            .budget(1_000)
+            .build());
+    fixture.advance(900);
+    assertThat(fixture.failureOf("r")).isNull();
+    assertThat(runs).containsExactly("r" + VALUES);
+  }
+
+  // An answer that is late, not lost, must not bring back a statement that goes another way.
+  @Test
+  void testLateAnswerToSetupChangesNothing() {
+    Predicate<ServerCommand> isFirst = setupCommands(1);
+    primary.answerDelay = command -> isFirst.test(command) ? Duration.ofSeconds(2) : Duration.ZERO;
+    fixture.submit(write("w", 1_000));
+    fixture.advance(4_000);
+    assertThat(fixture.failureOf("w")).isNull();
+    assertThat(fixture.tookMillis.get("w")).isLessThan(500);
+    assertThat(runs).containsExactly("w" + VALUES);
+  }
+}
