Check the time and the lease of a statement at each send

Cause: the time of a statement was compared with the clock by a check every 100 ms, over the queue only. A statement that came back to the queue (a lost set-up, a refusal by the server) was taken from it before the next check, and one whose connection had been prepared was sent without any. The lease of the home, too, was tested when the statement was chosen and not when it was sent.

Change: one condition, findObstacle, is tested when a statement is taken from the queue and again when its connection has been prepared. A prepared connection that is not used is given back; one on which a transaction has begun is closed.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -81,6 +81,9 @@
   /** Time after which a client is told to retry, such as while the primary is being replaced. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
+  /** Time after which a client is told to retry while the home is not confirmed. */
+  private static final long UNCONFIRMED_RETRY_AFTER_MILLIS = 500;
+
   private static final int MAX_ATTEMPTS = 4;
 
   /**
@@ -524,29 +527,54 @@
         if (item.transaction != null && item.transaction.abandoned) {
           i.remove();
           queue.refund(item);
-        } else if (!allowed) {
+        } else if (findObstacle(item, allowed, now) != null) {
           i.remove();
           refused.add(item);
         } else if (now >= item.notBeforeNanos && tryDispatch(item, now)) {
           i.remove();
         }
       }
-      refused.forEach(
-          item ->
-              refuse(
-                  item,
-                  Refusal.UNCONFIRMED_HOME,
-                  "this home cannot confirm that it still is one",
-                  500));
+      refused.forEach(item -> refuseIfObstructed(item, now));
     } finally {
       dispatching = false;
     }
   }
 
+  /**
+   * Returns why a statement must not be sent now, null if it may be. Checked when a statement is
+   * taken from the queue, and again when its connection has been prepared.
+   *
+   * @param allowed whether this instance is confirmed as the home
+   */
+  private static @Nullable Refusal findObstacle(QueuedWork item, boolean allowed, long now) {
+    if (!allowed) {
+      return Refusal.UNCONFIRMED_HOME;
+    }
+    return now > item.deadlineNanos() ? Refusal.OUT_OF_TIME : null;
+  }
+
+  /** Refuses a statement that must not be sent now; returns false if it may be. */
+  private boolean refuseIfObstructed(QueuedWork item, long now) {
+    Refusal obstacle = findObstacle(item, mayServe.test(now), now);
+    if (obstacle == Refusal.UNCONFIRMED_HOME) {
+      refuse(
+          item,
+          obstacle,
+          "this home cannot confirm that it still is one",
+          UNCONFIRMED_RETRY_AFTER_MILLIS);
+    } else if (obstacle != null) {
+      refuse(item, obstacle, "no server had room in time", expectedWaitMillis(item));
+    }
+    return obstacle != null;
+  }
+
   /** Dispatches the statement whose priority would otherwise be starved, if there is one. */
   private void dispatchStarved(boolean allowed, long now) {
     QueuedWork starved = allowed && hasFreeCapacity() ? queue.findStarved() : null;
-    if (starved != null && now >= starved.notBeforeNanos && tryDispatch(starved, now)) {
+    if (starved != null
+        && now >= starved.notBeforeNanos
+        && findObstacle(starved, allowed, now) == null
+        && tryDispatch(starved, now)) {
       queue.remove(starved);
     }
   }
@@ -738,16 +766,22 @@
       if (failure == null && item.transaction != null && item.work.begins()) {
         connection.onBegun(answer.position());
       }
-      if (failure == null && !isTooLate) {
-        sendStatement(item, connection, floor, scheduler.nanoTime());
+      long now = scheduler.nanoTime();
+      boolean isObstructed = findObstacle(item, mayServe.test(now), now) != null;
+      if (failure == null && !isTooLate && !isObstructed) {
+        sendStatement(item, connection, floor, now);
         return;
       }
       connection.server.inFlight--;
-      connections.close(connection);
-      if (failure == null) {
-        retryUnsent(item, connection.server);
+      if (failure == null && item.transaction == null) {
+        connections.giveBack(connection, answer);
       } else {
+        connections.close(connection);
+      }
+      if (failure != null) {
         retryUnrun(item, connection.server, failure);
+      } else if (!refuseIfObstructed(item, now)) {
+        retryUnsent(item, connection.server);
       }
       dispatchQueued();
     }
@@ -1179,9 +1213,9 @@
   }
 
   private void enforceTimeLimits(long now) {
-    for (QueuedWork item : queue.removeMatching(item -> now > item.deadlineNanos())) {
-      refuse(item, Refusal.OUT_OF_TIME, "no server had room in time", expectedWaitMillis(item));
-    }
+    queue
+        .removeMatching(item -> now > item.deadlineNanos())
+        .forEach(item -> refuseIfObstructed(item, now));
     for (PoolTransaction t : new ArrayList<>(transactions.values())) {
       if (!t.running && now - t.lastUsedNanos > transactionIdleNanos) {
         transactions.remove(t.key);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Refusal.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Refusal.java
@@ -13,7 +13,7 @@
   /** The statement became late, and those in time leave it no room. */
   OVERTAKEN,
 
-  /** The client's time ran out while the statement waited. */
+  /** The client's time ran out before the statement was sent. */
   OUT_OF_TIME,
 
   /** The instance cannot confirm that it still is the home. */
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.function.Predicate;
+import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.chicorylane.internal.topology.Freshness;
@@ -51,6 +53,11 @@
     return command -> command instanceof ServerCommand.SetValue && left.getAndDecrement() > 0;
   }
 
+  /** Returns the delay of the answers to commands that prepare a connection. */
+  private static Function<ServerCommand, Duration> delayOfSetup(Duration delay) {
+    return command -> command.requestId() == null ? delay : Duration.ZERO;
+  }
+
   // Review case 7: a statement waited for the answer to a SET for as long as its connection lived.
   @Test
   void testStatementIsSentOverAnotherConnectionWhenAnswerToSetupIsLost() {
@@ -120,4 +127,63 @@
     assertThat(fixture.tookMillis.get("w")).isLessThan(500);
     assertThat(runs).containsExactly("w" + VALUES);
   }
+
+  // Review case 7: the preparation ended after the time of the statement, which was sent all the
+  // same.
+  @Test
+  void testStatementWhoseSetupEndsAfterItsTimeIsNotSent() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(200));
+    fixture.submit(write("w", 150));
+    fixture.advance(1_000);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(runs).isEmpty();
+    assertThat(fixture.pool.isIdle()).isTrue();
+    assertThat(fixture.pool.primaryConnectionsInUse()).isEqualTo(0);
+  }
+
+  @Test
+  void testTransactionWhoseBeginningEndsAfterItsTimeIsNotOpened() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(200));
+    fixture.submit(
+        PoolFixture.work("w", WorkKind.WRITE, Freshness.OWN_WRITES)
+            .inTransaction(1, true, false)
+            .budget(150)
+            .build());
+    fixture.advance(1_000);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(runs).isEmpty();
+    assertThat(fixture.pool.isIdle()).isTrue();
+    assertThat(fixture.pool.primaryConnectionsInUse()).isEqualTo(0);
+  }
+
+  // Guards against a statement that is taken from the queue after its time, before the periodic
+  // check finds it there.
+  @Test
+  void testRefusedStatementIsNotSentAgainAfterItsTime() {
+    primary.refuses =
+        command -> command instanceof ServerCommand.Forward f && f.requestId().equals("w");
+    primary.answerDelay = command -> Duration.ofMillis(20);
+    fixture.advance(95);
+    fixture.submit(PoolFixture.work("w", WorkKind.WRITE, Freshness.OWN_WRITES).budget(30).build());
+    fixture.advance(30);
+    primary.refuses = command -> false;
+    fixture.submit(PoolFixture.write("other"));
+    fixture.advance(1_000);
+    assertThat(fixture.failureOf("other")).isNull();
+    assertThat(runs).containsExactly("other{}");
+  }
+
+  // Guards against a statement that is sent by an instance whose lease ended during the
+  // preparation.
+  @Test
+  void testStatementIsNotSentWhenTheLeaseEndsDuringItsSetup() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    fixture.submit(write("w", 1_000));
+    fixture.advance(50);
+    fixture.mayServe = false;
+    fixture.advance(500);
+    assertThat(fixture.failureOf("w")).isEqualTo(FailureCode.OVERLOADED);
+    assertThat(fixture.answers.get("w").text()).contains("cannot confirm");
+    assertThat(runs).isEmpty();
+  }
 }
