Check at the send that the chosen server may still start new work

Change: new work whose server is halted, or is no longer the primary as which it was chosen, goes back to the queue.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -737,6 +737,10 @@
     private final PooledConnection connection;
     private final @Nullable LogPosition floor;
     private final long sentNanos = scheduler.nanoTime();
+
+    /** Whether the server was chosen as the primary, so that no floor was set for it. */
+    private final boolean wasPrimary;
+
     private int outstanding;
     private @Nullable Answer failed;
 
@@ -745,6 +749,7 @@
       this.item = item;
       this.connection = c;
       this.floor = floor;
+      this.wasPrimary = c.server.primary;
       this.outstanding = outstanding;
     }
 
@@ -762,13 +767,13 @@
       }
       preparing.remove(this);
       Answer failure = failed;
-      boolean isTooLate = isNewWork(item) && !connection.server.acceptsNewWork();
+      boolean mayStart = !isNewWork(item) || mayStart();
       if (failure == null && item.transaction != null && item.work.begins()) {
         connection.onBegun(answer.position());
       }
       long now = scheduler.nanoTime();
       boolean isObstructed = findObstacle(item, mayServe.test(now), now) != null;
-      if (failure == null && !isTooLate && !isObstructed) {
+      if (failure == null && mayStart && !isObstructed) {
         sendStatement(item, connection, floor, now);
         return;
       }
@@ -794,6 +799,13 @@
       }
     }
 
+    /** Returns whether new work may still start on the server that was chosen for it. */
+    private boolean mayStart() {
+      PoolServer server = connection.server;
+      boolean isAllowed = server.primary ? halt.allows(item.work) : !wasPrimary;
+      return isAllowed && server.acceptsNewWork();
+    }
+
     /** Returns whether an answer is so late that it counts as lost. */
     boolean isOverdue(long now) {
       return now - sentNanos > MAX_SETUP_NANOS;
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -186,4 +186,35 @@
     assertThat(fixture.answers.get("w").text()).contains("cannot confirm");
     assertThat(runs).isEmpty();
   }
+
+  // Guards against new work at a primary that is being replaced: it was allowed when it was chosen.
+  @Test
+  void testStatementIsNotSentToPrimaryThatIsHaltedDuringItsSetup() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    fixture.submit(write("w", 1_000));
+    fixture.advance(50);
+    fixture.pool.setPrimaryHalt(PrimaryHalt.WRITES);
+    fixture.advance(300);
+    assertThat(runs).isEmpty();
+    fixture.pool.setPrimaryHalt(PrimaryHalt.NOTHING);
+    fixture.advance(300);
+    assertThat(fixture.failureOf("w")).isNull();
+  }
+
+  // Guards against a read at a former primary, for which no floor was set.
+  @Test
+  void testReadIsNotSentToServerThatCeasesToBePrimaryDuringItsSetup() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    int before = primary.statements;
+    fixture.submit(
+        PoolFixture.work("r", WorkKind.READ, Freshness.LATEST)
+            .values(VALUES)
+            .budget(1_000)
+            .build());
+    fixture.advance(50);
+    fixture.pool.setPrimary("server-b", 2);
+    fixture.advance(900);
+    assertThat(fixture.failureOf("r")).isNull();
+    assertThat(primary.statements).isEqualTo(before);
+  }
 }
