The end of a statement reaches every place where it waits at the home

Cause: an end looked for the statement in the queue only. - drop() missed statements whose connection was being prepared, and those that were running and went back to the queue afterwards. - The end of a link dropped transactions and no single statements, though the entry reports them as in doubt then. - An entry that ran out of patience forgot the call without telling the home; at a shutdown it answered and left the statement in its table.

Change: work knows whether it was abandoned. Ends mark it wherever it is, and it is tested where work is taken from the queue, returns to it, or has its connection prepared. The entry tells the home of each end.

The drop by an entry that gives up has no test of its own: the home's own limit comes first unless the message was held up.

--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/ClientSession.java
@@ -130,6 +130,7 @@
       return;
     }
     runningHandler = null;
+    dropRouted();
     FailureCode code = mayCommit ? FailureCode.IN_DOUBT : FailureCode.ABORTED;
     endTransaction(true);
     running.accept(Answer.failure(code, reason, state));
@@ -159,12 +160,18 @@
   /** Ends the session, drops its running statement and rolls back its transaction. */
   public void close() {
     closed = true;
+    if (runningHandler != null) {
+      dropRouted();
+    }
+    endTransaction(true);
+  }
+
+  private void dropRouted() {
     HomeRouter.Routed running = routed;
-    if (running != null && runningHandler != null) {
+    if (running != null) {
       routed = null;
       running.drop();
     }
-    endTransaction(true);
   }
 
   private Answer begin(boolean isReadOnly) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -105,9 +105,10 @@
   interface Routed {
 
     /**
-     * Drops the statement, because its client has left: it is no longer routed, and its home is
-     * told not to send it to a server. A statement that was sent to a server is left to finish. The
-     * handler is not called afterwards. Does nothing if the statement was answered.
+     * Drops the statement, because its client has left or is told another outcome: it is no longer
+     * routed, and its home is told not to send it to a server. A statement that was sent to a
+     * server is left to finish. The handler is not called afterwards. Does nothing if the statement
+     * was answered.
      */
     void drop();
   }
@@ -207,10 +208,7 @@
     }
     for (RoutedStatement r : new ArrayList<>(sent)) {
       if (now - r.arrivedNanos > r.work.budgetMillis() * 1_000_000L + ANSWER_SLACK_NANOS) {
-        sent.remove(r);
-        if (r.link != null) {
-          r.link.forget(r.call);
-        }
+        r.drop();
         fail(r, "the home of group " + r.group + " did not answer in time");
       }
     }
@@ -285,11 +283,16 @@
     @Override
     public void drop() {
       held.remove(this);
-      if (!sent.remove(this) || transaction != null) {
+      if (!sent.remove(this)) {
         return;
       }
       HomeElection election = elections.apply(group);
-      if (link != null) {
+      if (transaction != null) {
+        // The home drops the statement with its transaction.
+        if (link != null) {
+          link.forget(call);
+        }
+      } else if (link != null) {
         link.sendAbandonCall(group, call);
       } else if (election != null) {
         election.drop(this);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.chicorylane.internal.account.ClientAccounts;
 import org.chicorylane.internal.passthrough.Answer;
@@ -332,7 +333,8 @@
       transaction.running = true;
     }
     double serviceNanos = serviceTimes.expectedNanos(work);
-    QueuedWork item = new QueuedWork(work, handler, now, nextSequence++, transaction, serviceNanos);
+    QueuedWork item =
+        new QueuedWork(owner, work, handler, now, nextSequence++, transaction, serviceNanos);
     StatementQuota.Refusal overQuota = isNewWork(item) ? quota.checkNew(work) : null;
     if (overQuota != null) {
       refuse(item, Refusal.OVER_QUOTA, overQuota.reason(), overQuota.retryMillis());
@@ -375,26 +377,37 @@
   }
 
   /**
-   * Drops the single statements that were submitted with a handler equal to {@code handler} and
-   * have not been sent to a server since, because their client has left. The handler is not called.
-   * A statement that was sent is left to finish.
+   * Drops the single statements that were submitted with a handler equal to {@code handler},
+   * because nobody waits for them any more: none is sent to a server from now on, for the first
+   * time or again. A statement that was sent is left to finish; the handler of one that was not is
+   * not called.
    */
   public void drop(WorkHandler handler) {
-    for (QueuedWork item :
-        queue.removeMatching(i -> i.transaction == null && i.handler.equals(handler))) {
-      queue.refund(item);
-      metrics.recordDropped();
-      log.event(DecisionLog.Priority.FAILURE, "dropped")
-          .with("request", item.work.requestId())
-          .with("group", group)
-          .with("account", item.work.account())
-          .with("waited_ms", (scheduler.nanoTime() - item.arrivedNanos) / 1_000_000)
-          .with("attempts", item.attempts)
-          .write();
-    }
+    dropMatching(item -> item.transaction == null && item.handler.equals(handler));
+  }
+
+  private void dropMatching(Predicate<QueuedWork> condition) {
+    queue.removeMatching(condition).forEach(this::recordDropped);
+    preparing.stream().map(h -> h.item).filter(condition).forEach(QueuedWork::abandon);
+    running.stream().map(h -> h.item).filter(condition).forEach(QueuedWork::abandon);
+  }
+
+  private void recordDropped(QueuedWork item) {
+    queue.refund(item);
+    metrics.recordDropped();
+    log.event(DecisionLog.Priority.FAILURE, "dropped")
+        .with("request", item.work.requestId())
+        .with("group", group)
+        .with("account", item.work.account())
+        .with("waited_ms", (scheduler.nanoTime() - item.arrivedNanos) / 1_000_000)
+        .with("attempts", item.attempts)
+        .write();
   }
 
-  /** Rolls back all transactions that came over the link {@code owner}. */
+  /**
+   * Drops all statements that came over the link {@code owner}, which has ended, and rolls back all
+   * transactions.
+   */
   public void abandonAll(Object owner) {
     for (PoolTransaction transaction : new ArrayList<>(transactions.values())) {
       if (transaction.key.owner().equals(owner)) {
@@ -402,9 +415,7 @@
         rollBack(transaction);
       }
     }
-    queue
-        .removeMatching(item -> item.transaction != null && item.transaction.abandoned)
-        .forEach(queue::refund);
+    dropMatching(item -> item.owner.equals(owner));
   }
 
   /** Closes the idle connections of a client account, which may run no further statements. */
@@ -524,9 +535,9 @@
       List<QueuedWork> refused = new ArrayList<>();
       while (i.hasNext() && (!allowed || hasFreeCapacity())) {
         QueuedWork item = i.next();
-        if (item.transaction != null && item.transaction.abandoned) {
+        if (item.isAbandoned()) {
           i.remove();
-          queue.refund(item);
+          recordDropped(item);
         } else if (findObstacle(item, allowed, now) != null) {
           i.remove();
           refused.add(item);
@@ -772,7 +783,8 @@
         connection.onBegun(answer.position());
       }
       long now = scheduler.nanoTime();
-      boolean isObstructed = findObstacle(item, mayServe.test(now), now) != null;
+      boolean isObstructed =
+          item.isAbandoned() || findObstacle(item, mayServe.test(now), now) != null;
       if (failure == null && mayStart && !isObstructed) {
         sendStatement(item, connection, floor, now);
         return;
@@ -783,7 +795,9 @@
       } else {
         connections.close(connection);
       }
-      if (failure != null) {
+      if (item.isAbandoned()) {
+        recordDropped(item);
+      } else if (failure != null) {
         retryUnrun(item, connection.server, failure);
       } else if (!refuseIfObstructed(item, now)) {
         retryUnsent(item, connection.server);
@@ -942,7 +956,7 @@
       connections.giveBack(c, answer);
       if (failure == FailureCode.FAILED && !item.work.isWrite() && item.attempts < 2) {
         item.excludedReplicaId = c.server.backend.id();
-        queue.add(item);
+        requeue(item);
         return;
       }
     } else if (item.work.kind() == WorkKind.COMMIT || answer.state() == TransactionState.IDLE) {
@@ -1061,7 +1075,7 @@
 
   /**
    * Queues a statement again and resets its transaction, which has to start again. Drops the
-   * statement if the transaction was abandoned.
+   * statement if it was abandoned.
    */
   private void requeue(QueuedWork item) {
     PoolTransaction t = item.transaction;
@@ -1069,11 +1083,12 @@
       t.begun = false;
       t.wrote = false;
       t.connection = null;
-      if (t.abandoned) {
-        return;
-      }
     }
-    queue.add(item);
+    if (item.isAbandoned()) {
+      recordDropped(item);
+    } else {
+      queue.add(item);
+    }
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/QueuedWork.java
@@ -41,6 +41,9 @@
 
   private static final double MICROSECOND_NANOS = 1e3;
 
+  /** The link to the entry from which the work came. */
+  final Object owner;
+
   final Work work;
   final WorkHandler handler;
   final long arrivedNanos;
@@ -83,16 +86,21 @@
   int attempts;
   long notBeforeNanos;
 
+  /** Whether nobody waits for the outcome any more, so that the work must not be sent again. */
+  private boolean abandoned;
+
   /** The replica that must not run the next attempt; null if any may. */
   @Nullable String excludedReplicaId;
 
   QueuedWork(
+      Object owner,
       Work work,
       WorkHandler handler,
       long arrivedNanos,
       long sequence,
       @Nullable PoolTransaction transaction,
       double serviceNanos) {
+    this.owner = owner;
     this.work = work;
     this.handler = handler;
     this.arrivedNanos = arrivedNanos;
@@ -157,6 +165,16 @@
     return arrivedNanos + work.budgetMillis() * 1_000_000L;
   }
 
+  /** Records that nobody waits for the outcome any more. */
+  void abandon() {
+    abandoned = true;
+  }
+
+  /** Returns whether nobody waits for the outcome of the work, or of its transaction, any more. */
+  boolean isAbandoned() {
+    return abandoned || (transaction != null && transaction.abandoned);
+  }
+
   /** Returns whether the work continues a transaction that has begun on a server. */
   boolean isPinned() {
     return transaction != null && transaction.begun;
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/AccountConnectionsLoadTest.java
@@ -268,6 +268,7 @@
       this.services = new Random(seed);
       this.queued =
           new QueuedWork(
+              this,
               work,
               new WorkHandler() {
                 @Override
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/EvenLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/EvenLoadTest.java
@@ -240,7 +240,8 @@
       while (!queue.isEmpty()) {
         long now = scheduler.nanoTime();
         QueuedWork item =
-            new QueuedWork(PoolFixture.read("r"), new NoHandler(), now, 0, null, SERVICE_NANOS);
+            new QueuedWork(
+                this, PoolFixture.read("r"), new NoHandler(), now, 0, null, SERVICE_NANOS);
         PoolServer chosen = rule.choose(view, item, now, random, queue.size());
         if (chosen == null) {
           return;
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/ServerLoadTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/ServerLoadTest.java
@@ -41,7 +41,13 @@
   private @Nullable PoolServer choose(int waiting) {
     QueuedWork item =
         new QueuedWork(
-            PoolFixture.read("r"), new IgnoringHandler(), now, 0, null, ServiceTimes.INITIAL_NANOS);
+            this,
+            PoolFixture.read("r"),
+            new IgnoringHandler(),
+            now,
+            0,
+            null,
+            ServiceTimes.INITIAL_NANOS);
     return ServerChoice.choose(
         servers,
         item,
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.passthrough.ServerCommand;
@@ -217,4 +218,96 @@
     assertThat(fixture.failureOf("r")).isNull();
     assertThat(primary.statements).isEqualTo(before);
   }
+
+  /** Submits work and returns the handler under which it can be dropped. */
+  private WorkHandler submit(Work work) {
+    WorkHandler handler =
+        new WorkHandler() {
+          @Override
+          public void onAnswer(Answer answer) {
+            fixture.answers.put(work.requestId(), answer);
+          }
+
+          @Override
+          public void onNotHome() {
+            fixture.notHome.add(work.requestId());
+          }
+        };
+    fixture.pool.submit(this, work, handler);
+    return handler;
+  }
+
+  // Guards against a statement that is sent after its client has left, because it was not in the
+  // queue at that moment.
+  @Test
+  void testStatementThatIsDroppedDuringItsSetupIsNotSent() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    WorkHandler handler = submit(write("w", 1_000));
+    fixture.advance(50);
+    fixture.pool.drop(handler);
+    fixture.advance(1_000);
+    assertThat(runs).isEmpty();
+    assertThat(fixture.answers).doesNotContainKey("w");
+    assertThat(fixture.pool.isIdle()).isTrue();
+    assertThat(fixture.pool.primaryConnectionsInUse()).isEqualTo(0);
+  }
+
+  @Test
+  void testStatementThatIsDroppedDuringItsSetupIsNotSentAfterLostSetup() {
+    primary.losesAnswer = setupCommands(1);
+    WorkHandler handler = submit(write("w", 1_000));
+    fixture.advance(50);
+    fixture.pool.drop(handler);
+    fixture.advance(1_000);
+    assertThat(runs).isEmpty();
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
+
+  @Test
+  void testReadThatIsDroppedWhileItRunsIsNotSentAgain() {
+    primary.losesAnswer = command -> "r".equals(command.requestId());
+    WorkHandler handler =
+        submit(PoolFixture.work("r", WorkKind.READ, Freshness.LATEST).budget(2_000).build());
+    fixture.advance(50);
+    fixture.pool.drop(handler);
+    fixture.advance(2_500);
+    assertThat(runs).containsExactly("r{}");
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
+
+  @Test
+  void testRefusedStatementThatIsDroppedIsNotSentAgain() {
+    primary.refuses = command -> "w".equals(command.requestId());
+    primary.answerDelay = command -> Duration.ofMillis(20);
+    WorkHandler handler = submit(PoolFixture.write("w"));
+    fixture.advance(10);
+    fixture.pool.drop(handler);
+    primary.refuses = command -> false;
+    fixture.advance(1_000);
+    assertThat(runs).isEmpty();
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
+
+  // Guards against statements that run for an entry whose link has ended, and which has told its
+  // clients that they are in doubt.
+  @Test
+  void testStatementsOfEndedLinkAreNotSent() {
+    primary.work = Duration.ofMillis(200);
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    for (int i = 0; i < 4; i++) {
+      submit(PoolFixture.write("running-" + i));
+    }
+    submit(PoolFixture.work("queued", WorkKind.WRITE, Freshness.OWN_WRITES).budget(5_000).build());
+    fixture.advance(150);
+    assertThat(fixture.pool.queueSize()).isEqualTo(1);
+    fixture.pool.abandonAll(this);
+    fixture.advance(3_000);
+    assertThat(runs).doesNotContain("queued{}");
+    submit(write("prepared", 5_000));
+    fixture.advance(50);
+    fixture.pool.abandonAll(this);
+    fixture.advance(3_000);
+    assertThat(runs).doesNotContain("prepared" + VALUES);
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/WorkQueueTest.java
@@ -51,7 +51,7 @@
           public void onNotHome() {}
         };
     return new QueuedWork(
-        work, ignored, arrivedNanos, sequence++, null, (double) serviceMillis * MILLI);
+        this, work, ignored, arrivedNanos, sequence++, null, (double) serviceMillis * MILLI);
   }
 
   private List<QueuedWork> all() {
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/EndedStatementTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/EndedStatementTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.chicorylane.internal.entry.ClientSession;
 import org.chicorylane.internal.passthrough.Answer;
 import org.chicorylane.internal.passthrough.ClientStatement;
+import org.chicorylane.internal.passthrough.FailureCode;
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.passthrough.ServerCommand;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -86,4 +88,77 @@
       assertThat(run.values()).containsExactly("tone", "first");
     }
   }
+
+  /** Asserts that the statement was answered, and did not run after that. */
+  private void assertNotRunAfterAnswer(String id) {
+    assertThat(answers).containsKey(id);
+    for (Run run : runsOf(id)) {
+      assertThat(run.millis()).isAtMost(answeredMillis.get(id));
+    }
+  }
+
+  // Review case 7: a write ran after its client had been told that it was given up.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void testWriteThatIsGivenUpIsNotSentLater(boolean atHome) {
+    ClientSession session = openSession(atHome);
+    ModelServer primary = fleet.group.primary();
+    primary.losesAnswer = command -> command instanceof ServerCommand.SetValue;
+    run(session, "s", new ClientStatement.SetValue("tone", "first"));
+    run(session, "w", new ClientStatement.Write("WRITE 1a4 data"));
+    fleet.advance(2_250);
+    primary.losesAnswer = command -> false;
+    primary.resetUnanswered();
+    fleet.advance(3_000);
+    assertNotRunAfterAnswer("w");
+  }
+
+  // Review case 7: a read that its client had been told was refused ran seconds later.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void testReadThatIsRefusedIsNotSentLater(boolean atHome) {
+    ClientSession session = openSession(atHome);
+    ModelServer primary = fleet.group.primary();
+    primary.losesAnswer = command -> command instanceof ServerCommand.SetValue;
+    run(session, "s", new ClientStatement.SetValue("tone", "first"));
+    run(session, "r", new ClientStatement.Read("READ 1a4"));
+    fleet.advance(2_250);
+    primary.losesAnswer = command -> false;
+    primary.resetUnanswered();
+    fleet.advance(3_000);
+    assertThat(answers.get("r").failure()).isEqualTo(FailureCode.OVERLOADED);
+    assertNotRunAfterAnswer("r");
+  }
+
+  // The answer to the preparation is late instead of lost.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void testStatementWhoseSetupIsAnsweredLateIsNotSentLater(boolean atHome) {
+    ClientSession session = openSession(atHome);
+    ModelServer primary = fleet.group.primary();
+    primary.answerDelay =
+        command ->
+            command instanceof ServerCommand.SetValue ? Duration.ofSeconds(2) : Duration.ZERO;
+    run(session, "s", new ClientStatement.SetValue("tone", "first"));
+    run(session, "w", new ClientStatement.Write("WRITE 1a4 data"));
+    fleet.advance(5_000);
+    assertNotRunAfterAnswer("w");
+  }
+
+  // Guards against a statement that runs after its client was told, at a shutdown, that it did not.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void testStatementThatIsAbortedAtShutdownIsNotSentLater(boolean atHome) {
+    ClientSession session = openSession(atHome);
+    fleet.group.primary().answerDelay =
+        command ->
+            command instanceof ServerCommand.SetValue ? Duration.ofMillis(100) : Duration.ZERO;
+    run(session, "s", new ClientStatement.SetValue("tone", "first"));
+    run(session, "r", new ClientStatement.Read("READ 1a4"));
+    fleet.advance(50);
+    session.abortRunning("the instance shuts down");
+    fleet.advance(2_000);
+    assertThat(answers.get("r").failure()).isEqualTo(FailureCode.ABORTED);
+    assertThat(runsOf("r")).isEmpty();
+  }
 }
