--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -206,7 +206,7 @@
   @Test
   void testReadIsNotSentToServerThatCeasesToBePrimaryDuringItsSetup() {
     primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
-    int before = primary.statements;
+    final int before = primary.statements;
     fixture.submit(
         PoolFixture.work("r", WorkKind.READ, Freshness.LATEST)
             .values(VALUES)
