Return statements that come back to a pool which takes no new work

What callers saw: a write whose connection was being prepared when the home changed was reported as in doubt a second later, though it had not been sent; one in a retiring pool was refused after its time.

Cause: a statement that lost its connection went back to the queue. A stopped pool never looks at its queue again, and a retiring one opens no connections. A pool that prepared connections counted as idle, so that an instance could end under a peer's statement.

Change: such a statement is returned to its entry as not at home, which sends it to the new one. Set-ups count when idleness is asked for.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -442,7 +442,7 @@
 
   /** Returns whether no statement waits or runs and no transaction is open. */
   public boolean isIdle() {
-    return running.isEmpty() && transactions.isEmpty() && queue.isEmpty();
+    return running.isEmpty() && preparing.isEmpty() && transactions.isEmpty() && queue.isEmpty();
   }
 
   /** Closes the pool and its connections at once, because another instance takes over. */
@@ -1075,7 +1075,7 @@
 
   /**
    * Queues a statement again and resets its transaction, which has to start again. Drops the
-   * statement if it was abandoned.
+   * statement if it was abandoned, and returns it to its entry if the pool takes no new work.
    */
   private void requeue(QueuedWork item) {
     PoolTransaction t = item.transaction;
@@ -1086,6 +1086,9 @@
     }
     if (item.isAbandoned()) {
       recordDropped(item);
+    } else if (retiring || stopped) {
+      removeTransaction(item);
+      item.handler.onNotHome();
     } else {
       queue.add(item);
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -310,4 +310,40 @@
     assertThat(runs).doesNotContain("prepared" + VALUES);
     assertThat(fixture.pool.isIdle()).isTrue();
   }
+
+  // Guards against statements without an answer, because their connections were closed with the
+  // pool while they were prepared.
+  @Test
+  void testStatementDuringItsSetupIsReturnedWhenPoolStops() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    fixture.submit(write("w", 1_000));
+    fixture.advance(50);
+    fixture.pool.stop();
+    fixture.advance(50);
+    assertThat(fixture.notHome).containsExactly("w");
+  }
+
+  // Guards against statements that wait in a pool that opens no connections any more.
+  @Test
+  void testStatementWhoseSetupIsLostIsReturnedWhenPoolRetires() {
+    primary.losesAnswer = setupCommands(1);
+    fixture.submit(write("w", 1_000));
+    fixture.advance(50);
+    fixture.pool.retire();
+    fixture.advance(500);
+    assertThat(fixture.notHome).containsExactly("w");
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
+
+  // Guards against an instance that ends while it prepares connections for statements.
+  @Test
+  void testPoolIsNotIdleWhileItPreparesConnection() {
+    primary.answerDelay = delayOfSetup(Duration.ofMillis(100));
+    fixture.submit(write("w", 1_000));
+    fixture.advance(50);
+    assertThat(fixture.pool.isIdle()).isFalse();
+    fixture.advance(200);
+    assertThat(fixture.failureOf("w")).isNull();
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
 }
