Limits of statements run on while their link to the home opens

What callers saw: a statement could run at the home after its entry had given it up, and a transaction could begin whose client had left. The home then kept it open until the idle limit.

Cause: frames wait in a link that is not open yet, with the budget that the statement had when it joined them, so the home's limit ended later than the entry's. An abandonment was not sent over a link that was not open and left the transaction's first statement waiting in it.

Change: a budget is reduced by the wait when the link opens, and the statements of an abandoned transaction are taken out of the wait. A budget that has run out is 0 instead of 1 ms, which the home refuses.

Evidence: two tests of PeerLinkTest failed on (budget 1,000 instead of 700 ms; statements 7 and 8 sent instead of 8).

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
@@ -66,6 +66,14 @@
     return builder.build();
   }
 
+  /** Returns the work with its target and budget reduced by a time that it has waited. */
+  static MeshWork afterWaiting(MeshWork work, int millis) {
+    return work.toBuilder()
+        .setTargetMillis(Math.max(0, work.getTargetMillis() - millis))
+        .setBudgetMillis(Math.max(0, work.getBudgetMillis() - millis))
+        .build();
+  }
+
   static Work decodeWork(MeshWork message) {
     StatementTemplate template =
         message.getShapeMode() == 0
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -111,6 +111,32 @@
       @Nullable ReplyHandler replyHandler,
       boolean isPatient) {}
 
+  /**
+   * A frame that waits for the link to open.
+   *
+   * @param queuedNanos the time at which it began to wait
+   */
+  private record UnsentFrame(MeshFrame frame, long queuedNanos) {
+
+    /** Returns whether the frame carries a statement of the transaction. */
+    boolean isOfTransaction(String group, long transaction) {
+      return frame.hasWork()
+          && frame.getWork().getTransaction() == transaction
+          && frame.getWork().getGroup().equals(group);
+    }
+
+    /** Returns the frame to be sent at a time; a statement's limits are reduced by its wait. */
+    MeshFrame after(long nowNanos) {
+      int waitedMillis = (int) ((nowNanos - queuedNanos) / 1_000_000);
+      if (!frame.hasWork() || waitedMillis == 0) {
+        return frame;
+      }
+      return MeshFrame.newBuilder()
+          .setWork(MeshCodec.afterWaiting(frame.getWork(), waitedMillis))
+          .build();
+    }
+  }
+
   private final String address;
   private final MeshTransport transport;
   private final Scheduler scheduler;
@@ -118,7 +144,7 @@
   private final LongSupplier configurationVersion;
   private final LinkListener listener;
   private final Map<Long, Call> calls = new HashMap<>();
-  private final Deque<MeshFrame> unsent = new ArrayDeque<>();
+  private final Deque<UnsentFrame> unsent = new ArrayDeque<>();
   private final List<ResponseCheck> responseChecks = new ArrayList<>();
   private @Nullable MeshChannel channel;
   private boolean connecting;
@@ -232,11 +258,13 @@
   }
 
   /**
-   * Abandons a transaction. Does nothing if the link is not open; the peer abandons the
-   * transactions of a closed connection itself.
+   * Abandons a transaction. Its statements are not sent if the link is not open yet; the peer
+   * abandons the transactions of a closed connection itself.
    */
   public void sendAbandon(String group, long transaction) {
-    if (channel != null) {
+    if (channel == null) {
+      unsent.removeIf(waiting -> waiting.isOfTransaction(group, transaction));
+    } else {
       send(
           MeshFrame.newBuilder()
               .setAbandon(MeshAbandon.newBuilder().setGroup(group).setTransaction(transaction))
@@ -251,7 +279,7 @@
   public void sendAbandonCall(String group, long call) {
     calls.remove(call);
     if (channel == null) {
-      unsent.removeIf(frame -> frame.hasWork() && frame.getWork().getCall() == call);
+      unsent.removeIf(u -> u.frame().hasWork() && u.frame().getWork().getCall() == call);
     } else {
       send(
           MeshFrame.newBuilder()
@@ -311,7 +339,7 @@
       c.send(frame);
       return;
     }
-    unsent.add(frame);
+    unsent.add(new UnsentFrame(frame, scheduler.nanoTime()));
     connect();
   }
 
@@ -482,8 +510,8 @@
       lastFrameNanos = scheduler.nanoTime();
       pingSent = false;
       silent = false;
-      for (MeshFrame frame = unsent.poll(); frame != null; frame = unsent.poll()) {
-        opened.send(frame);
+      for (UnsentFrame next = unsent.poll(); next != null; next = unsent.poll()) {
+        opened.send(next.after(lastFrameNanos));
       }
       finishResponseChecks(true);
       listener.onResponse(address);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -561,7 +561,7 @@
     if (!allowed) {
       return Refusal.UNCONFIRMED_HOME;
     }
-    return now > item.deadlineNanos() ? Refusal.OUT_OF_TIME : null;
+    return now >= item.deadlineNanos() ? Refusal.OUT_OF_TIME : null;
   }
 
   /** Refuses a statement that must not be sent now; returns false if it may be. */
@@ -1244,7 +1244,7 @@
 
   private void enforceTimeLimits(long now) {
     queue
-        .removeMatching(item -> now > item.deadlineNanos())
+        .removeMatching(item -> now >= item.deadlineNanos())
         .forEach(item -> refuseIfObstructed(item, now));
     for (PoolTransaction t : new ArrayList<>(transactions.values())) {
       if (!t.running && now - t.lastUsedNanos > transactionIdleNanos) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
@@ -85,7 +85,7 @@
         readOnly,
         priority,
         Math.max(0, targetMillis - millis),
-        Math.max(1, budgetMillis - millis),
+        Math.max(0, budgetMillis - millis),
         access);
   }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/mesh/PeerLinkTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/mesh/PeerLinkTest.java
@@ -8,8 +8,12 @@
 import org.chicorylane.internal.mesh.generated.MeshAnswer;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
+import org.chicorylane.internal.passthrough.SessionValues;
+import org.chicorylane.internal.pool.Work;
+import org.chicorylane.internal.pool.WorkKind;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.VirtualScheduler;
+import org.chicorylane.internal.topology.Freshness;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
@@ -29,8 +33,21 @@
   private int unanswered;
   private int responses;
 
+  /** Whether connections open later, when the test calls {@link #open()}. */
+  private boolean opensLater;
+
   private void connect(String address, MeshTransport.Listener listener) {
     connection = listener;
+    if (!opensLater) {
+      open();
+    }
+  }
+
+  private void open() {
+    MeshTransport.Listener listener = connection;
+    if (listener == null) {
+      throw new AssertionError("no connection was asked for");
+    }
     listener.onOpen(
         new MeshChannel() {
           @Override
@@ -121,6 +138,70 @@
     assertThat(lost).containsExactly("peer:1");
   }
 
+  /** Sends a statement that is not answered. */
+  private long send(long transaction) {
+    Work work =
+        new Work(
+            WorkKind.WRITE,
+            "w",
+            "WRITE 1a4 data",
+            null,
+            Freshness.LATEST,
+            0,
+            null,
+            SessionValues.EMPTY,
+            transaction,
+            transaction != 0,
+            false,
+            1,
+            250,
+            1_000,
+            null);
+    return link.sendWork(
+        "plans",
+        work,
+        new PeerLink.WorkResultHandler() {
+          @Override
+          public void onAnswer(MeshAnswer answer) {}
+
+          @Override
+          public void onLost(boolean wasSent) {}
+        });
+  }
+
+  // Guards against statements that their home may send after their entries have given them up.
+  @Test
+  void testBudgetOfStatementShrinksWhileLinkOpens() {
+    opensLater = true;
+    send(0);
+    scheduler.advance(Duration.ofMillis(300));
+    open();
+    assertThat(sent).hasSize(1);
+    assertThat(sent.get(0).getWork().getBudgetMillis()).isEqualTo(700);
+    assertThat(sent.get(0).getWork().getTargetMillis()).isEqualTo(0);
+  }
+
+  // Guards against transactions that begin at the home after their clients have left.
+  @Test
+  void testStatementOfAbandonedTransactionIsNotSentWhenLinkOpens() {
+    opensLater = true;
+    send(7);
+    send(8);
+    link.sendAbandon("plans", 7);
+    open();
+    assertThat(sent.stream().map(frame -> frame.getWork().getTransaction()).toList())
+        .containsExactly(8L);
+  }
+
+  @Test
+  void testAbandonedStatementIsNotSentWhenLinkOpens() {
+    opensLater = true;
+    long call = send(0);
+    link.sendAbandonCall("plans", call);
+    open();
+    assertThat(sent).isEmpty();
+  }
+
   private final class Listener implements PeerLink.LinkListener {
     @Override
     public void onLost(String address, boolean refused) {
