--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/ConnectionClose.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/ConnectionClose.java
@@ -11,7 +11,7 @@
   /** A later answer on the connection could not be told from a copy of an earlier one. */
   NOT_REUSABLE,
   /** A command that prepares the connection for a statement was not answered in time. */
-  UNPREPARED;
+  SETUP_OVERDUE;
 
   /** Returns the name of the reason in metrics and in the log. */
   String label() {
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -827,8 +827,8 @@
 
     /** Closes the connection, whose state is unknown; the statement is sent over another one. */
     void giveUp(long now) {
-      metrics.recordConnectionClosed(ConnectionClose.UNPREPARED);
-      log.event(DecisionLog.Priority.FAILURE, "connection-unprepared")
+      metrics.recordConnectionClosed(ConnectionClose.SETUP_OVERDUE);
+      log.event(DecisionLog.Priority.FAILURE, "setup-overdue")
           .with("request", item.work.requestId())
           .with("group", group)
           .with("server", connection.server.backend.id())
