Bound the wait for the answer to a rollback

What callers saw: nothing at once; a connection whose ROLLBACK was not answered stayed open and was never used again. With enough of them a server accepts no more.

Cause: as for the commands that prepare a connection, nothing ended the wait but the end of the connection.

Change: the connection is closed after the same time, which rolls back.

--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -67,8 +67,8 @@
   private static final long MIN_OVERDUE_WRITE_NANOS = Duration.ofMillis(600).toNanos();
 
   /**
-   * Maximum time for the commands that prepare a connection for a statement. They take no slot, so
-   * that their answers take little more than a round trip.
+   * Maximum time for the answers to commands that prepare a connection for a statement, or roll
+   * back. They take no slot, so that their answers take little more than a round trip.
    */
   private static final long MAX_SETUP_NANOS = Duration.ofMillis(260).toNanos();
 
@@ -473,18 +473,7 @@
       return;
     }
     c.transaction = null;
-    c.link.send(
-        new ServerCommand.Rollback(),
-        new ServerLink.AnswerHandler() {
-          @Override
-          public void onAnswer(Answer answer) {
-            connections.giveBack(c, answer);
-            dispatchQueued();
-          }
-
-          @Override
-          public void onLost() {}
-        });
+    c.link.send(new ServerCommand.Rollback(), new RollbackHandler(c));
   }
 
   /** Returns the expected time in milliseconds until a server takes the work, or -1 if none can. */
@@ -840,6 +829,35 @@
     }
   }
 
+  /** Handles the answer to a rollback; closes the connection if none arrives in time. */
+  private final class RollbackHandler implements ServerLink.AnswerHandler {
+    private final PooledConnection connection;
+    private final Scheduler.Timer limit;
+
+    RollbackHandler(PooledConnection c) {
+      this.connection = c;
+      this.limit =
+          scheduler.schedule(
+              Duration.ofNanos(MAX_SETUP_NANOS),
+              () -> {
+                connections.close(c);
+                dispatchQueued();
+              });
+    }
+
+    @Override
+    public void onAnswer(Answer answer) {
+      limit.cancel();
+      connections.giveBack(connection, answer);
+      dispatchQueued();
+    }
+
+    @Override
+    public void onLost() {
+      limit.cancel();
+    }
+  }
+
   /** Handles the answer to a client's statement. */
   private final class StatementHandler implements ServerLink.AnswerHandler {
     private final QueuedWork item;
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -346,4 +346,20 @@
     assertThat(fixture.failureOf("w")).isNull();
     assertThat(fixture.pool.isIdle()).isTrue();
   }
+
+  // Guards against a connection that is never used again, as its rollback has no answer.
+  @Test
+  void testConnectionIsClosedWhenAnswerToRollbackIsLost() {
+    fixture.submit(
+        PoolFixture.work("w", WorkKind.WRITE, Freshness.OWN_WRITES)
+            .inTransaction(1, true, false)
+            .build());
+    fixture.advance(60);
+    primary.losesAnswer = command -> command instanceof ServerCommand.Rollback;
+    fixture.pool.abandon(fixture, 1);
+    fixture.advance(50);
+    assertThat(fixture.pool.primaryConnectionsInUse()).isEqualTo(1);
+    fixture.advance(500);
+    assertThat(fixture.pool.primaryConnectionsInUse()).isEqualTo(0);
+  }
 }
