A home counts the time that a statement spent on its way

What callers saw: a statement that was held up between its entry and the home (a cut that heals, a suspended process) ran after its entry had told the client INDOUBT or BUSY, and possibly after a later statement of the same session that had gone another way.

Cause: the home's limit of a statement began with its arrival. The two sides have no common clock.

Change: statements and pings carry the time of their sending by the sender's clock. For each connection the home takes the smallest difference to its own clock as the reference; what exceeds it was spent on the way and reduces the statement's limits. A statement without time left is refused. The first frame of a connection has no reference and counts as new.

--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/MeshCodec.java
@@ -29,10 +29,11 @@
 
   private MeshCodec() {}
 
-  static MeshWork encodeWork(long call, String group, Work work) {
+  static MeshWork encodeWork(long call, String group, Work work, long sentMillis) {
     MeshWork.Builder builder =
         MeshWork.newBuilder()
             .setCall(call)
+            .setSentMillis(sentMillis)
             .setGroup(group)
             .setKind(KIND_NUMBERS.number(work.kind()))
             .setRequestId(work.requestId())
@@ -66,9 +67,10 @@
     return builder.build();
   }
 
-  /** Returns the work with its target and budget reduced by a time that it has waited. */
-  static MeshWork afterWaiting(MeshWork work, int millis) {
+  /** Returns the work with its target and budget reduced by a time that it waited to be sent. */
+  static MeshWork afterWaiting(MeshWork work, int millis, long sentMillis) {
     return work.toBuilder()
+        .setSentMillis(sentMillis)
         .setTargetMillis(Math.max(0, work.getTargetMillis() - millis))
         .setBudgetMillis(Math.max(0, work.getBudgetMillis() - millis))
         .build();
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -16,6 +16,7 @@
 import org.chicorylane.internal.mesh.generated.MeshPing;
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
 import org.chicorylane.internal.mesh.generated.MeshReply;
+import org.chicorylane.internal.mesh.generated.MeshWork;
 import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.runtime.AttentionClock;
 import org.chicorylane.internal.runtime.Scheduler;
@@ -126,13 +127,13 @@
     }
 
     /** Returns the frame to be sent at a time; a statement's limits are reduced by its wait. */
-    MeshFrame after(long nowNanos) {
+    MeshFrame after(long nowNanos, long sentMillis) {
       int waitedMillis = (int) ((nowNanos - queuedNanos) / 1_000_000);
       if (!frame.hasWork() || waitedMillis == 0) {
         return frame;
       }
       return MeshFrame.newBuilder()
-          .setWork(MeshCodec.afterWaiting(frame.getWork(), waitedMillis))
+          .setWork(MeshCodec.afterWaiting(frame.getWork(), waitedMillis, sentMillis))
           .build();
     }
   }
@@ -248,10 +249,16 @@
   public long sendWork(String group, Work work, WorkResultHandler handler) {
     long call = ++nextCall;
     calls.put(call, new Call(handler, null, false));
-    send(MeshFrame.newBuilder().setWork(MeshCodec.encodeWork(call, group, work)).build());
+    MeshWork message = MeshCodec.encodeWork(call, group, work, sentMillis());
+    send(MeshFrame.newBuilder().setWork(message).build());
     return call;
   }
 
+  /** Returns the time that a frame carries which is sent now. */
+  private long sentMillis() {
+    return scheduler.waitNanoTime() / 1_000_000;
+  }
+
   /** Removes a statement whose time has run out; a later answer is ignored. */
   public void forget(long call) {
     calls.remove(call);
@@ -413,7 +420,9 @@
     c.send(
         MeshFrame.newBuilder()
             .setPing(
-                MeshPing.newBuilder().setConfigurationVersion(configurationVersion.getAsLong()))
+                MeshPing.newBuilder()
+                    .setConfigurationVersion(configurationVersion.getAsLong())
+                    .setSentMillis(sentMillis()))
             .build());
   }
 
@@ -511,7 +520,7 @@
       pingSent = false;
       silent = false;
       for (UnsentFrame next = unsent.poll(); next != null; next = unsent.poll()) {
-        opened.send(next.after(lastFrameNanos));
+        opened.send(next.after(lastFrameNanos, sentMillis()));
       }
       finishResponseChecks(true);
       listener.onResponse(address);
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -335,6 +335,10 @@
     double serviceNanos = serviceTimes.expectedNanos(work);
     QueuedWork item =
         new QueuedWork(owner, work, handler, now, nextSequence++, transaction, serviceNanos);
+    if (work.budgetMillis() == 0) {
+      refuse(item, Refusal.OUT_OF_TIME, "it arrived after its time", 0);
+      return;
+    }
     StatementQuota.Refusal overQuota = isNewWork(item) ? quota.checkNew(work) : null;
     if (overQuota != null) {
       refuse(item, Refusal.OVER_QUOTA, overQuota.reason(), overQuota.retryMillis());
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/Work.java
@@ -26,7 +26,7 @@
  * @param readOnly whether the transaction is read-only
  * @param priority the priority; lower values are served first, 0 before all others
  * @param targetMillis the time in milliseconds within which the client wants an answer
- * @param budgetMillis the time in milliseconds after which the client gives up
+ * @param budgetMillis the time in milliseconds after which the client gives up; 0 if it has
  * @param access the client account under which the work runs; null if no accounts are declared
  */
 public record Work(
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -16,6 +16,7 @@
 import org.chicorylane.internal.mesh.MeshMessages;
 import org.chicorylane.internal.mesh.NettyMeshTransport;
 import org.chicorylane.internal.mesh.PeerLink;
+import org.chicorylane.internal.mesh.TransitDelay;
 import org.chicorylane.internal.mesh.generated.MeshFrame;
 import org.chicorylane.internal.mesh.generated.MeshPing;
 import org.chicorylane.internal.mesh.generated.MeshQuestion;
@@ -29,6 +30,7 @@
 import org.chicorylane.internal.platform.KeyValueStore;
 import org.chicorylane.internal.platform.ReadResult;
 import org.chicorylane.internal.platform.WriteResult;
+import org.chicorylane.internal.pool.Work;
 import org.chicorylane.internal.pool.WorkHandler;
 import org.chicorylane.internal.position.LogPosition;
 import org.chicorylane.internal.quota.FleetQuota;
@@ -70,6 +72,9 @@
   /** The version of the configuration that was sent last over each connection, after a refusal. */
   private final Map<MeshChannel, Long> sentVersions = new HashMap<>();
 
+  /** By how much frames of each connection are held up on their way here. */
+  private final Map<MeshChannel, TransitDelay> transitDelays = new HashMap<>();
+
   private final FleetQuota quota;
 
   /**
@@ -136,6 +141,7 @@
   @Override
   public void onClosed(MeshChannel channel) {
     sentVersions.remove(channel);
+    transitDelays.remove(channel);
     allElections.forEach(election -> election.abandonAll(channel));
   }
 
@@ -145,7 +151,19 @@
       channel.send(MeshMessages.notHomeFrame(work.getCall()));
       return;
     }
-    election.submit(channel, MeshMessages.decodeWork(work), new MeshCall(channel, work.getCall()));
+    int heldUpMillis = recordTransit(channel, work.getSentMillis());
+    Work decoded = MeshMessages.decodeWork(work);
+    election.submit(
+        channel,
+        heldUpMillis == 0 ? decoded : decoded.afterWaiting(heldUpMillis),
+        new MeshCall(channel, work.getCall()));
+  }
+
+  /** Records the arrival of a frame and returns by how many milliseconds it was held up. */
+  private int recordTransit(MeshChannel channel, long sentMillis) {
+    return transitDelays
+        .computeIfAbsent(channel, c -> new TransitDelay())
+        .onFrame(sentMillis, scheduler.waitNanoTime() / 1_000_000);
   }
 
   /**
@@ -194,6 +212,7 @@
   }
 
   private void onPing(MeshChannel channel, MeshPing ping) {
+    recordTransit(channel, ping.getSentMillis());
     channel.send(MeshMessages.pongFrame(ping.getSequence(), configuration.version()));
     if (ping.getConfigurationVersion() < configuration.version()) {
       channel.send(MeshMessages.configurationFrame(configuration.text()));
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/MeshServiceTest.java
@@ -149,4 +149,38 @@
             0, 1 + FailureCode.UNKNOWN_KEY.ordinal(), 1 + FailureCode.ABORTED.ordinal())
         .inOrder();
   }
+
+  /** Sends the home a write of its own that was sent {@code ageMillis} ago. */
+  private void sendWrite(ModelHost home, String id, long ageMillis) {
+    MeshWork work =
+        MeshWork.newBuilder()
+            .setCall(channel.sent.size() + 1)
+            .setSentMillis(home.waitNanoTime() / 1_000_000 - ageMillis)
+            .setGroup("plans")
+            .setKind(WorkKind.WRITE.ordinal())
+            .setRequestId(id)
+            .setText("WRITE item data")
+            .setBudgetMillis(800)
+            .setTargetMillis(250)
+            .build();
+    home.instance.meshAcceptor().onFrame(channel, MeshFrame.newBuilder().setWork(work).build());
+    fleet.advance(300);
+  }
+
+  // Guards against a statement that runs after its entry has given it up, because the message was
+  // held up on its way.
+  @Test
+  void testStatementThatWasHeldUpBeyondItsTimeIsNotSent() {
+    fleet.start();
+    fleet.advance(2_000);
+    ModelHost home = fleet.home().orElseThrow();
+    sendWrite(home, "first", 5);
+    sendWrite(home, "held-up", 5 + 900);
+    sendWrite(home, "last", 5 + 300);
+    assertThat(fleet.group.primary().log().stream().map(e -> e.requestId()).toList())
+        .containsExactly("first", "last");
+    assertThat(channel.sent.stream().map(f -> f.getAnswer().getFailure()).toList())
+        .containsExactly(0, 1 + FailureCode.OVERLOADED.ordinal(), 0)
+        .inOrder();
+  }
 }
