--- a/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/entry/HomeRouter.java
@@ -286,13 +286,15 @@
       if (!sent.remove(this)) {
         return;
       }
-      HomeElection election = elections.apply(group);
       if (transaction != null) {
         // The home drops the statement with its transaction.
         if (link != null) {
           link.forget(call);
         }
-      } else if (link != null) {
+        return;
+      }
+      HomeElection election = elections.apply(group);
+      if (link != null) {
         link.sendAbandonCall(group, call);
       } else if (election != null) {
         election.drop(this);
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/PeerLink.java
@@ -126,7 +126,12 @@
           && frame.getWork().getGroup().equals(group);
     }
 
-    /** Returns the frame to be sent at a time; a statement's limits are reduced by its wait. */
+    /**
+     * Returns the frame to be sent now; a statement's limits are reduced by its wait.
+     *
+     * @param nowNanos the time, comparable with {@code queuedNanos}
+     * @param sentMillis the time that the frame is to carry
+     */
     MeshFrame after(long nowNanos, long sentMillis) {
       int waitedMillis = (int) ((nowNanos - queuedNanos) / 1_000_000);
       if (!frame.hasWork() || waitedMillis == 0) {
--- a/chicorylane/src/main/java/org/chicorylane/internal/mesh/TransitDelay.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/mesh/TransitDelay.java
@@ -7,7 +7,7 @@
  *
  * <pre>{@code
  * TransitDelay delay = new TransitDelay();
- * long heldUpMillis = delay.onFrame(frame.getSentMillis(), nowMillis);
+ * long heldUpMillis = delay.recordArrival(frame.getSentMillis(), nowMillis);
  * }</pre>
  *
  * <p>The first frame of a connection counts as not held up. Not thread-safe.
@@ -22,12 +22,12 @@
   private long referenceMillis;
 
   /**
-   * Records a frame and returns by how many milliseconds it was held up.
+   * Records the arrival of a frame and returns by how many milliseconds it was held up.
    *
    * @param sentMillis time at which the frame was sent, by the sender's clock; 0 if unknown
    * @param nowMillis time at which it arrived, by the receiver's clock
    */
-  public int onFrame(long sentMillis, long nowMillis) {
+  public int recordArrival(long sentMillis, long nowMillis) {
     if (sentMillis == 0) {
       return 0;
     }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -525,20 +526,21 @@
       postponeLateWork(now);
       dispatchStarved(allowed, now);
       Iterator<QueuedWork> i = queue.iterator();
-      List<QueuedWork> refused = new ArrayList<>();
+      Map<QueuedWork, Refusal> refused = new LinkedHashMap<>();
       while (i.hasNext() && (!allowed || hasFreeCapacity())) {
         QueuedWork item = i.next();
+        Refusal obstacle = findObstacle(item, allowed, now);
         if (item.isAbandoned()) {
           i.remove();
           recordDropped(item);
-        } else if (findObstacle(item, allowed, now) != null) {
+        } else if (obstacle != null) {
           i.remove();
-          refused.add(item);
+          refused.put(item, obstacle);
         } else if (now >= item.notBeforeNanos && tryDispatch(item, now)) {
           i.remove();
         }
       }
-      refused.forEach(item -> refuseIfObstructed(item, now));
+      refused.forEach(this::refuseObstructed);
     } finally {
       dispatching = false;
     }
@@ -557,19 +559,17 @@
     return now >= item.deadlineNanos() ? Refusal.OUT_OF_TIME : null;
   }
 
-  /** Refuses a statement that must not be sent now; returns false if it may be. */
-  private boolean refuseIfObstructed(QueuedWork item, long now) {
-    Refusal obstacle = findObstacle(item, mayServe.test(now), now);
+  /** Refuses a statement that must not be sent, for the reason that {@link #findObstacle} gave. */
+  private void refuseObstructed(QueuedWork item, Refusal obstacle) {
     if (obstacle == Refusal.UNCONFIRMED_HOME) {
       refuse(
           item,
           obstacle,
           "this home cannot confirm that it still is one",
           UNCONFIRMED_RETRY_AFTER_MILLIS);
-    } else if (obstacle != null) {
+    } else {
       refuse(item, obstacle, "no server had room in time", expectedWaitMillis(item));
     }
-    return obstacle != null;
   }
 
   /** Dispatches the statement whose priority would otherwise be starved, if there is one. */
@@ -766,25 +766,28 @@
       if (!answer.succeeded() && failed == null) {
         failed = answer;
       }
-      if (--outstanding > 0) {
-        return;
+      if (--outstanding == 0) {
+        preparing.remove(this);
+        onPrepared(answer);
       }
-      preparing.remove(this);
+    }
+
+    /** Sends the statement, unless it has ended or must not be sent to the server any more. */
+    private void onPrepared(Answer last) {
       Answer failure = failed;
-      boolean mayStart = !isNewWork(item) || mayStart();
       if (failure == null && item.transaction != null && item.work.begins()) {
-        connection.onBegun(answer.position());
+        connection.onBegun(last.position());
       }
       long now = scheduler.nanoTime();
-      boolean isObstructed =
-          item.isAbandoned() || findObstacle(item, mayServe.test(now), now) != null;
-      if (failure == null && mayStart && !isObstructed) {
+      Refusal obstacle = findObstacle(item, mayServe.test(now), now);
+      boolean isSendable = obstacle == null && !item.isAbandoned() && mayRunHere();
+      if (failure == null && isSendable) {
         sendStatement(item, connection, floor, now);
         return;
       }
       connection.server.inFlight--;
       if (failure == null && item.transaction == null) {
-        connections.giveBack(connection, answer);
+        connections.giveBack(connection, last);
       } else {
         connections.close(connection);
       }
@@ -792,7 +795,9 @@
         recordDropped(item);
       } else if (failure != null) {
         retryUnrun(item, connection.server, failure);
-      } else if (!refuseIfObstructed(item, now)) {
+      } else if (obstacle != null) {
+        refuseObstructed(item, obstacle);
+      } else {
         retryUnsent(item, connection.server);
       }
       dispatchQueued();
@@ -806,8 +811,11 @@
       }
     }
 
-    /** Returns whether new work may still start on the server that was chosen for it. */
-    private boolean mayStart() {
+    /** Returns whether the server that was chosen may still run the statement. */
+    private boolean mayRunHere() {
+      if (!isNewWork(item)) {
+        return true;
+      }
       PoolServer server = connection.server;
       boolean isAllowed = server.primary ? halt.allows(item.work) : !wasPrimary;
       return isAllowed && server.acceptsNewWork();
@@ -1267,7 +1275,7 @@
   private void enforceTimeLimits(long now) {
     queue
         .removeMatching(item -> now >= item.deadlineNanos())
-        .forEach(item -> refuseIfObstructed(item, now));
+        .forEach(item -> refuseObstructed(item, Refusal.OUT_OF_TIME));
     for (PoolTransaction t : new ArrayList<>(transactions.values())) {
       if (!t.running && now - t.lastUsedNanos > transactionIdleNanos) {
         transactions.remove(t.key);
--- a/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/proxy/MeshService.java
@@ -163,7 +163,7 @@
   private int recordTransit(MeshChannel channel, long sentMillis) {
     return transitDelays
         .computeIfAbsent(channel, c -> new TransitDelay())
-        .onFrame(sentMillis, scheduler.waitNanoTime() / 1_000_000);
+        .recordArrival(sentMillis, scheduler.waitNanoTime() / 1_000_000);
   }
 
   /**
