--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -117,6 +117,22 @@
     assertThat(runs).containsExactly("r" + VALUES);
   }
 
+  // Guards against a read that goes back to the replica which has just not answered.
+  @Test
+  void testReadIsNotSentTwiceToReplicaThatLosesAnswersToSetup() {
+    fixture.group.server("server-b").losesAnswer = setupCommands(1_000);
+    for (int i = 0; i < 30; i++) {
+      fixture.submit(
+          PoolFixture.work("r" + i, WorkKind.READ, Freshness.BOUNDED_AGE)
+              .values(Map.of("tone", "of-" + i))
+              .budget(2_000)
+              .build());
+      fixture.advance(1_000);
+      assertThat(fixture.failureOf("r" + i)).isNull();
+      assertThat(fixture.tookMillis.get("r" + i)).isLessThan(500);
+    }
+  }
+
   // An answer that is late, not lost, must not bring back a statement that goes another way.
   @Test
   void testLateAnswerToSetupChangesNothing() {
