--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/EndedStatementTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/EndedStatementTest.java
@@ -69,21 +69,30 @@
     return runs.stream().filter(run -> run.requestId().equals(id)).toList();
   }
 
-  // Review case 7: a write in doubt ran later, with the values that its session had by then.
-  @ParameterizedTest
-  @ValueSource(booleans = {true, false})
-  void testWriteRunsWithValuesOfItsSubmission(boolean atHome) {
+  /**
+   * Runs a statement of a session that has set a value, while the primary loses the answers to the
+   * commands that set values. When the client has been told the outcome, it sets another value;
+   * then the connections without an answer are reset.
+   */
+  private void runWithoutSetupAnswers(boolean atHome, String id, ClientStatement statement) {
     ClientSession session = openSession(atHome);
     ModelServer primary = fleet.group.primary();
     primary.losesAnswer = command -> command instanceof ServerCommand.SetValue;
     run(session, "s1", new ClientStatement.SetValue("tone", "first"));
-    run(session, "w", new ClientStatement.Write("WRITE 1a4 data"));
+    run(session, id, statement);
     fleet.advance(2_250);
-    assertThat(answers).containsKey("w");
+    assertThat(answers).containsKey(id);
     run(session, "s2", new ClientStatement.SetValue("tone", "second"));
     primary.losesAnswer = command -> false;
     primary.resetUnanswered();
     fleet.advance(3_000);
+  }
+
+  // Review case 7: a write in doubt ran later, with the values that its session had by then.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void testWriteRunsWithValuesOfItsSubmission(boolean atHome) {
+    runWithoutSetupAnswers(atHome, "w", new ClientStatement.Write("WRITE 1a4 data"));
     for (Run run : runsOf("w")) {
       assertThat(run.values()).containsExactly("tone", "first");
     }
@@ -101,15 +110,7 @@
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void testWriteThatIsGivenUpIsNotSentLater(boolean atHome) {
-    ClientSession session = openSession(atHome);
-    ModelServer primary = fleet.group.primary();
-    primary.losesAnswer = command -> command instanceof ServerCommand.SetValue;
-    run(session, "s", new ClientStatement.SetValue("tone", "first"));
-    run(session, "w", new ClientStatement.Write("WRITE 1a4 data"));
-    fleet.advance(2_250);
-    primary.losesAnswer = command -> false;
-    primary.resetUnanswered();
-    fleet.advance(3_000);
+    runWithoutSetupAnswers(atHome, "w", new ClientStatement.Write("WRITE 1a4 data"));
     assertNotRunAfterAnswer("w");
   }
 
@@ -117,15 +118,7 @@
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
   void testReadThatIsRefusedIsNotSentLater(boolean atHome) {
-    ClientSession session = openSession(atHome);
-    ModelServer primary = fleet.group.primary();
-    primary.losesAnswer = command -> command instanceof ServerCommand.SetValue;
-    run(session, "s", new ClientStatement.SetValue("tone", "first"));
-    run(session, "r", new ClientStatement.Read("READ 1a4"));
-    fleet.advance(2_250);
-    primary.losesAnswer = command -> false;
-    primary.resetUnanswered();
-    fleet.advance(3_000);
+    runWithoutSetupAnswers(atHome, "r", new ClientStatement.Read("READ 1a4"));
     assertThat(answers.get("r").failure()).isEqualTo(FailureCode.OVERLOADED);
     assertNotRunAfterAnswer("r");
   }
