Tests of commits whose connection is being prepared

A commit whose preparation has no answer, or ends after its time, must be reported as aborted and must not take effect.

--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/StatementEndTest.java
@@ -378,4 +378,42 @@
     fixture.advance(500);
     assertThat(fixture.pool.primaryConnectionsInUse()).isEqualTo(0);
   }
+
+  /** Runs a write in a transaction, and submits its commit with a value that was set after it. */
+  private void commitAfterSettingValue(int budgetMillis) {
+    fixture.submit(
+        PoolFixture.work("w", WorkKind.WRITE, Freshness.OWN_WRITES)
+            .inTransaction(1, true, false)
+            .build());
+    fixture.advance(60);
+    fixture.submit(
+        PoolFixture.work("c", WorkKind.COMMIT, Freshness.OWN_WRITES)
+            .values(VALUES)
+            .inTransaction(1, false, false)
+            .budget(budgetMillis)
+            .build());
+  }
+
+  // Guards against a commit that takes effect after its client was told that it did not.
+  @Test
+  void testCommitIsAbortedWhenAnswerToSetupIsLost() {
+    primary.losesAnswer = setupCommands(1);
+    commitAfterSettingValue(2_000);
+    fixture.advance(3_000);
+    assertThat(fixture.failureOf("c")).isEqualTo(FailureCode.ABORTED);
+    assertThat(primary.log()).hasSize(3);
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
+
+  @Test
+  void testCommitWhoseSetupEndsAfterItsTimeIsNotSent() {
+    primary.answerDelay =
+        command ->
+            command instanceof ServerCommand.SetValue ? Duration.ofMillis(200) : Duration.ZERO;
+    commitAfterSettingValue(150);
+    fixture.advance(3_000);
+    assertThat(fixture.failureOf("c")).isEqualTo(FailureCode.ABORTED);
+    assertThat(primary.log()).hasSize(3);
+    assertThat(fixture.pool.isIdle()).isTrue();
+  }
 }
