--- a/bench/src/main/java/org/chicorylane/bench/soak/InstanceProcess.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/InstanceProcess.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.chicorylane.standin.wire.InstanceSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +28,7 @@
   private final Path logs;
   private final ScheduledExecutorService executor;
   private final Timeline timeline;
+  private final LongSupplier clock;
   private @Nullable Process process;
   private boolean closed;
 
@@ -38,6 +40,7 @@
    *
    * @param logs the folder for the settings file and the log
    * @param executor runs the restarts
+   * @param clock returns a monotonic time in nanoseconds
    */
   InstanceProcess(
       String name,
@@ -45,7 +48,8 @@
       List<String> command,
       Path logs,
       ScheduledExecutorService executor,
-      Timeline timeline)
+      Timeline timeline,
+      LongSupplier clock)
       throws IOException {
     this.name = name;
     this.settings = settings;
@@ -53,6 +57,7 @@
     this.logs = logs;
     this.executor = executor;
     this.timeline = timeline;
+    this.clock = clock;
     Files.writeString(settingsFile(), settings.toJson());
     start();
   }
@@ -103,7 +108,7 @@
     }
     timeline.event(name + " gets SIG" + signal);
     if (signal.equals("STOP") || signal.equals("CONT")) {
-      lastPausedNanos = System.nanoTime();
+      lastPausedNanos = clock.getAsLong();
     }
     new ProcessBuilder("kill", "-" + signal, Long.toString(current.pid())).start();
   }
@@ -111,7 +116,7 @@
   /** Returns whether the process was paused in the last {@code millis} milliseconds. */
   boolean wasPausedWithin(long millis) {
     return lastPausedNanos != 0
-        && System.nanoTime() - lastPausedNanos < TimeUnit.MILLISECONDS.toNanos(millis);
+        && clock.getAsLong() - lastPausedNanos < TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
   /** Returns whether the readiness page tells that the instance takes connections. */
--- a/bench/src/main/java/org/chicorylane/bench/soak/SoakFleet.java
+++ b/bench/src/main/java/org/chicorylane/bench/soak/SoakFleet.java
@@ -91,7 +91,13 @@
           new InstanceSettings(name, "zone-" + i % 3, ports, store.address(), promotions.address());
       instances.add(
           new InstanceProcess(
-              name, settings, options.command(), options.logs(), executor, timeline));
+              name,
+              settings,
+              options.command(),
+              options.logs(),
+              executor,
+              timeline,
+              System::nanoTime));
     }
   }
 
--- a/bench/src/test/java/org/chicorylane/bench/soak/InstanceProcessTest.java
+++ b/bench/src/test/java/org/chicorylane/bench/soak/InstanceProcessTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.chicorylane.standin.wire.InstanceSettings;
 import org.chicorylane.standin.wire.LoopbackPorts;
 import org.junit.jupiter.api.Test;
@@ -20,6 +22,7 @@
   // it went on.
   @Test
   void testPauseLongerThanTheWindowCountsUntilItsEnd(@TempDir Path folder) throws Exception {
+    AtomicLong clock = new AtomicLong(1);
     ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
     try (LoopbackPorts ports = new LoopbackPorts();
         Timeline timeline = new Timeline(folder.resolve("timeline.log"));
@@ -30,9 +33,10 @@
                 List.of("sleep", "30"),
                 folder,
                 executor,
-                timeline)) {
+                timeline,
+                clock::get)) {
       process.signal("STOP");
-      Thread.sleep(WINDOW_MILLIS + 100);
+      clock.addAndGet(TimeUnit.MILLISECONDS.toNanos(WINDOW_MILLIS + 100));
       assertThat(process.wasPausedWithin(WINDOW_MILLIS)).isFalse();
       process.signal("CONT");
       assertThat(process.wasPausedWithin(WINDOW_MILLIS)).isTrue();
