Review case 11: acknowledged commits are lost when a replica starts again empty

Cause: once every member has reported a log end, the longest log counts as complete, even if it ends before positions that the home has acknowledged itself. Case: one replica receives nothing for 6.5 s, the primary crashes meanwhile, and the other replica starts again under its id, holding nothing.

--- /dev/null
+++ b/review/src-3/Writers.java
@@ -0,0 +1,86 @@
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Clients that write one item after the other, each on a session of its own. */
+final class Writers {
+
+  private static final int PAUSE_MILLIS = 40;
+
+  private final Database database;
+  private final CaseRecord record;
+  private final AtomicInteger nextId = new AtomicInteger();
+  private final Map<String, Integer> outcomes = new TreeMap<>();
+  private volatile boolean stopped;
+
+  Writers(Database database, CaseRecord record) {
+    this.database = database;
+    this.record = record;
+  }
+
+  /** Starts a client of an instance. */
+  void start(Fleet.Instance instance) {
+    Thread t = new Thread(() -> run(instance.clientPort), "client");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  void stop() {
+    stopped = true;
+  }
+
+  synchronized Map<String, Integer> outcomes() {
+    return new TreeMap<>(outcomes);
+  }
+
+  private void run(int port) {
+    while (!stopped) {
+      try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        socket.setSoTimeout(2_000);
+        BufferedReader in =
+            new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        OutputStream out = socket.getOutputStream();
+        send(out, "STARTUP db-primary client");
+        in.readLine();
+        while (!stopped) {
+          String id = String.format("w%06d", nextId.incrementAndGet());
+          send(out, "QUERY " + id + " WRITE item" + id + " data");
+          note(id, in.readLine());
+          in.readLine();
+          Database.sleep(PAUSE_MILLIS);
+        }
+      } catch (IOException e) {
+        note("-", "no answer");
+        Database.sleep(200);
+      }
+    }
+  }
+
+  private void note(String id, String line) {
+    String outcome = line == null ? "closed" : line.startsWith("COMPLETE") ? "done" : line;
+    if (outcome.equals("done")) {
+      synchronized (database) {
+        database.acknowledged.add(id);
+      }
+    }
+    record.write(id + " WRITE -> " + outcome);
+    String[] words = outcome.split(" ");
+    String word = words[0].equals("ERROR") ? words[1] : outcome;
+    synchronized (this) {
+      outcomes.merge(word, 1, Integer::sum);
+    }
+  }
+
+  private static void send(OutputStream out, String line) throws IOException {
+    out.write((line + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    out.flush();
+  }
+}
