--- a/review/src-3/Database.java
+++ b/review/src-3/Database.java
@@ -92,9 +92,7 @@
   Database(CaseRecord record) throws IOException {
     this.record = record;
     for (String id : List.of("server-a", "server-b", "server-c")) {
-      ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      Server s = new Server(id, reserved.getLocalPort());
-      reserved.close();
+      Server s = new Server(id, Fleet.freePort());
       s.log.add(new Entry(1, 1, List.of()));
       servers.add(s);
       start(s);
@@ -105,6 +103,22 @@
     ticks.start();
   }
 
+  /** Starts a server that was not there before; it receives the log of the primary. */
+  synchronized Server add(String id) throws IOException {
+    Server s = new Server(id, Fleet.freePort());
+    s.term = 0;
+    servers.add(s);
+    start(s);
+    return s;
+  }
+
+  /** Ends the process of a server that has drained; its log is gone with it. */
+  synchronized void remove(Server s) throws IOException {
+    crash(s);
+    servers.remove(s);
+    record.write("server " + s.id + " has left");
+  }
+
   /** Starts the process of a server. */
   synchronized void start(Server s) throws IOException {
     ServerSocket listener = new ServerSocket();
--- a/review/src-3/Fleet.java
+++ b/review/src-3/Fleet.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.chicorylane.standin.metadata.MetadataEngine;
@@ -23,6 +24,9 @@
 /** The platform's stand-ins and the instances, which run as processes of their own. */
 final class Fleet {
 
+  private static final int LOWEST_PORT = 12_000;
+  private static final int HIGHEST_PORT = 32_000;
+
   /** An instance. */
   static final class Instance {
     final String name;
@@ -139,10 +143,18 @@
     return platform.getAddress().getPort();
   }
 
-  /** Reserves a port for a moment. */
-  static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return s.getLocalPort();
+  /**
+   * Returns a port that is free. It is below those that the kernel gives to outgoing connections, one
+   * of which could otherwise hold it when a process is started again.
+   */
+  static int freePort() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return s.getLocalPort();
+      } catch (IOException e) {
+        // Another process has it.
+      }
     }
   }
 
@@ -216,6 +228,13 @@
   /** Writes the entries that have changed; one of a server that is down lapses after 3.6 s. */
   private synchronized void writeEntries() {
     synchronized (database) {
+      for (String id : List.copyOf(entries.keySet())) {
+        if (database.servers.stream().noneMatch(s -> s.id.equals(id))) {
+          store.engine().transact(Map.of(), Map.of(), List.of("servers/" + id));
+          entries.remove(id);
+          record.write("entry of " + id + " is removed");
+        }
+      }
       for (Database.Server s : database.servers) {
         long now = System.nanoTime();
         if (s.runs() && s.listed) {
--- a/review/src-3/Writers.java
+++ b/review/src-3/Writers.java
@@ -36,6 +36,14 @@
     stopped = true;
   }
 
+  /** Returns the outcomes since {@code before}. */
+  synchronized Map<String, Integer> outcomesSince(Map<String, Integer> before) {
+    Map<String, Integer> since = new TreeMap<>();
+    outcomes.forEach((outcome, n) -> since.put(outcome, n - before.getOrDefault(outcome, 0)));
+    since.values().removeIf(n -> n == 0);
+    return since;
+  }
+
   synchronized Map<String, Integer> outcomes() {
     return new TreeMap<>(outcomes);
   }
@@ -59,7 +67,7 @@
         }
       } catch (IOException e) {
         note("-", "no answer");
-        Database.sleep(200);
+        Database.sleep(PAUSE_MILLIS);
       }
     }
   }
