--- a/review/src-3/Fleet.java
+++ b/review/src-3/Fleet.java
@@ -158,8 +158,17 @@
     }
   }
 
+  int storePort() {
+    return Integer.parseInt(store.address().substring(store.address().indexOf(':') + 1));
+  }
+
   /** Writes the settings of an instance and starts it. */
   Instance start(String name, int promotionPort) throws IOException {
+    return start(name, promotionPort, store.address());
+  }
+
+  /** Writes the settings of an instance that reaches the store at an address, and starts it. */
+  Instance start(String name, int promotionPort, String storeAddress) throws IOException {
     int clientPort = freePort();
     JsonArray ports = new JsonArray();
     ports.add(freePort());
@@ -171,7 +180,7 @@
     o.addProperty("clientAddress", "127.0.0.1:" + clientPort);
     o.addProperty("readinessAddress", "127.0.0.1:" + freePort());
     o.add("instancePorts", ports);
-    o.addProperty("storeAddress", store.address());
+    o.addProperty("storeAddress", storeAddress);
     o.addProperty("promotionAddress", "127.0.0.1:" + promotionPort);
     o.addProperty("processorShare", 0.75);
     o.addProperty("processorSpeed", 1);
