--- a/review/src-3/Database.java
+++ b/review/src-3/Database.java
@@ -51,6 +51,10 @@
     long term = 1;
     long held;
     boolean deaf;
+
+    /** Whether it neither answers nor sends anything; it runs on afterwards. */
+    boolean dark;
+
     boolean draining;
     boolean listed = true;
     long replacedSince;
@@ -86,6 +90,9 @@
   final List<Server> servers = new ArrayList<>();
   final List<String> violations = new ArrayList<>();
 
+  /** The last server whose promotion took effect. */
+  Server lastPromoted;
+
   /** The request ids of the commits that clients were told of. */
   final Set<String> acknowledged = new HashSet<>();
 
@@ -210,6 +217,7 @@
         s.term = newestTerm() + 1;
         s.primary = true;
         s.held = 0;
+        lastPromoted = s;
       }
     }
   }
@@ -220,13 +228,13 @@
         long now = System.nanoTime();
         Server leader = null;
         for (Server s : servers) {
-          if (s.runs() && s.primary && (leader == null || s.term > leader.term)) {
+          if (s.runs() && s.primary && !s.dark && (leader == null || s.term > leader.term)) {
             leader = s;
           }
         }
         if (leader != null) {
           for (Server s : servers) {
-            if (s != leader && s.runs()) {
+            if (s != leader && s.runs() && !s.dark) {
               follow(s, leader, now);
             }
           }
@@ -298,10 +306,12 @@
       List<String> written = new ArrayList<>();
       char[] state = {'I'};
       for (String line = in.readLine(); line != null; line = in.readLine()) {
+        awaitLight(s);
         String answer = answer(s, listener, line.split(" ", -1), prepared, written, state);
         if (answer == null) {
           return;
         }
+        awaitLight(s);
         out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
         if (line.startsWith("STARTUP") && answer.startsWith("ERROR")) {
@@ -317,6 +327,18 @@
     }
   }
 
+  private synchronized void awaitLight(Server s) throws InterruptedException {
+    while (s.dark) {
+      wait();
+    }
+  }
+
+  synchronized void setDark(Server s, boolean dark) {
+    s.dark = dark;
+    notifyAll();
+    record.write("server " + s.id + (dark ? " goes dark, log " : " is back, log ") + s.position());
+  }
+
   /** Returns the answer to a message; null if the connection ends without one. */
   private String answer(
       Server s,
--- a/review/src-3/Fleet.java
+++ b/review/src-3/Fleet.java
@@ -99,7 +99,7 @@
         });
     platform.start();
     writeEntries();
-    putConfiguration();
+    putConfiguration(1, false);
     Thread beats =
         new Thread(
             () -> {
@@ -246,14 +246,14 @@
       }
       for (Database.Server s : database.servers) {
         long now = System.nanoTime();
-        if (s.runs() && s.listed) {
+        if (s.runs() && s.listed && !s.dark) {
           seen.put(s.id, now);
         }
         boolean present =
             seen.containsKey(s.id) && now - seen.get(s.id) < TimeUnit.MILLISECONDS.toNanos(3_600);
         String entry = present ? entry(s) : null;
         String before = entries.get(s.id);
-        if (entry != null && s.runs() && !entry.equals(before)) {
+        if (entry != null && s.runs() && !s.dark && !entry.equals(before)) {
           put("servers/" + s.id, entry);
           entries.put(s.id, entry);
         } else if (entry == null && before != null) {
@@ -280,18 +280,19 @@
     return o.toString();
   }
 
-  private void putConfiguration() {
-    JsonObject route = new JsonObject();
-    route.addProperty("name", "route-1");
-    route.addProperty("host", "db-primary");
-    route.addProperty("prefix", "/");
-    route.addProperty("kind", "primary");
-    route.addProperty("timeout_ms", 800);
-    route.addProperty("target_latency_ms", 250);
-    route.addProperty("priority", 1);
-    route.addProperty("service", Database.NAME);
+  /** Adds a route for reads that may be old. */
+  void addReadRoute() {
+    putConfiguration(2, true);
+  }
+
+  private void putConfiguration(int version, boolean hasReadRoute) {
     JsonArray routes = new JsonArray();
-    routes.add(route);
+    routes.add(route("route-1", "db-primary", "primary"));
+    if (hasReadRoute) {
+      JsonObject reads = route("route-2", "db-reads", "bounded_staleness");
+      reads.addProperty("max_staleness_ms", 1_500);
+      routes.add(reads);
+    }
     JsonObject service = new JsonObject();
     service.addProperty("name", Database.NAME);
     service.addProperty("max_connections", Database.MAX_CONNECTIONS);
@@ -301,13 +302,26 @@
     JsonObject limits = new JsonObject();
     limits.addProperty("transaction_idle_ms", 3_000);
     JsonObject o = new JsonObject();
-    o.addProperty("version", 1);
+    o.addProperty("version", version);
     o.add("routes", routes);
     o.add("services", services);
     o.add("limits", limits);
     put("op/config", o.toString());
   }
 
+  private static JsonObject route(String name, String host, String kind) {
+    JsonObject route = new JsonObject();
+    route.addProperty("name", name);
+    route.addProperty("host", host);
+    route.addProperty("prefix", "/");
+    route.addProperty("kind", kind);
+    route.addProperty("timeout_ms", 800);
+    route.addProperty("target_latency_ms", 250);
+    route.addProperty("priority", 1);
+    route.addProperty("service", Database.NAME);
+    return route;
+  }
+
   private void endProcesses() {
     for (Instance instance : instances) {
       instance.processes.forEach(Process::destroyForcibly);
--- a/review/src-3/StoreLink.java
+++ b/review/src-3/StoreLink.java
@@ -10,12 +10,16 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
  * The link between one machine and the platform's store. While the store gives this machine no
  * responses, a call is not executed, but for the writes of a home record that {@code executes}
- * accepts: "A call that receives no response may have been executed".
+ * accepts: "A call that receives no response may have been executed". While the store is down, each
+ * call ends with a reset of its connection and is not executed.
  */
 final class StoreLink {
 
@@ -24,7 +28,12 @@
   private final CaseRecord record;
   private final String name;
   private final Predicate<JsonObject> executes;
+  private final Set<Socket> clients = new HashSet<>();
   private volatile boolean silent;
+  private volatile boolean down;
+
+  /** Returns whether the response to a home record that was written is sent. */
+  volatile Predicate<JsonObject> beforeResponse = written -> true;
 
   StoreLink(String name, int target, CaseRecord record, Predicate<JsonObject> executes)
       throws IOException {
@@ -49,10 +58,35 @@
             : "the store gives " + name + " responses again");
   }
 
+  /** Takes the store down for this machine, or brings it back. */
+  void setDown(boolean newDown) {
+    down = newDown;
+    record.write("the store is " + (newDown ? "down for " : "back for ") + name);
+    if (newDown) {
+      List<Socket> open;
+      synchronized (clients) {
+        open = List.copyOf(clients);
+      }
+      open.forEach(StoreLink::reset);
+    }
+  }
+
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      // It was closed already.
+    }
+  }
+
   private void accept() {
     try {
       while (true) {
         Socket client = listener.accept();
+        synchronized (clients) {
+          clients.add(client);
+        }
         daemon(() -> relay(client));
       }
     } catch (IOException e) {
@@ -71,11 +105,17 @@
       }
       byte[] body = in.readNBytes(contentLength(head));
       JsonObject written = homeRecordIn(body);
+      if (down) {
+        note(written, null, true);
+        reset(client);
+        return;
+      }
       boolean lost = silent;
       if (!lost || (written != null && executes.test(written))) {
         byte[] answer = call(head, body);
-        note(written, answer, lost || silent);
-        if (!lost && !silent) {
+        boolean sends = !lost && !silent && (written == null || beforeResponse.test(written));
+        note(written, answer, !sends);
+        if (sends) {
           client.getOutputStream().write(answer);
           return;
         }
@@ -86,6 +126,10 @@
       in.read();
     } catch (IOException e) {
       // The instance gave up.
+    } finally {
+      synchronized (clients) {
+        clients.remove(client);
+      }
     }
   }
 
--- a/review/src-3/Writers.java
+++ b/review/src-3/Writers.java
@@ -13,6 +13,7 @@
 final class Writers {
 
   private static final int PAUSE_MILLIS = 40;
+  private static final int READ_PAUSE_MILLIS = 10;
 
   private final Database database;
   private final CaseRecord record;
@@ -32,6 +33,40 @@
     t.start();
   }
 
+  /** Starts a client of an instance that reads on the route {@code db-reads}. */
+  void startReader(Fleet.Instance instance) {
+    Thread t = new Thread(() -> read(instance.clientPort), "reader");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void read(int port) {
+    while (!stopped) {
+      try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+        socket.setSoTimeout(2_000);
+        BufferedReader in =
+            new BufferedReader(
+                new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        OutputStream out = socket.getOutputStream();
+        send(out, "STARTUP db-reads client");
+        in.readLine();
+        while (!stopped) {
+          send(out, "QUERY r" + nextId.incrementAndGet() + " READ item data");
+          String line = in.readLine();
+          while (line != null && !line.startsWith("READY")) {
+            line = in.readLine();
+          }
+          if (line == null) {
+            break;
+          }
+          Database.sleep(READ_PAUSE_MILLIS);
+        }
+      } catch (IOException e) {
+        Database.sleep(PAUSE_MILLIS);
+      }
+    }
+  }
+
   void stop() {
     stopped = true;
   }
