--- a/review/src-3/Database.java
+++ b/review/src-3/Database.java
@@ -410,6 +410,7 @@
         case "PREPARE" -> prepared.put(w[v + 1], w[v + 2]);
         case "DISCARD" -> prepared.clear();
         case "READ" -> {
+          record.write("server " + s.id + " runs " + id + " at " + s.position());
           return "DATAROW row\r\nCOMPLETE sig." + id + "." + System.nanoTime() + "\r\n" + ready(s, state);
         }
         case "WRITE" -> {
--- a/review/src-3/Writers.java
+++ b/review/src-3/Writers.java
@@ -51,8 +51,10 @@
         send(out, "STARTUP db-reads client");
         in.readLine();
         while (!stopped) {
-          send(out, "QUERY r" + nextId.incrementAndGet() + " READ item data");
+          String id = String.format("r%06d", nextId.incrementAndGet());
+          send(out, "QUERY " + id + " READ item data");
           String line = in.readLine();
+          record.write(id + " READ -> " + line);
           while (line != null && !line.startsWith("READY")) {
             line = in.readLine();
           }
