A watch of the stand-in store belongs to the era in which it began

Cause: the stand-in counted a watch as begun before MetadataEngine.changes noted the store's era. A restore in between was missed, and the watch waited on for its whole time.

Change: the store notes the era before it counts the watch, and passes it on.

Evidence: MetadataEngineTest#testChangesEndIfTheStoreWasRestoredSinceTheCallBegan forces the order; without the parameter it waits for its 60 s and is ended after 10 s.

--- a/standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/MetadataEngine.java
@@ -163,8 +163,18 @@
    */
   public synchronized @Nullable List<Item> changes(String prefix, long after, long waitMillis)
       throws InterruptedException {
+    return changes(prefix, after, waitMillis, era);
+  }
+
+  /**
+   * Returns the changes as {@link #changes(String, long, long)} does, for a call that began in an
+   * era: null if the store was restored since.
+   *
+   * @param startEra the era in which the call began
+   */
+  public synchronized @Nullable List<Item> changes(
+      String prefix, long after, long waitMillis, long startEra) throws InterruptedException {
     long deadlineNanos = System.nanoTime() + waitMillis * 1_000_000;
-    final long startEra = era;
     while (true) {
       if (era != startEra) {
         return null;
--- a/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
+++ b/standins/src/main/java/org/chicorylane/standin/metadata/StandInMetadataStore.java
@@ -192,12 +192,14 @@
   private void watch(HttpExchange exchange, Map<String, String> query)
       throws IOException, InterruptedException {
     long after = Long.parseLong(query.getOrDefault("after", "0"));
+    long startEra = engine.era();
     watchesStarted.countDown();
     List<MetadataEngine.Item> changes =
         engine.changes(
             query.getOrDefault("prefix", ""),
             after,
-            Long.parseLong(query.getOrDefault("wait_ms", "0")));
+            Long.parseLong(query.getOrDefault("wait_ms", "0")),
+            startEra);
     if (changes == null) {
       send(exchange, GONE, new JsonObject());
       return;
