Model fleet: no entry is written for a server that has left

Cause: a drain that ends after its server was replaced put the entry of that server into the store again, and nothing removed it. The home waits for a server that has an entry. A copy from which the store is restored brings such entries back as well; PROTOCOL.md has an entry removed after three heartbeat intervals of silence.

Change: the end of a drain writes no entry of a server that has left; restored entries of such servers expire after three heartbeat intervals, and entries are written again in a stated order.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -17,6 +17,8 @@
 import org.chicorylane.internal.passthrough.ModelServer;
 import org.chicorylane.internal.passthrough.ServerConnector;
 import org.chicorylane.internal.platform.InMemoryKeyValueStore;
+import org.chicorylane.internal.platform.KeyValueEntry;
+import org.chicorylane.internal.platform.ReadResult;
 import org.chicorylane.internal.platform.StoreTransaction;
 import org.chicorylane.internal.runtime.DecisionLog;
 import org.chicorylane.internal.runtime.VirtualScheduler;
@@ -60,6 +62,9 @@
   /** Time after which a watch that was cut continues. */
   private static final Duration WATCH_RETRY_DELAY = Duration.ofMillis(150);
 
+  /** Time without a heartbeat after which the store has no entry of a server any more. */
+  private static final Duration ENTRY_LIFETIME = Duration.ofMillis(3 * 1_200);
+
   /** Time between the report that a server drains and its end. */
   private static final Duration DRAIN_DURATION = Duration.ofMillis(1_500);
 
@@ -205,7 +210,8 @@
 
   /**
    * Makes the store unavailable, brings it back after {@code awayMillis} from a copy that was taken
-   * earlier, and lets the operator and the servers write their entries again.
+   * earlier, and lets the operator and the servers write their entries again. Entries in the copy
+   * of servers that have left since expire, as nobody writes them.
    */
   void restoreStore(KeyValueEngine.Copy copy, long awayMillis) {
     storeDown = true;
@@ -215,11 +221,22 @@
           store.restore(copy);
           storeDown = false;
           putConfiguration(configurationVersion);
-          Map.copyOf(draining).forEach(this::putServer);
+          new LinkedHashMap<>(draining).forEach(this::putServer);
+          scheduler.schedule(ENTRY_LIFETIME, this::removeExpiredEntries);
         });
     scheduler.schedule(Duration.ofMillis(awayMillis).plus(WATCH_RETRY_DELAY), store::reopenWatches);
   }
 
+  /** Removes the entries of servers that have left. */
+  private void removeExpiredEntries() {
+    ReadResult.Read read = (ReadResult.Read) store.range(serverPrefix()).join();
+    for (KeyValueEntry entry : read.entries()) {
+      if (!draining.containsKey(entry.key().substring(serverPrefix().length()))) {
+        store.transact(StoreTransaction.builder().delete(entry.key()).build());
+      }
+    }
+  }
+
   /** Replaces a server as an upgrade does: it reports that it drains, and ends some time later. */
   void upgradeServer(String id, String newId) {
     putServer(id, true);
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ProxyFleetRandomisedTest.java
@@ -197,7 +197,12 @@
       runAfter(
           fleet,
           ModelFleet.DRAIN_TIMEOUT.toMillis() + random.nextInt(5_000),
-          () -> fleet.putServer(id, false));
+          () -> {
+            // The server may have been replaced meanwhile; one that has left writes no entry.
+            if (fleet.serverIds().contains(id)) {
+              fleet.putServer(id, false);
+            }
+          });
     }
 
     void advanceRound() {
