A replaced primary counts as silent until it has stepped down and is sealed

The primary was dark, was replaced, came back and still said that it leads; its successor crashed within a second, and the home had the other replica promoted, which had received nothing for a while. The old primary ran, held every commit, and had just said so.

Cause: "all servers have reported" and "may be chosen" were different sets, without a reason. A server that leads an earlier term counted as one that has reported, so the bound on acknowledged commits was not looked at (PromotionChoice.chooseReplica); but it was left out of the candidates, so the longest of the other logs passed for the longest of all. The same after an inherited order had expired (chooseAfterOrder), where the log of a primary that leads was not compared either. Nobody asked a server again that had answered once, so stepping it down came too late for the attempt.

The answer of a primary of an earlier term does not count (LogReports); the home steps it down, and asks it until it is a sealed replica, which is one that may be chosen. Related paths: after an inherited order, a replica that ends below a reported primary is not chosen; a recorded primary that is a replica now is sealed and may be chosen; replicas are resumed between attempts if a primary that cannot be used is ahead of them (CatchUp), since nothing else would end that wait.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/LogReports.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/LogReports.java
@@ -9,8 +9,10 @@
 
 /**
  * The log ends that the servers of a group reported in one attempt to replace the primary. An
- * answer counts only if its question was sent within the attempt, and a replica's answer only if
- * the replica is sealed for the attempt: the log of any other replica may have grown since.
+ * answer counts only if its question was sent within the attempt. A replica's answer counts only if
+ * the replica is sealed for the attempt: the log of any other replica may have grown since. A
+ * primary's answer counts only if it does not lead an earlier term than the recorded one: such a
+ * server was replaced, and can be sealed once it has stepped down.
  *
  * <p>Confined to the instance's thread.
  */
@@ -21,17 +23,24 @@
   private final Map<String, Report> reports = new LinkedHashMap<>();
   private long startNanos = Long.MAX_VALUE;
   private long sealTerm;
+  private long recordedTerm;
 
-  /** Discards all reports and starts an attempt in which replicas are sealed for {@code term}. */
-  void start(long term, long nowNanos) {
+  /**
+   * Discards all reports and starts an attempt.
+   *
+   * @param newSealTerm the term for which the replicas are sealed
+   * @param newRecordedTerm the term of the primary that is to be replaced
+   */
+  void start(long newSealTerm, long newRecordedTerm, long nowNanos) {
     reports.clear();
-    sealTerm = term;
+    sealTerm = newSealTerm;
+    recordedTerm = newRecordedTerm;
     startNanos = nowNanos;
   }
 
   /**
    * Adds a server's answer, or discards the earlier one if the server is a replica that receives
-   * the log again.
+   * the log again or a primary that was replaced.
    *
    * @param askedNanos time at which the question was sent
    */
@@ -39,7 +48,9 @@
     if (askedNanos < startNanos) {
       return;
     }
-    if (status.primary() || status.sealedTerm() >= sealTerm) {
+    boolean counts =
+        status.primary() ? status.term() >= recordedTerm : status.sealedTerm() >= sealTerm;
+    if (counts) {
       reports.put(serverId, new Report(status, askedNanos));
     } else {
       reports.remove(serverId);
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -664,15 +664,19 @@
     orders.onSenderExcluded(waitNow());
     election.haltPrimary(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.COMMITS);
     long sealTerm = 1 + latestTerm(r);
-    reports.start(sealTerm, now());
-    for (BackendServer s : election.servers()) {
-      boolean isPrimary = s.id().equals(r.primaryId()) && r.promoting() == null;
-      requestReport(
-          s.id(),
-          isPrimary ? new ServerCommand.Status() : new ServerCommand.StopReceiving(sealTerm),
-          r,
-          stepGeneration);
-    }
+    reports.start(sealTerm, r.term(), now());
+    election.servers().forEach(s -> requestReport(s.id(), sealTerm, r, stepGeneration));
+  }
+
+  /**
+   * Returns the command that seals a server and has it report. The recorded primary is asked for
+   * its status only, unless it has said that it is a replica or another server may lead already.
+   */
+  private ServerCommand reportCommand(String serverId, long sealTerm, HomeRecord r) {
+    ServerStatus status = statuses.get(serverId);
+    boolean mayLead = status == null || status.primary();
+    boolean isPrimary = serverId.equals(r.primaryId()) && r.promoting() == null && mayLead;
+    return isPrimary ? new ServerCommand.Status() : new ServerCommand.StopReceiving(sealTerm);
   }
 
   /** Returns whether another server than the recorded primary may lead already. */
@@ -687,16 +691,18 @@
     return statuses.values().stream().mapToLong(ServerStatus::term).reduce(r.term(), Math::max);
   }
 
-  /** Asks a server for its report until it answers with its status or the attempt ends. */
-  private void requestReport(
-      String serverId, ServerCommand command, HomeRecord before, long generation) {
+  /**
+   * Asks a server for its report until it has given one that counts or the attempt ends. A primary
+   * that was replaced is told to step down by {@link #onServerStatus}, and sealed afterwards.
+   */
+  private void requestReport(String serverId, long sealTerm, HomeRecord before, long generation) {
     if (generation != stepGeneration || step != Step.SEALING) {
       return;
     }
     boolean sent =
         pool.sendCommand(
             serverId,
-            command,
+            reportCommand(serverId, sealTerm, before),
             statusHandler(
                 serverId,
                 () -> {
@@ -705,7 +711,7 @@
                         .scheduler()
                         .schedule(
                             SEAL_RETRY_DELAY,
-                            () -> requestReport(serverId, command, before, generation));
+                            () -> requestReport(serverId, sealTerm, before, generation));
                   }
                   if (generation == stepGeneration && step == Step.SEALING && haveAllReported()) {
                     choosePromotion(before);
@@ -763,6 +769,10 @@
       election.haltPrimary(PrimaryHalt.EVERYTHING);
       orders.onRepeat();
       requestPromotion(repeat.serverId(), election.revision(), stepGeneration);
+    } else if (choice instanceof PromotionChoice.CatchUp catchUp) {
+      rejectedServerId = null;
+      resumeReplicas(basis);
+      scheduleRetry("no replica holds the log of server " + catchUp.leaderId());
     } else {
       handOverToInstanceReachingOrdered();
       rejectedServerId = null;
@@ -790,6 +800,16 @@
             });
   }
 
+  /** Lets the sealed replicas receive until the next attempt; nothing is acknowledged meanwhile. */
+  private void resumeReplicas(PromotionChoice.Basis basis) {
+    for (BackendServer s : basis.servers()) {
+      ServerStatus status = basis.reportOf(s);
+      if (status != null && !status.primary()) {
+        pool.sendCommand(s.id(), new ServerCommand.ResumeReceiving(), ignoreAnswer());
+      }
+    }
+  }
+
   /** Logs a choice with all that it rests on. */
   private void logChoice(PromotionChoice choice, PromotionChoice.Basis basis) {
     election
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -21,15 +21,24 @@
 
   private final LogReports reports = new LogReports();
   private final Set<String> missing = new HashSet<>();
+  private String primaryId = "a";
+  private long term = 1;
   private boolean draining;
   private PromotionOrders.@Nullable State order;
 
   PromotionChoiceTest() {
-    reports.start(2, START_NANOS);
+    reports.start(2, 1, START_NANOS);
+  }
+
+  /** Begins an attempt to replace server-c, which replaced server-a in term 2. */
+  private void replaceSecondPrimary() {
+    primaryId = "c";
+    term = 2;
+    reports.start(3, 2, START_NANOS);
   }
 
   private void setReplicaStatus(String id, long term, long offset) {
-    report(id, new ServerStatus(false, term, new LogPosition(term, offset), 2, 0));
+    report(id, new ServerStatus(false, term, new LogPosition(term, offset), 3, 0));
   }
 
   private void setPrimaryStatus(String id, long term, long offset) {
@@ -55,8 +64,8 @@
             List.of(server("a"), server("b"), server("c")),
             missing,
             reports,
-            "a",
-            1,
+            primaryId,
+            term,
             bound,
             acknowledged,
             order));
@@ -266,4 +275,64 @@
     setReplicaStatus("a", 2, 130);
     assertThat(promotedId(choose(null))).isEqualTo("a");
   }
+
+  // Guards against choosing a replica that is behind because the old primary, which still says that
+  // it leads and cannot be chosen, counts among the logs that reported.
+  @Test
+  void testPrimaryThatWasReplacedCountsAsSilent() {
+    replaceSecondPrimary();
+    setPrimaryStatus("a", 1, 120);
+    setReplicaStatus("b", 1, 60);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  @Test
+  void testPrimaryThatWasReplacedIsChosenOnceItIsSealed() {
+    replaceSecondPrimary();
+    setPrimaryStatus("a", 1, 120);
+    setReplicaStatus("a", 1, 120);
+    setReplicaStatus("b", 1, 60);
+    assertThat(promotedId(choose(null))).isEqualTo("a");
+  }
+
+  @Test
+  void testReplicaThatCoversTheBoundIsChosenBesidePrimaryThatWasReplaced() {
+    replaceSecondPrimary();
+    setPrimaryStatus("a", 1, 120);
+    setReplicaStatus("b", 1, 60);
+    assertThat(promotedId(choose(new LogPosition(1, 60)))).isEqualTo("b");
+  }
+
+  // Guards against waiting for a silent server though the primary, a replica now, holds all.
+  @Test
+  void testPrimaryThatIsReplicaNowIsChosenIfItHasTheLongestLog() {
+    setReplicaStatus("a", 1, 120);
+    setReplicaStatus("b", 1, 60);
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("a");
+  }
+
+  @Test
+  void testAnotherReplicaIsChosenBeforeThePrimaryAmongEqualLogs() {
+    setReplicaStatus("a", 1, 120);
+    setReplicaStatus("b", 1, 120);
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("b");
+  }
+
+  // Guards against a promotion that rolls back the log of a primary which an earlier home replaced.
+  @Test
+  void testAfterInheritedOrderExpiredReplicaBehindThePrimaryIsNotPromoted() {
+    order = new PromotionOrders.State("b", true, false, true, false);
+    setPrimaryStatus("a", 1, 120);
+    setReplicaStatus("c", 1, 110);
+    assertThat(choose(null)).isEqualTo(new PromotionChoice.CatchUp("a"));
+    setReplicaStatus("c", 1, 120);
+    assertThat(promotedId(choose(null))).isEqualTo("c");
+  }
+
+  @Test
+  void testReplicasCatchUpIfNoneHoldsTheLogOfServerThatLeads() {
+    setPrimaryStatus("a", 1, 120);
+    setReplicaStatus("c", 1, 110);
+    assertThat(choose(null)).isEqualTo(new PromotionChoice.CatchUp("a"));
+  }
 }
--- /dev/null
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
@@ -0,0 +1,91 @@
+package org.chicorylane.internal.proxy;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.chicorylane.internal.passthrough.ModelServer;
+import org.chicorylane.internal.passthrough.ServerCommand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
+
+/**
+ * A primary that was replaced while it was silent is back and still says that it leads, when its
+ * successor crashes. The other replica has received nothing for a while, so the old primary alone
+ * holds all acknowledged commits.
+ */
+final class ReplacedPrimaryPromotionTest {
+
+  @RegisterExtension private final FleetScenario scenario = new FleetScenario(1);
+  private final ModelFleet fleet = scenario.fleet;
+  private final ModelServer replaced = scenario.server("server-a");
+  private final ModelServer behind = scenario.server("server-b");
+  private final ModelServer next = scenario.server("server-c");
+
+  /** Has server-c promoted while server-a is silent and server-b receives nothing. */
+  private void replacePrimary() {
+    scenario.begin();
+    behind.ignoresReplication = true;
+    fleet.advance(1_500);
+    replaced.unresponsive = true;
+    scenario.advanceUntil("a promotion call", 4_000, () -> !fleet.promotions.isEmpty());
+  }
+
+  private void refuseToStepDown() {
+    replaced.refuses = command -> command instanceof ServerCommand.StepDown;
+  }
+
+  private void awaitSuccessor() {
+    scenario.advanceUntil("the promotion", 2_000, () -> next.primary);
+    fleet.advance(400);
+  }
+
+  /** Waits for service without server-c, then ends all faults. */
+  private void finish() {
+    fleet.advance(3_000);
+    replaced.refuses = command -> false;
+    fleet.advance(1_500);
+    int before = scenario.clients.succeeded;
+    fleet.advance(1_000);
+    assertWithMessage("statements served without server-c")
+        .that(scenario.clients.succeeded)
+        .isGreaterThan(before);
+    scenario.recover();
+    scenario.finish();
+  }
+
+  // Guards against counting the old primary, which cannot be chosen, among the logs that reported.
+  @Test
+  void testCommitsOfReplacedPrimaryAreNotLostWhenItsSuccessorCrashes() {
+    replacePrimary();
+    replaced.unresponsive = false;
+    awaitSuccessor();
+    next.crash();
+    finish();
+  }
+
+  // Guards against the same while the old primary is too busy to step down at once.
+  @Test
+  void testReplacedPrimaryIsAwaitedUntilItStepsDown() {
+    replacePrimary();
+    refuseToStepDown();
+    awaitSuccessor();
+    next.crash();
+    replaced.unresponsive = false;
+    finish();
+  }
+
+  // Guards against the same at a home that does not know which commits an earlier home
+  // acknowledged.
+  @Test
+  void testCommitsOfReplacedPrimaryAreNotLostByLaterHome() {
+    replacePrimary();
+    refuseToStepDown();
+    awaitSuccessor();
+    ModelHost earlier = scenario.home();
+    next.crash();
+    replaced.unresponsive = false;
+    earlier.kill();
+    fleet.advance(700);
+    earlier.start();
+    finish();
+  }
+}
