A recorded primary that was replaced unseen steps down before a choice

What callers would see: no primary for as long as a crashed server stays away, although the recorded primary runs and holds every commit.

Cause: the server that was ordered took effect, another one followed its term, and it crashed before the home saw it lead. The recorded primary still leads the recorded term, so nobody had it step down; but as another server tells a later term, its log proves nothing, and it cannot be chosen as it is no replica.

Change: what counts is the newest term that any server has told, not the recorded one (LogReports). A primary of an earlier term, the recorded one included, steps down during the attempt and is sealed.

Evidence: PromotionChoiceTest#testRecordedPrimaryThatWasReplacedUnseenIsChosenOnceItIsSealed; the step has no test in virtual time, as the model servers follow and receive at once.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/LogReports.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/LogReports.java
@@ -11,8 +11,8 @@
  * The log ends that the servers of a group reported in one attempt to replace the primary. An
  * answer counts only if its question was sent within the attempt. A replica's answer counts only if
  * the replica is sealed for the attempt: the log of any other replica may have grown since. A
- * primary's answer counts only if it does not lead an earlier term than the recorded one: such a
- * server was replaced, and can be sealed once it has stepped down.
+ * primary's answer counts only if it leads the newest term that was known at the start: any other
+ * one was replaced, and can be sealed once it has stepped down.
  *
  * <p>Confined to the instance's thread.
  */
@@ -22,22 +22,34 @@
 
   private final Map<String, Report> reports = new LinkedHashMap<>();
   private long startNanos = Long.MAX_VALUE;
-  private long sealTerm;
-  private long recordedTerm;
+  private long newestTerm;
 
   /**
    * Discards all reports and starts an attempt.
    *
-   * @param newSealTerm the term for which the replicas are sealed
-   * @param newRecordedTerm the term of the primary that is to be replaced
+   * @param newestKnownTerm the newest term that any server has reported or that is recorded
    */
-  void start(long newSealTerm, long newRecordedTerm, long nowNanos) {
+  void start(long newestKnownTerm, long nowNanos) {
     reports.clear();
-    sealTerm = newSealTerm;
-    recordedTerm = newRecordedTerm;
+    newestTerm = newestKnownTerm;
     startNanos = nowNanos;
   }
 
+  /** Returns the term for which replicas are sealed. */
+  long sealTerm() {
+    return newestTerm + 1;
+  }
+
+  /** Returns the newest term that was known when the attempt started. */
+  long newestTerm() {
+    return newestTerm;
+  }
+
+  /** Returns whether a server that says it leads was replaced, so that it has to step down. */
+  boolean isReplaced(ServerStatus status) {
+    return status.primary() && status.term() < newestTerm;
+  }
+
   /**
    * Adds a server's answer, or discards the earlier one if the server is a replica that receives
    * the log again or a primary that was replaced.
@@ -48,8 +60,7 @@
     if (askedNanos < startNanos) {
       return;
     }
-    boolean counts =
-        status.primary() ? status.term() >= recordedTerm : status.sealedTerm() >= sealTerm;
+    boolean counts = status.primary() ? !isReplaced(status) : status.sealedTerm() >= sealTerm();
     if (counts) {
       reports.put(serverId, new Report(status, askedNanos));
     } else {
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -187,6 +187,8 @@
       adopt(serverId, status.term());
     } else if (status.primary() && !recorded && status.term() < r.term()) {
       pool.sendCommand(serverId, new ServerCommand.StepDown(r.term()), ignoreAnswer());
+    } else if (step == Step.SEALING && reports.isReplaced(status)) {
+      pool.sendCommand(serverId, new ServerCommand.StepDown(reports.newestTerm()), ignoreAnswer());
     } else if (recorded && !status.primary() && step == Step.STEADY && !writingRecord) {
       election.log("primary-denies").with("server", serverId).with("term", status.term()).write();
       startChange(false, "server " + serverId + " is a replica now");
@@ -663,20 +665,21 @@
     }
     orders.onSenderExcluded(waitNow());
     election.haltPrimary(mayHaveOtherPrimary(r) ? PrimaryHalt.EVERYTHING : PrimaryHalt.COMMITS);
-    long sealTerm = 1 + latestTerm(r);
-    reports.start(sealTerm, r.term(), now());
-    election.servers().forEach(s -> requestReport(s.id(), sealTerm, r, stepGeneration));
+    reports.start(latestTerm(r), now());
+    election.servers().forEach(s -> requestReport(s.id(), r, stepGeneration));
   }
 
   /**
    * Returns the command that seals a server and has it report. The recorded primary is asked for
    * its status only, unless it has said that it is a replica or another server may lead already.
    */
-  private ServerCommand reportCommand(String serverId, long sealTerm, HomeRecord r) {
+  private ServerCommand reportCommand(String serverId, HomeRecord r) {
     ServerStatus status = statuses.get(serverId);
     boolean mayLead = status == null || status.primary();
     boolean isPrimary = serverId.equals(r.primaryId()) && r.promoting() == null && mayLead;
-    return isPrimary ? new ServerCommand.Status() : new ServerCommand.StopReceiving(sealTerm);
+    return isPrimary
+        ? new ServerCommand.Status()
+        : new ServerCommand.StopReceiving(reports.sealTerm());
   }
 
   /** Returns whether another server than the recorded primary may lead already. */
@@ -693,16 +696,16 @@
 
   /**
    * Asks a server for its report until it has given one that counts or the attempt ends. A primary
-   * that was replaced is told to step down by {@link #onServerStatus}, and sealed afterwards.
+   * that was replaced is told to step down, and sealed afterwards.
    */
-  private void requestReport(String serverId, long sealTerm, HomeRecord before, long generation) {
+  private void requestReport(String serverId, HomeRecord before, long generation) {
     if (generation != stepGeneration || step != Step.SEALING) {
       return;
     }
     boolean sent =
         pool.sendCommand(
             serverId,
-            reportCommand(serverId, sealTerm, before),
+            reportCommand(serverId, before),
             statusHandler(
                 serverId,
                 () -> {
@@ -710,8 +713,7 @@
                     context
                         .scheduler()
                         .schedule(
-                            SEAL_RETRY_DELAY,
-                            () -> requestReport(serverId, sealTerm, before, generation));
+                            SEAL_RETRY_DELAY, () -> requestReport(serverId, before, generation));
                   }
                   if (generation == stepGeneration && step == Step.SEALING && haveAllReported()) {
                     choosePromotion(before);
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceRandomisedTest.java
@@ -136,13 +136,13 @@
 
     /** Tries to replace the primary; each report arrives in time with a probability. */
     private void attempt(double arrives) {
-      long sealTerm = 1 + group.servers().stream().mapToLong(s -> s.term).max().orElse(0);
-      reports.start(sealTerm, term, ++nowNanos);
+      long newestTerm = group.servers().stream().mapToLong(s -> s.term).max().orElse(0);
+      reports.start(newestTerm, ++nowNanos);
       List<SmallGroup.Server> order = new java.util.ArrayList<>(group.servers());
       Collections.shuffle(order, random);
       for (SmallGroup.Server s : order) {
         if (s.reports()) {
-          report(s, sealTerm, random.nextDouble() < arrives, random.nextDouble() < arrives);
+          report(s, random.nextDouble() < arrives, random.nextDouble() < arrives);
         }
       }
       choose();
@@ -151,14 +151,14 @@
       }
     }
 
-    private void report(SmallGroup.Server s, long sealTerm, boolean arrives, boolean stepsDown) {
-      s.seal(sealTerm);
+    private void report(SmallGroup.Server s, boolean arrives, boolean stepsDown) {
+      s.seal(reports.sealTerm());
       if (arrives) {
         reports.add(s.id, s.status(), nowNanos);
       }
-      if (stepsDown && s.primary && !s.id.equals(primaryId) && s.term < term) {
-        s.stepDown(term);
-        s.seal(sealTerm);
+      if (stepsDown && reports.isReplaced(s.status())) {
+        s.stepDown(reports.newestTerm());
+        s.seal(reports.sealTerm());
         reports.add(s.id, s.status(), nowNanos);
       }
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -27,14 +27,14 @@
   private PromotionOrders.@Nullable State order;
 
   PromotionChoiceTest() {
-    reports.start(2, 1, START_NANOS);
+    reports.start(1, START_NANOS);
   }
 
   /** Begins an attempt to replace server-c, which replaced server-a in term 2. */
   private void replaceSecondPrimary() {
     primaryId = "c";
     term = 2;
-    reports.start(3, 2, START_NANOS);
+    reports.start(2, START_NANOS);
   }
 
   private void setReplicaStatus(String id, long term, long offset) {
@@ -286,6 +286,18 @@
     assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
   }
 
+  // Guards against waiting for a crashed server although the recorded primary, which that server
+  // had replaced unseen, holds all: another server's term tells.
+  @Test
+  void testRecordedPrimaryThatWasReplacedUnseenIsChosenOnceItIsSealed() {
+    reports.start(2, START_NANOS);
+    setPrimaryStatus("a", 1, 120);
+    report("b", new ServerStatus(false, 2, new LogPosition(1, 60), 3, 0));
+    assertThat(choose(new LogPosition(1, 120))).isInstanceOf(PromotionChoice.Wait.class);
+    setReplicaStatus("a", 1, 120);
+    assertThat(promotedId(choose(new LogPosition(1, 120)))).isEqualTo("a");
+  }
+
   @Test
   void testPrimaryThatWasReplacedIsChosenOnceItIsSealed() {
     replaceSecondPrimary();
