A choice does not contradict what the home acknowledged itself

The replica that held them started again empty while the primary was down; all replicas had reported, so the longest of their logs was promoted, though the home knew better.

Cause: a home keeps one acknowledged position, the end of the primary's log in an answer. It lies above commits that nobody acknowledged, so it cannot be asked for when all have reported; nothing else was known.

Change: the pool also keeps a position that an acknowledged commit surely reached: one that follows on the log end known before the commit was sent, in the term in which it was sent. A log that ends below it is not promoted, in any branch of the choice. The wait ends when the primary is back or has left for good (60 s without an entry, as before); then the longest log is promoted, and acknowledged-commits-lost is logged. A CatchUp also hands the group to an instance that reaches an ordered server, as a Wait does.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -136,6 +136,7 @@
   private @Nullable PrimarySupervisor supervisor;
   private final List<GroupPool> retiringPools = new ArrayList<>();
   private LogPosition acknowledgedByStoppedPools = LogPosition.ZERO;
+  private LogPosition leastAcknowledgedByStoppedPools = LogPosition.ZERO;
   private final GroupMembers members = new GroupMembers();
   private List<BackendServer> servers = List.of();
   private @Nullable GroupDeclaration declaration;
@@ -544,6 +545,15 @@
     return highest;
   }
 
+  /** Returns a position that a commit which this instance acknowledged surely reached. */
+  LogPosition leastAcknowledged() {
+    LogPosition least = leastAcknowledgedByStoppedPools;
+    for (GroupPool p : pools()) {
+      least = least.max(p.leastAcknowledged());
+    }
+    return least;
+  }
+
   /** Holds back work from the primary in all pools, also in those that are closing. */
   void haltPrimary(PrimaryHalt halt) {
     pools().forEach(p -> p.setPrimaryHalt(halt));
@@ -923,6 +933,8 @@
   private void stopRetiredPool(GroupPool old) {
     if (retiringPools.remove(old)) {
       acknowledgedByStoppedPools = acknowledgedByStoppedPools.max(old.acknowledged());
+      leastAcknowledgedByStoppedPools =
+          leastAcknowledgedByStoppedPools.max(old.leastAcknowledged());
       old.stop();
     }
   }
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/LogCoverage.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/LogCoverage.java
@@ -30,7 +30,10 @@
  * <ul>
  *   <li>the bound on all acknowledged commits,
  *   <li>the end of the log of the server that leads the recorded term,
- *   <li>if all members other than the primary have reported: the longest of their logs.
+ *   <li>if all members other than the primary have reported: the longest of their logs, unless it
+ *       ends before a commit that this instance acknowledged, so that one of them has lost its log,
+ *   <li>if the primary has reported as a sealed replica as well, or has left for good: the longest
+ *       log. What it lacks is on no server any more.
  * </ul>
  *
  * <p>Immutable.
@@ -85,7 +88,7 @@
    * Returns the holder with the longest log among the servers other than {@code ordered}, which an
    * earlier home may have used as the primary: a commit of its term is on one of the others, which
    * may be the recorded primary. Returns null if one of them has not reported, or if all replicas
-   * end before the recorded primary's log.
+   * end before the recorded primary's log or a commit that this instance acknowledged.
    */
   @Nullable Holder findExcept(String ordered) {
     List<BackendServer> others =
@@ -98,18 +101,21 @@
       return null;
     }
     LogPosition required =
-        others.stream().map(this::endOf).reduce(LogPosition.ZERO, LogPosition::max);
+        others.stream().map(this::endOf).reduce(basis.leastAcknowledged(), LogPosition::max);
     return endOf(longest).compareTo(required) < 0 ? null : holder(longest);
   }
 
   /**
    * Returns a server whose promotion was ordered before as a holder: it held every acknowledged
    * commit then, and none can have been acknowledged elsewhere since. Returns null if it has not
-   * reported as a sealed replica.
+   * reported as a sealed replica, or has lost its log.
    */
   @Nullable Holder findOrdered(String ordered) {
     for (BackendServer s : basis.servers()) {
-      if (s.id().equals(ordered) && !basis.isPrimary(s) && isSealedReplica(s)) {
+      if (s.id().equals(ordered)
+          && !basis.isPrimary(s)
+          && isSealedReplica(s)
+          && endOf(s).compareTo(basis.leastAcknowledged()) >= 0) {
         return holder(s);
       }
     }
@@ -170,15 +176,20 @@
   }
 
   /**
-   * Returns the end of the longest log; null if a server other than the recorded primary may hold a
-   * longer log and has not reported.
+   * Returns the end of the longest log, or a later position that is known to be acknowledged; null
+   * if a server other than the recorded primary may hold a longer log and has not reported.
    */
   private @Nullable LogPosition longestReported() {
     BackendServer longest = longestOf(basis.servers());
     boolean allOthersReported =
         basis.missing().stream().allMatch(id -> id.equals(basis.primaryId()))
             && basis.servers().stream().allMatch(s -> basis.isPrimary(s) || isSealedReplica(s));
-    return longest == null || !allOthersReported ? null : endOf(longest);
+    if (longest == null || !allOthersReported) {
+      return null;
+    }
+    boolean primaryReported =
+        basis.missing().isEmpty() && basis.servers().stream().allMatch(this::isSealedReplica);
+    return primaryReported ? endOf(longest) : endOf(longest).max(basis.leastAcknowledged());
   }
 
   /**
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -753,6 +753,7 @@
             r.term(),
             inherited == null ? null : inherited.max(acknowledged),
             acknowledged,
+            election.leastAcknowledged(),
             orders.state(waitNow()));
     PromotionChoice choice = PromotionChoice.choose(basis);
     logChoice(choice, basis);
@@ -763,6 +764,7 @@
       }
     } else if (choice instanceof PromotionChoice.Promote promote
         && !promote.server().id().equals(rejectedServerId)) {
+      logLostCommits(promote, basis);
       promote(r, promote.server(), promote.received());
     } else if (choice instanceof PromotionChoice.Repeat repeat) {
       enter(Step.PROMOTING);
@@ -771,18 +773,23 @@
       election.haltPrimary(PrimaryHalt.EVERYTHING);
       orders.onRepeat();
       requestPromotion(repeat.serverId(), election.revision(), stepGeneration);
-    } else if (choice instanceof PromotionChoice.CatchUp catchUp) {
-      rejectedServerId = null;
-      resumeReplicas(basis);
-      scheduleRetry("no replica holds the log of server " + catchUp.leaderId());
     } else {
+      if (choice instanceof PromotionChoice.CatchUp) {
+        resumeReplicas(basis);
+      }
       handOverToInstanceReachingOrdered();
       rejectedServerId = null;
-      scheduleRetry(
-          choice instanceof PromotionChoice.Wait wait
-              ? wait.reason()
-              : "the promotion of the chosen server was rejected before");
+      scheduleRetry(reasonToRetry(choice));
+    }
+  }
+
+  private static String reasonToRetry(PromotionChoice choice) {
+    if (choice instanceof PromotionChoice.Wait wait) {
+      return wait.reason();
     }
+    return choice instanceof PromotionChoice.CatchUp catchUp
+        ? "no replica holds the log of server " + catchUp.leaderId()
+        : "the promotion of the chosen server was rejected before";
   }
 
   /** Asks an instance that reaches the server whose promotion is pending to become the home. */
@@ -812,6 +819,18 @@
     }
   }
 
+  /** Tells operators that no server holds a commit any more that was acknowledged here. */
+  private void logLostCommits(PromotionChoice.Promote choice, PromotionChoice.Basis basis) {
+    if (choice.received().compareTo(basis.leastAcknowledged()) < 0) {
+      election
+          .log("acknowledged-commits-lost")
+          .with("server", choice.server().id())
+          .with("received", choice.received())
+          .with("acknowledged", basis.leastAcknowledged())
+          .write();
+    }
+  }
+
   /** Logs a choice with all that it rests on. */
   private void logChoice(PromotionChoice choice, PromotionChoice.Basis basis) {
     election
@@ -821,6 +840,7 @@
         .with("term", basis.term())
         .with("bound", basis.bound())
         .with("acknowledged", basis.acknowledged())
+        .with("least_acknowledged", basis.leastAcknowledged())
         .with("servers", reports.describe(basis.servers(), now()))
         .with("missing", String.join(" ", basis.missing()))
         .with("order", basis.order())
--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PromotionChoice.java
@@ -51,6 +51,7 @@
    * @param bound a position that no acknowledged commit exceeds, null if none is known
    * @param acknowledged a position that no commit acknowledged by the home or by instances that
    *     told it exceeds; there may be others
+   * @param leastAcknowledged a position that an acknowledged commit surely reached
    * @param order the promotion that was ordered before, null if there is none
    */
   record Basis(
@@ -61,6 +62,7 @@
       long term,
       @Nullable LogPosition bound,
       LogPosition acknowledged,
+      LogPosition leastAcknowledged,
       PromotionOrders.@Nullable State order) {
 
     boolean isPrimary(BackendServer s) {
@@ -140,7 +142,7 @@
     }
     BackendServer leader = coverage.findLeaderAhead();
     return leader == null
-        ? new Wait("a server that may hold acknowledged commits does not answer")
+        ? new Wait("a server that may hold acknowledged commits does not answer or lost its log")
         : new CatchUp(leader.id());
   }
 }
--- a/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/pool/GroupPool.java
@@ -121,6 +121,7 @@
   private @Nullable String primaryId;
   private long term;
   private LogPosition acknowledged = LogPosition.ZERO;
+  private LogPosition leastAcknowledged = LogPosition.ZERO;
   private long nextSequence;
 
   /** Time of the last answer from the primary while it could be sent all kinds of work. */
@@ -259,6 +260,14 @@
     return acknowledged;
   }
 
+  /**
+   * Returns a position that a commit which was acknowledged here surely reached; there may be later
+   * ones. Lies below {@link #acknowledged()}, which includes commits that were under way.
+   */
+  public LogPosition leastAcknowledged() {
+    return leastAcknowledged;
+  }
+
   /**
    * Raises the acknowledged position to at least {@code position}, because other instances may have
    * acknowledged commits up to it.
@@ -876,6 +885,12 @@
     private final PooledConnection connection;
     private final long sentNanos;
 
+    /** The end of the server's log as it was known when the statement was sent. */
+    private final LogPosition logEndBefore;
+
+    /** The term of the pool's primary at that time. */
+    private final long sentTerm;
+
     /** Share of the time until the answer in which the statement occupies a slot. */
     private final double slotShare;
 
@@ -883,6 +898,8 @@
       this.item = item;
       this.connection = c;
       this.sentNanos = sentNanos;
+      this.logEndBefore = c.server.position;
+      this.sentTerm = term;
       int slots = c.server.slots();
       this.slotShare = (double) slots / Math.max(slots, c.server.inFlight);
     }
@@ -900,7 +917,7 @@
         server.onServed(nanos, serviceTimes.expectedNanos(item.work));
         serviceTimes.onServed(item.work, nanos);
       }
-      handleAnswer(item, connection, answer, sentNanos);
+      handleAnswer(item, connection, answer, this);
       dispatchQueued();
     }
 
@@ -935,6 +952,11 @@
       return nanos > Math.max(minimumNanos, scaledServiceNanos);
     }
 
+    /** Returns a position that a commit of the statement, which followed on the log, reached. */
+    LogPosition leastPosition() {
+      return logEndBefore.next().max(new LogPosition(sentTerm, 0));
+    }
+
     boolean isCommitOrWrite() {
       return item.work.kind() == WorkKind.COMMIT || item.work.isWrite();
     }
@@ -963,7 +985,8 @@
     }
   }
 
-  private void handleAnswer(QueuedWork item, PooledConnection c, Answer answer, long sentNanos) {
+  private void handleAnswer(
+      QueuedWork item, PooledConnection c, Answer answer, StatementHandler sent) {
     FailureCode failure = answer.failure();
     PoolTransaction t = item.transaction;
     if (t != null) {
@@ -1005,8 +1028,9 @@
         return;
       }
       acknowledged = acknowledged.max(position);
+      leastAcknowledged = leastAcknowledged.max(sent.leastPosition());
     }
-    deliver(item, c.server, answer, sentNanos);
+    deliver(item, c.server, answer, sent.sentNanos);
   }
 
   /** Returns whether work is a single statement or the first one of a transaction. */
--- a/chicorylane/src/main/java/org/chicorylane/internal/position/LogPosition.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/position/LogPosition.java
@@ -43,6 +43,11 @@
     return compareTo(other) >= 0 ? this : other;
   }
 
+  /** Returns the position of the next commit in the same term, which is the least greater one. */
+  public LogPosition next() {
+    return new LogPosition(term, offset + 1);
+  }
+
   // Overridden so that a starting process need not link method handles for the generated methods.
   @Override
   public boolean equals(@Nullable Object other) {
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceRandomisedTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceRandomisedTest.java
@@ -38,7 +38,7 @@
     int choices = 0;
     int waits = 0;
     for (long seed = firstSeed; seed < firstSeed + 1_000; seed++) {
-      History history = new History(seed);
+      History history = new History(seed, false);
       history.run();
       choices += history.choices;
       waits += history.needlessWaits;
@@ -47,23 +47,36 @@
     assertWithMessage("promotions").that(choices).isGreaterThan(waits);
   }
 
+  // Guards against a server that starts again empty, at a home that knows what it acknowledged.
+  @ParameterizedTest
+  @MethodSource("firstSeeds")
+  void testPromotedLogHoldsEveryAcknowledgedCommitThoughServersLoseTheirLogs(long firstSeed) {
+    for (long seed = firstSeed; seed < firstSeed + 1_000; seed++) {
+      new History(seed, true).run();
+    }
+  }
+
   /** One history, in which a home replaces the primary as {@code PrimarySupervisor} does. */
   private static final class History {
     private final long seed;
     private final Random random;
+    private final boolean losesLogs;
     private final SmallGroup group = new SmallGroup();
     private final LogReports reports = new LogReports();
     private String primaryId = "a";
     private long term = 1;
     private @Nullable LogPosition bound;
     private LogPosition acknowledged = LogPosition.ZERO;
+    private LogPosition leastAcknowledged = LogPosition.ZERO;
     private long nowNanos;
+    private boolean lostLog;
     int choices;
     int needlessWaits;
 
-    History(long seed) {
+    History(long seed, boolean losesLogs) {
       this.seed = seed;
       this.random = new Random(seed);
+      this.losesLogs = losesLogs;
     }
 
     void run() {
@@ -96,14 +109,15 @@
 
     private void step() {
       SmallGroup.Server any = group.servers().get(random.nextInt(3));
-      switch (random.nextInt(11)) {
+      switch (random.nextInt(12)) {
         case 0 -> any.deaf = !any.deaf;
         case 1 -> any.silent = !any.silent;
         case 2 -> crashOrRestart(any);
         case 3, 4 -> attempt(random.nextInt(4) == 0 ? 0.5 : 1);
         case 5 -> forget();
         case 6 -> any.stepDown(group.leader().term);
-        case 7 -> group.replicate();
+        case 7 -> loseLog(any);
+        case 8 -> group.replicate();
         default -> commit();
       }
     }
@@ -116,10 +130,23 @@
       }
     }
 
+    /** Lets one server of the group start again empty, at most once. */
+    private void loseLog(SmallGroup.Server s) {
+      if (losesLogs && !lostLog && !s.primary) {
+        lostLog = true;
+        s.log.clear();
+        s.term = 0;
+        group.restart(s);
+      }
+    }
+
     /** Has another home continue, which knows nothing of what the earlier ones acknowledged. */
     private void forget() {
-      bound = null;
-      acknowledged = LogPosition.ZERO;
+      if (!losesLogs) {
+        bound = null;
+        acknowledged = LogPosition.ZERO;
+        leastAcknowledged = LogPosition.ZERO;
+      }
     }
 
     private void commit() {
@@ -127,8 +154,10 @@
       if (!isLed()) {
         return;
       }
+      LogPosition before = primary.end();
       if (group.commit(primary)) {
         group.acknowledge();
+        leastAcknowledged = before.next().max(new LogPosition(term, 0));
         acknowledged = primary.end();
         bound = bound == null ? null : bound.max(acknowledged);
       }
@@ -167,7 +196,15 @@
       PromotionChoice choice =
           PromotionChoice.choose(
               new PromotionChoice.Basis(
-                  group.entries(), Set.of(), reports, primaryId, term, bound, acknowledged, null));
+                  group.entries(),
+                  Set.of(),
+                  reports,
+                  primaryId,
+                  term,
+                  bound,
+                  acknowledged,
+                  leastAcknowledged,
+                  null));
       choices++;
       if (choice instanceof PromotionChoice.Promote p) {
         promote(group.server(p.server().id()), p.received());
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -21,6 +21,8 @@
 
   private final LogReports reports = new LogReports();
   private final Set<String> missing = new HashSet<>();
+  private LogPosition leastAcknowledged = LogPosition.ZERO;
+  private @Nullable List<BackendServer> servers;
   private String primaryId = "a";
   private long term = 1;
   private boolean draining;
@@ -61,13 +63,14 @@
   private PromotionChoice choose(@Nullable LogPosition bound, LogPosition acknowledged) {
     return PromotionChoice.choose(
         new PromotionChoice.Basis(
-            List.of(server("a"), server("b"), server("c")),
+            servers == null ? List.of(server("a"), server("b"), server("c")) : servers,
             missing,
             reports,
             primaryId,
             term,
             bound,
             acknowledged,
+            leastAcknowledged,
             order));
   }
 
@@ -315,6 +318,37 @@
     assertThat(promotedId(choose(new LogPosition(1, 60)))).isEqualTo("b");
   }
 
+  // Guards against a home that knows of a later commit than any of the logs holds.
+  @Test
+  void testReplicaThatLacksCommitAcknowledgedHereIsNotPromotedThoughAllReported() {
+    leastAcknowledged = new LogPosition(1, 100);
+    setReplicaStatus("b", 1, 0);
+    setReplicaStatus("c", 1, 60);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
+
+  // Guards against waiting for ever for a commit that no server holds any more.
+  @Test
+  void testLongestLogIsPromotedOnceThePrimaryHasReportedAsWell() {
+    leastAcknowledged = new LogPosition(1, 100);
+    setReplicaStatus("a", 1, 0);
+    setReplicaStatus("b", 1, 0);
+    setReplicaStatus("c", 1, 60);
+    assertThat(promotedId(choose(null))).isEqualTo("c");
+  }
+
+  @Test
+  void testLongestLogIsPromotedOnceThePrimaryHasLeft() {
+    leastAcknowledged = new LogPosition(1, 100);
+    servers = List.of(server("b"), server("c"));
+    setReplicaStatus("b", 1, 0);
+    setReplicaStatus("c", 1, 60);
+    missing.add("a");
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+    missing.clear();
+    assertThat(promotedId(choose(null))).isEqualTo("c");
+  }
+
   // Guards against waiting for a silent server though the primary, a replica now, holds all.
   @Test
   void testPrimaryThatIsReplicaNowIsChosenIfItHasTheLongestLog() {
@@ -347,4 +381,14 @@
     setReplicaStatus("c", 1, 110);
     assertThat(choose(null)).isEqualTo(new PromotionChoice.CatchUp("a"));
   }
+
+  // Guards against repeating the promotion of a server that has started again without its log.
+  @Test
+  void testOrderedServerThatLostItsLogIsNotChosenAgain() {
+    leastAcknowledged = new LogPosition(1, 100);
+    order = new PromotionOrders.State("b", false, false, false, false);
+    setReplicaStatus("b", 1, 0);
+    setReplicaStatus("c", 1, 120);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/passthrough/ModelServer.java
@@ -158,6 +158,15 @@
     }
   }
 
+  /** Starts a replica's process again under its id, without its log and what else it knew. */
+  public void restartEmpty() {
+    crash();
+    log.clear();
+    applied = new LogPosition(1, 0);
+    term = 0;
+    restart();
+  }
+
   /** Becomes the primary of a new term with the log that it has. */
   void lead(long newTerm) {
     primary = true;
--- a/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/pool/GroupPoolTest.java
@@ -45,6 +45,24 @@
     assertThat(fixture.group.server("server-a").statements).isEqualTo(1);
   }
 
+  // Guards against a position above every commit that was acknowledged, which no log need reach.
+  @Test
+  void testLeastAcknowledgedPositionIsReachedByAcknowledgedCommit() {
+    fixture.submit(PoolFixture.read("r"));
+    fixture.advance(30);
+    assertThat(fixture.pool.leastAcknowledged()).isEqualTo(LogPosition.ZERO);
+    for (int i = 0; i < 3; i++) {
+      fixture.submit(PoolFixture.write("w" + i));
+    }
+    fixture.advance(60);
+    LogPosition last = fixture.group.server("server-a").received();
+    assertThat(fixture.pool.leastAcknowledged()).isGreaterThan(LogPosition.ZERO);
+    assertThat(fixture.pool.leastAcknowledged()).isAtMost(last);
+    fixture.submit(PoolFixture.write("w3"));
+    fixture.advance(60);
+    assertThat(fixture.pool.leastAcknowledged()).isEqualTo(fixture.answers.get("w3").position());
+  }
+
   @Test
   void testReadSeesOwnWriteWhenReplicasLag() {
     fixture.group.server("server-b").lag = Duration.ofSeconds(3);
