The search of the promotion rule knows replaced primaries and asks for progress

Servers step down or not, a home's own acknowledged commits are kept apart from the bound, the former primary may be chosen, and one server may crash for good.

StateSearch.findStuck: from each state some sequence of steps without faults leads to a home that serves at the newest primary.

--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/Condition.java
@@ -62,6 +62,24 @@
    */
   RESUME_WITH_LEASE_ONLY,
 
+  /**
+   * A server that leads an earlier term, since it does not know that it was replaced, counts as
+   * silent until it has stepped down and was stopped.
+   */
+  COUNT_REPLACED_PRIMARY_AS_SILENT,
+
+  /** A home has such a server step down. Needed for progress only. */
+  STEP_DOWN_REPLACED_PRIMARY,
+
+  /**
+   * During a change a home lets a stopped replica receive again, if the server that leads the
+   * recorded term is ahead of it. Needed for progress only.
+   */
+  RESUME_BEHIND_LEADER,
+
+  /** The recorded primary may be chosen if it is a replica now. Needed for progress only. */
+  CHOOSE_FORMER_PRIMARY,
+
   /** The home's own acknowledged commits must be covered even if all replicas have answered. */
   COVER_OWN_SUCCESSES,
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/GroupStep.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/GroupStep.java
@@ -46,6 +46,7 @@
     @Override
     public boolean isEnabled(ModelState s, ModelRules rules, int server, int unused) {
       return !s.isPrimary(server)
+          && s.runs(server)
           && s.get(Server.STOPPED, server) == 0
           && s.isLed(s.get(Server.TERM, server))
           && s.nextToReceive(server) != 0;
@@ -66,12 +67,15 @@
   FOLLOW(Range.SERVER, Range.NOTHING, "{a} follows the newest primary") {
     @Override
     public boolean isEnabled(ModelState s, ModelRules rules, int server, int unused) {
-      return s.get(Server.TERM, server) < s.newestTerm();
+      return s.get(Server.TERM, server) < s.newestTerm()
+          && s.runs(server)
+          && s.isLed(s.newestTerm());
     }
 
     @Override
     public void apply(ModelState s, ModelRules rules, int server, int unused) {
       s.set(Server.TERM, server, s.newestTerm());
+      s.set(Server.STEPPED_DOWN, server, 0);
       s.set(Server.LOG, server, s.log(server) & s.log(s.leader(s.newestTerm())));
     }
   },
@@ -80,9 +84,15 @@
     @Override
     public boolean isEnabled(ModelState s, ModelRules rules, int server, int unused) {
       return s.get(Server.STOPPED, server) == 1
+          && s.runs(server)
           && s.get(Group.REPLICA_RESTARTS) < rules.bounds().replicaRestarts();
     }
 
+    @Override
+    public boolean isFault() {
+      return true;
+    }
+
     @Override
     public void apply(ModelState s, ModelRules rules, int server, int unused) {
       s.set(Group.REPLICA_RESTARTS, s.get(Group.REPLICA_RESTARTS) + 1);
@@ -90,11 +100,42 @@
     }
   },
 
+  /** A server crashes for good, whatever its role. */
+  LOSE_SERVER(Range.SERVER, Range.NOTHING, "{a} crashes and does not come back") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int server, int unused) {
+      return rules.bounds().serverLosses() > 0 && s.get(Group.LOST_SERVER) == ModelState.NONE;
+    }
+
+    @Override
+    public boolean isFault() {
+      return true;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int server, int unused) {
+      s.set(Group.LOST_SERVER, server);
+    }
+  },
+
+  FORGET_LOST_SERVER(Range.NOTHING, Range.NOTHING, "the lost server counts as no member any more") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int unused, int alsoUnused) {
+      return s.get(Group.LOST_SERVER) != ModelState.NONE && s.get(Group.LOST_SERVER_FORGOTTEN) == 0;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int unused, int alsoUnused) {
+      s.set(Group.LOST_SERVER_FORGOTTEN, 1);
+    }
+  },
+
   /** An order takes effect, possibly again, since the call may have been repeated. */
   ORDER_TAKES_EFFECT(Range.SERVER, Range.NOTHING, "an order to promote {a} takes effect") {
     @Override
     public boolean isEnabled(ModelState s, ModelRules rules, int server, int unused) {
       return s.get(Server.ORDERED, server) > 0
+          && s.runs(server)
           && s.leader(s.newestTerm()) != server
           && s.newestTerm() < rules.bounds().terms();
     }
@@ -141,6 +182,7 @@
               && s.get(Commit.TERM, commit) == s.get(Instance.TERM, i);
       if (isOfPresentPool || rules.keeps(Condition.HALT_RETIRED_WORK)) {
         s.raiseBound(i, commit);
+        s.raiseAcknowledged(i, commit);
       }
       s.finish(commit, ACKNOWLEDGED);
     }
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/HomeStep.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/HomeStep.java
@@ -56,11 +56,17 @@
       return s.get(Group.INSTANCE_RESTARTS) < rules.bounds().instanceRestarts();
     }
 
+    @Override
+    public boolean isFault() {
+      return true;
+    }
+
     @Override
     public void apply(ModelState s, ModelRules rules, int i, int unused) {
       s.set(Group.INSTANCE_RESTARTS, s.get(Group.INSTANCE_RESTARTS) + 1);
       s.closePool(i, true);
       s.set(Instance.BOUND, i, 0);
+      s.set(Instance.ACKNOWLEDGED, i, 0);
       boolean isNamed = ((s.instancesToExclude() | bit(s.get(Group.HOME))) & bit(i)) != 0;
       s.set(Instance.FORGOT, i, isNamed ? 1 : 0);
     }
@@ -110,6 +116,7 @@
     private void beginAsHome(ModelState s, ModelRules rules, int i, boolean keepsPool) {
       if (!keepsPool && !rules.keeps(Condition.HALT_RETIRED_WORK)) {
         s.set(Instance.BOUND, i, 0);
+        s.set(Instance.ACKNOWLEDGED, i, 0);
       }
       s.openPool(i, IS_HOME, s.get(Group.RECORD_TERM));
       s.set(Instance.LEASE, i, 1);
@@ -253,23 +260,65 @@
     public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
       return isChanging(s, i)
           && s.hasExcludedAll(i)
-          && s.get(Server.TERM, server) <= s.get(Instance.TERM, i)
-          && s.primaryOf(i) != server;
+          && s.runs(server)
+          && isStoppable(s, rules, i, server);
+    }
+
+    private boolean isStoppable(ModelState s, ModelRules rules, int i, int server) {
+      boolean seesNewestPrimary = s.isLed(s.newestTerm());
+      if (s.get(Server.TERM, server) > s.get(Instance.TERM, i) && seesNewestPrimary) {
+        return false;
+      }
+      if (s.primaryOf(i) == server) {
+        return !s.isPrimary(server) && rules.keeps(Condition.CHOOSE_FORMER_PRIMARY);
+      }
+      return !s.isPrimary(server) || !rules.keeps(Condition.COUNT_REPLACED_PRIMARY_AS_SILENT);
     }
 
     @Override
     public void apply(ModelState s, ModelRules rules, int i, int server) {
+      if (s.isPrimary(server)) {
+        // It only says that it leads; its log is not compared with the others.
+        s.setAnswer(i, server, 0);
+        return;
+      }
       s.set(Server.STOPPED, server, 1);
       s.setAnswer(i, server, s.logEnd(server));
     }
   },
 
+  STEP_DOWN(Range.INSTANCE, Range.SERVER, "{a} has {b} step down, which leads an earlier term") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
+      return rules.keeps(Condition.STEP_DOWN_REPLACED_PRIMARY)
+          && s.runs(server)
+          && s.isPrimary(server)
+          && s.get(Server.TERM, server) < newestKnownTerm(s, i);
+    }
+
+    private int newestKnownTerm(ModelState s, int i) {
+      int newest = s.isRecordedHome(i) ? s.get(Group.RECORD_TERM) : 0;
+      for (int server = 0; server < SERVERS; server++) {
+        if (isChanging(s, i) && s.hasExcludedAll(i) && s.runs(server)) {
+          newest = Math.max(newest, s.get(Server.TERM, server));
+        }
+      }
+      return newest;
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int server) {
+      s.set(Server.STEPPED_DOWN, server, 1);
+    }
+  },
+
   /** The answer to a plain question, which does not stop the replica. */
   READ_REPLICA(Range.INSTANCE, Range.SERVER, "{a} reads the end of the log of {b}, not stopped") {
     @Override
     public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
       return !rules.keeps(Condition.COUNT_STOPPED_ANSWERS_ONLY)
           && isChanging(s, i)
+          && s.runs(server)
           && s.get(Server.TERM, server) <= s.get(Instance.TERM, i)
           && s.primaryOf(i) != server;
     }
@@ -312,6 +361,11 @@
           && mayChoose(s, rules, i, target);
     }
 
+    @Override
+    public boolean isFault() {
+      return true;
+    }
+
     @Override
     public void apply(ModelState s, ModelRules rules, int i, int target) {
       s.set(Group.LATE_PROMOTING, target);
@@ -326,6 +380,11 @@
       return s.get(Group.HOME) == i && s.get(Group.LATE_PROMOTING) != NONE;
     }
 
+    @Override
+    public boolean isFault() {
+      return true;
+    }
+
     @Override
     public void apply(ModelState s, ModelRules rules, int i, int unused) {
       s.recordPromotion(s.get(Group.LATE_PROMOTING));
@@ -396,6 +455,7 @@
     public boolean isEnabled(ModelState s, ModelRules rules, int i, int unused) {
       return s.get(Instance.ROLE, i) == IS_HOME
           && s.get(Instance.TERM, i) < s.newestTerm()
+          && s.isLed(s.newestTerm())
           && (mayAdopt(s, rules, i, s.leader(s.newestTerm()))
               || !rules.keeps(Condition.ADOPT_RECORDED_TARGET_ONLY));
     }
@@ -476,6 +536,7 @@
       return isAllowed
           && s.get(Instance.ROLE, i) == IS_HOME
           && s.get(Instance.PHASE, i) == STEADY
+          && s.runs(server)
           && s.get(Server.STOPPED, server) == 1;
     }
 
@@ -483,6 +544,24 @@
     public void apply(ModelState s, ModelRules rules, int i, int server) {
       s.set(Server.STOPPED, server, 0);
     }
+  },
+
+  RESUME_DURING_CHANGE(Range.INSTANCE, Range.SERVER, "{a} lets {b} catch up with its primary") {
+    @Override
+    public boolean isEnabled(ModelState s, ModelRules rules, int i, int server) {
+      return rules.keeps(Condition.RESUME_BEHIND_LEADER)
+          && isChanging(s, i)
+          && s.runs(server)
+          && s.get(Server.STOPPED, server) == 1
+          && s.isLed(s.get(Instance.TERM, i))
+          && !s.covers(s.logEnd(server), s.logEnd(s.primaryOf(i)));
+    }
+
+    @Override
+    public void apply(ModelState s, ModelRules rules, int i, int server) {
+      s.set(Server.STOPPED, server, 0);
+      s.clearAttempt(i);
+    }
   };
 
   private final Range first;
@@ -531,9 +610,11 @@
   }
 
   private static boolean mayChoose(ModelState s, ModelRules rules, int i, int target) {
+    boolean isCandidate = s.primaryOf(i) != target || rules.keeps(Condition.CHOOSE_FORMER_PRIMARY);
     return isChanging(s, i)
         && s.hasExcludedAll(i)
-        && s.primaryOf(i) != target
+        && isCandidate
+        && !s.isPrimary(target)
         && s.answer(i, target) != NONE
         && holdsAllAcknowledged(s, rules, i, target);
   }
@@ -541,13 +622,22 @@
   private static boolean holdsAllAcknowledged(ModelState s, ModelRules rules, int i, int target) {
     int end = s.answer(i, target);
     boolean coversBound = s.covers(end, s.get(Instance.BOUND, i));
-    int other = SERVERS - target - s.primaryOf(i);
-    int otherEnd = s.answer(i, other);
-    if (otherEnd == NONE || !rules.keeps(Condition.REMEMBER_MEMBERS)) {
+    boolean coversAnswers = true;
+    boolean allAnswered = true;
+    for (int other = 0; other < SERVERS; other++) {
+      int otherEnd = s.answer(i, other);
+      if (otherEnd != NONE) {
+        coversAnswers &= s.covers(end, otherEnd);
+      } else if (other != s.primaryOf(i) && s.isMember(other)) {
+        allAnswered = false;
+      }
+    }
+    if (!allAnswered || !rules.keeps(Condition.REMEMBER_MEMBERS)) {
       boolean isComplete = !rules.keeps(Condition.REMEMBER_MEMBERS);
       return isComplete || (coversBound && s.get(Instance.BOUND_KNOWN, i) == 1);
     }
-    return s.covers(end, otherEnd) && (coversBound || !rules.keeps(Condition.COVER_OWN_SUCCESSES));
+    boolean coversOwn = s.covers(end, s.get(Instance.ACKNOWLEDGED, i));
+    return coversAnswers && (coversOwn || !rules.keeps(Condition.COVER_OWN_SUCCESSES));
   }
 
   /** Retires the pool; if success was held back in it, its commits end in doubt. */
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/ModelState.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/ModelState.java
@@ -50,7 +50,11 @@
     /** Whether an order was sent that contradicts another instance's right. */
     ORDER_CONFLICT,
     INSTANCE_RESTARTS,
-    REPLICA_RESTARTS
+    REPLICA_RESTARTS,
+    /** The server that crashed for good, or NONE. */
+    LOST_SERVER,
+    /** Whether the lost server has had no entry for so long that it counts as no member. */
+    LOST_SERVER_FORGOTTEN
   }
 
   /** Fields of a server. */
@@ -62,7 +66,9 @@
     /** Whether it was stopped from receiving. */
     STOPPED,
     /** Rank among the orders that may still take effect, 0 if there is none for it. */
-    ORDERED
+    ORDERED,
+    /** Whether the server, which led its term, has stepped down and follows no later term yet. */
+    STEPPED_DOWN
   }
 
   /** Fields of a commit. */
@@ -105,8 +111,10 @@
     RETIRED_LEASE,
     /** Term of a retired pool whose work may still run, or 0. */
     RETIRED_TERM,
-    /** The furthest commit known to be acknowledged, or 0. */
+    /** The furthest commit that may be acknowledged as far as is known, or 0. */
     BOUND,
+    /** The furthest commit that it acknowledged itself, or 0. */
+    ACKNOWLEDGED,
     /** Whether no commit beyond the bound was acknowledged. */
     BOUND_KNOWN,
     /** Set of the instances that are known not to use the primary. */
@@ -174,15 +182,19 @@
     this.values = values;
   }
 
-  /** Returns the state after instance 0 became the first home, with instance 1 as successor. */
+  /**
+   * Returns the state after instance 0 became the first home, with instance 1, if any, as
+   * successor.
+   */
   static ModelState initial(ModelRules rules) {
     ModelState s = new ModelState(new byte[LENGTH]);
     s.set(Group.NEWEST_TERM, 1);
     s.set(Group.EPOCH, 1);
-    s.set(Group.SUCCESSOR, 1);
+    s.set(Group.SUCCESSOR, rules.bounds().instances() > 1 ? 1 : NONE);
     s.set(Group.RECORD_TERM, 1);
     s.set(Group.PROMOTING, NONE);
     s.set(Group.LATE_PROMOTING, NONE);
+    s.set(Group.LOST_SERVER, NONE);
     for (int server = 0; server < SERVERS; server++) {
       s.set(Server.TERM, server, 1);
     }
@@ -268,6 +280,7 @@
     set(Group.NEWEST_TERM, term);
     setLeader(term, server);
     set(Server.TERM, server, term);
+    set(Server.STEPPED_DOWN, server, 0);
     for (int each = 0; each < SERVERS; each++) {
       set(Server.STOPPED, each, 0);
     }
@@ -279,7 +292,12 @@
 
   /** Returns whether a server leads the term that it holds. */
   boolean isPrimary(int server) {
-    return leader(get(Server.TERM, server)) == server;
+    return leader(get(Server.TERM, server)) == server && get(Server.STEPPED_DOWN, server) == 0;
+  }
+
+  /** Returns whether a server has not crashed for good. */
+  boolean runs(int server) {
+    return get(Group.LOST_SERVER) != server;
   }
 
   /** Returns the primary of an instance's pool. */
@@ -287,9 +305,21 @@
     return leader(get(Instance.TERM, instance));
   }
 
-  /** Returns whether the primary of a term still leads it. */
+  /** Returns whether the primary of a term runs and still leads it. */
   boolean isLed(int term) {
-    return get(Server.TERM, leader(term)) == term;
+    int primary = leader(term);
+    return runs(primary) && get(Server.TERM, primary) == term && isPrimary(primary);
+  }
+
+  /** Returns whether the recorded home serves all work at the newest primary. */
+  boolean isServed() {
+    int home = get(Group.HOME);
+    return isRecordedHome(home)
+        && get(Instance.LEASE, home) == 1
+        && get(Instance.PHASE, home) == STEADY
+        && get(Instance.HALT, home) == 0
+        && get(Instance.TERM, home) == newestTerm()
+        && isLed(newestTerm());
   }
 
   /** Returns whether an instance may read at the primary of its pool. */
@@ -348,12 +378,23 @@
     }
   }
 
+  void raiseAcknowledged(int instance, int commit) {
+    if (covers(commit, get(Instance.ACKNOWLEDGED, instance))) {
+      set(Instance.ACKNOWLEDGED, instance, commit);
+    }
+  }
+
   boolean isRecordedHome(int instance) {
     return get(Group.HOME) == instance
         && get(Instance.ROLE, instance) == IS_HOME
         && get(Instance.EPOCH, instance) == get(Group.EPOCH);
   }
 
+  /** Returns whether a server counts as a member of the group. */
+  boolean isMember(int server) {
+    return runs(server) || get(Group.LOST_SERVER_FORGOTTEN) == 0;
+  }
+
   /** Returns the instances that a home must exclude before a promotion. */
   int instancesToExclude() {
     int successor = get(Group.SUCCESSOR);
@@ -474,6 +515,7 @@
     s.set(Group.SUCCESSOR, renumber(get(Group.SUCCESSOR), instances));
     s.set(Group.PROMOTING, renumber(get(Group.PROMOTING), servers));
     s.set(Group.LATE_PROMOTING, renumber(get(Group.LATE_PROMOTING), servers));
+    s.set(Group.LOST_SERVER, renumber(get(Group.LOST_SERVER), servers));
     s.set(Group.PRIOR_HOMES, renumberSet(get(Group.PRIOR_HOMES), instances));
     for (int c = 1; c <= get(Group.COMMITS); c++) {
       s.set(Commit.INSTANCE, c, renumber(get(Commit.INSTANCE, c), instances));
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/PromotionRuleTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/PromotionRuleTest.java
@@ -186,6 +186,64 @@
     assertViolation(Condition.HALT_RETIRED_WORK, twoChangesOfHome, Violation.LOST);
   }
 
+  // Review case 11: guards against counting the log of a replaced primary, which cannot be chosen,
+  // at a home that does not know what the home before it acknowledged.
+  @Test
+  void testReplacedPrimaryCountsAsReported_commitIsLost() {
+    Bounds twoPromotions = new Bounds(2, 1, 3, 2, 0, 0);
+    assertViolation(Condition.COUNT_REPLACED_PRIMARY_AS_SILENT, twoPromotions, Violation.LOST);
+  }
+
+  // Review case 11: the same at one home, which does not compare the log with its own successes.
+  @Test
+  void testReplacedPrimaryCountsAsReportedAndOwnSuccessNotCovered_commitIsLost() {
+    assertViolation(
+        EnumSet.of(Condition.COUNT_REPLACED_PRIMARY_AS_SILENT, Condition.COVER_OWN_SUCCESSES),
+        new Bounds(2, 1, 3, 1, 0, 0),
+        Violation.LOST);
+  }
+
+  @Test
+  void testAllConditions_groupIsServedAgain() {
+    assertThat(findStuck(EnumSet.noneOf(Condition.class)).violation()).isEmpty();
+  }
+
+  // Guards against a replaced primary that counts as silent for ever.
+  @Test
+  void testReplacedPrimaryDoesNotStepDown_groupIsNotServedAgain() {
+    assertStuckWithout(Condition.STEP_DOWN_REPLACED_PRIMARY);
+  }
+
+  // Guards against a stopped replica that can never hold the log of the primary.
+  @Test
+  void testStoppedReplicaDoesNotCatchUp_groupIsNotServedAgain() {
+    assertStuckWithout(Condition.RESUME_BEHIND_LEADER);
+  }
+
+  // Guards against waiting for a server that crashed though the former primary holds its log.
+  @Test
+  void testFormerPrimaryIsNotChosen_groupIsNotServedAgain() {
+    assertStuckWithout(Condition.CHOOSE_FORMER_PRIMARY);
+  }
+
+  private static void assertStuckWithout(Condition omitted) {
+    assertThat(findStuck(EnumSet.of(omitted)).violation()).isEqualTo("STUCK");
+  }
+
+  /** Searches one instance and two promotions, while a server may crash for good. */
+  private static StateSearch.Result findStuck(EnumSet<Condition> omitted) {
+    Bounds bounds = new Bounds(1, 1, 3, 1, 0, 0, 1);
+    EnumSet<Condition> kept = EnumSet.complementOf(omitted);
+    StateSearch.Result result =
+        StateSearch.findStuck(new ModelRules(kept, bounds, Platform.BOUNDED), MAXIMUM_STATES);
+    System.out.printf(
+        "progress without %s, %s: %s, %,d states, depth %d%n",
+        omitted, bounds, result.violation(), result.states(), result.depth());
+    result.trace().forEach(step -> System.out.println("  " + step));
+    assertThat(result.isComplete()).isTrue();
+    return result;
+  }
+
   // Shows that the rule needs a bound on orders: no condition here replaces it.
   @Test
   void testOrdersWithoutBound_commitIsLost() {
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/StateSearch.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/StateSearch.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Breadth-first search of all states of the model. States are recognized by a hash of 64 bits, so
@@ -34,10 +35,14 @@
   private final Set<Violation> violations;
   private final int maximumStates;
   private final Queue<ModelState> pending = new ArrayDeque<>();
+  private final @Nullable ProgressGraph progress;
 
   /** Open-addressed set of hashes; 0 marks a free place. */
   private long[] known = new long[2 * INITIAL_CAPACITY];
 
+  /** The number of the state of each hash. */
+  private int[] numbers = new int[known.length];
+
   /** By state, in the order in which they were found: the state before, and the encoded step. */
   private int[] parents = new int[INITIAL_CAPACITY];
 
@@ -51,9 +56,33 @@
    * @param maximumStates number of states after which the search ends incomplete
    */
   StateSearch(ModelRules rules, Set<Violation> violations, int maximumStates) {
+    this(rules, violations, maximumStates, null);
+  }
+
+  private StateSearch(
+      ModelRules rules,
+      Set<Violation> violations,
+      int maximumStates,
+      @Nullable ProgressGraph progress) {
     this.rules = rules;
     this.violations = violations;
     this.maximumStates = maximumStates;
+    this.progress = progress;
+  }
+
+  /**
+   * Searches all states and returns the shortest run to one from which no sequence of steps without
+   * faults leads to a state in which the group is served. States of the last term do not count, as
+   * the bounds allow no promotion there.
+   */
+  static Result findStuck(ModelRules rules, int maximumStates) {
+    ProgressGraph graph = new ProgressGraph();
+    StateSearch search = new StateSearch(rules, Set.of(), maximumStates, graph);
+    Result all = search.run();
+    int stuck = all.isComplete() ? graph.firstStuck() : -1;
+    return stuck < 0
+        ? all
+        : new Result("STUCK", search.trace(stuck), all.states(), all.depth(), true);
   }
 
   /** Searches until a violation is found, all states were searched, or there are too many. */
@@ -75,6 +104,9 @@
       if (count >= maximumStates) {
         return new Result("", List.of(), count, depth, false);
       }
+      if (progress != null) {
+        progress.addState(id, s.isServed(), s.newestTerm() < rules.bounds().terms());
+      }
       expand(s, id);
     }
     return new Result("", List.of(), count, depth, true);
@@ -90,17 +122,26 @@
           if (step.isEnabled(s, rules, a, b)) {
             ModelState next = s.copy();
             step.apply(next, rules, a, b);
-            add(next, id, n << 4 | a << 2 | b);
+            int nextId = add(next, id, n << 4 | a << 2 | b);
+            if (progress != null && !step.isFault()) {
+              progress.addStep(id, nextId);
+            }
           }
         }
       }
     }
   }
 
-  private void add(ModelState s, int parent, int move) {
-    if (!addHash(Symmetry.hash(s))) {
-      return;
+  /** Adds a state unless it is known, and returns its number. */
+  private int add(ModelState s, int parent, int move) {
+    long hash = Symmetry.hash(s);
+    long stored = hash == 0 ? 1 : hash;
+    int place = placeOf(stored);
+    if (known[place] != 0) {
+      return numbers[place];
     }
+    known[place] = stored;
+    numbers[place] = count;
     if (count == parents.length) {
       parents = Arrays.copyOf(parents, 2 * count);
       moves = Arrays.copyOf(moves, 2 * count);
@@ -109,23 +150,24 @@
     moves[count] = (short) move;
     count++;
     pending.add(s);
+    if (2 * count >= known.length) {
+      enlarge();
+    }
+    return count - 1;
   }
 
-  private boolean addHash(long hash) {
-    if (2 * count >= known.length) {
-      long[] old = known;
-      known = new long[2 * old.length];
-      for (long each : old) {
-        if (each != 0) {
-          known[placeOf(each)] = each;
-        }
+  private void enlarge() {
+    long[] oldKnown = known;
+    int[] oldNumbers = numbers;
+    known = new long[2 * oldKnown.length];
+    numbers = new int[known.length];
+    for (int each = 0; each < oldKnown.length; each++) {
+      if (oldKnown[each] != 0) {
+        int place = placeOf(oldKnown[each]);
+        known[place] = oldKnown[each];
+        numbers[place] = oldNumbers[each];
       }
     }
-    long stored = hash == 0 ? 1 : hash;
-    int place = placeOf(stored);
-    boolean isNew = known[place] == 0;
-    known[place] = stored;
-    return isNew;
   }
 
   /** Returns the place of a hash, or the free place for it. */
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/Step.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/Step.java
@@ -20,6 +20,11 @@
   /** Changes the state, in which the step is enabled, to the next one. */
   void apply(ModelState s, ModelRules rules, int a, int b);
 
+  /** Returns whether recovery must not depend on the step, because it is a fault or mere luck. */
+  default boolean isFault() {
+    return false;
+  }
+
   /** Returns the step in plain words. */
   default String describe(int a, int b) {
     return text().replace("{a}", first().name(a)).replace("{b}", second().name(b));
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/model/Symmetry.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/model/Symmetry.java
@@ -22,6 +22,7 @@
     Instance.RETIRED_LEASE,
     Instance.RETIRED_TERM,
     Instance.BOUND,
+    Instance.ACKNOWLEDGED,
     Instance.BOUND_KNOWN,
     Instance.EPOCH,
     Instance.BARRED,
@@ -56,6 +57,7 @@
   private static long keyOfServer(ModelState s, int server) {
     long key = s.get(Group.PROMOTING) == server ? 1 : 0;
     key = key << 1 | (s.get(Group.LATE_PROMOTING) == server ? 1 : 0);
+    key = key << 1 | (s.get(Group.LOST_SERVER) == server ? 1 : 0);
     for (int term = 1; term <= s.newestTerm(); term++) {
       key = key << 1 | (s.leader(term) == server ? 1 : 0);
     }
