A replaced primary steps down as soon as its successor is recorded

What callers saw: while a replica receives nothing, no commit of a new primary is confirmed until the old one follows it, up to a second after it can reach it, and the last commits are on one log for as long.

Cause: the home has an old primary step down on its status, and asks a server that answers reads for its status every 3 s only.

Change: once the record names the new primary, all other servers are asked for their status.

Evidence: ReplacedPrimaryPromotionTest#testReplacedPrimaryStepsDownAsSoonAsItsSuccessorIsUsed failed before; now the old primary has stepped down within 100 ms.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/PrimarySupervisor.java
@@ -562,6 +562,8 @@
           writingRecord = false;
           promotionUnsettled = false;
           onWritten.run();
+          // A replaced primary that is back steps down on its answer, and then confirms commits.
+          queryOthers(serverId);
         },
         () -> {
           writingRecord = false;
@@ -998,6 +1000,13 @@
     }
   }
 
+  /** Requests the status of all servers but one. */
+  private void queryOthers(String serverId) {
+    election.servers().stream()
+        .filter(s -> !s.id().equals(serverId))
+        .forEach(s -> queryStatus(s.id(), () -> {}));
+  }
+
   private void queryStatus(String serverId, Runnable next) {
     pool.sendCommand(serverId, new ServerCommand.Status(), statusHandler(serverId, next));
   }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
@@ -88,4 +88,14 @@
     earlier.start();
     finish();
   }
+
+  // Guards against commits that nobody confirms, and against a short life of the only other log.
+  @Test
+  void testReplacedPrimaryStepsDownAsSoonAsItsSuccessorIsUsed() {
+    replacePrimary();
+    replaced.unresponsive = false;
+    scenario.advanceUntilLogged("primary group=plans server=server-c", 2_000);
+    fleet.advance(100);
+    assertWithMessage("server-a leads").that(replaced.primary).isFalse();
+  }
 }
