A test of the choice after an inherited order has expired, in virtual time

Here the replicas catch up first, and the group is served within 3 s after the replica receives again.

--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
@@ -98,4 +98,27 @@
     fleet.advance(100);
     assertWithMessage("server-a leads").that(replaced.primary).isFalse();
   }
+
+  // Guards against rolling back a primary that still leads, once the order of an earlier home for
+  // another server has expired, and against replicas that stay stopped while they lack its log.
+  @Test
+  void testPrimaryIsNotRolledBackWhenInheritedOrderExpired() {
+    replacePrimary();
+    next.crash();
+    replaced.unresponsive = false;
+    ModelHost earlier = scenario.home();
+    earlier.kill();
+    fleet.advance(700);
+    earlier.start();
+    fleet.advance(12_000);
+    assertWithMessage("promotions").that(fleet.promotions).containsExactly(next.id());
+    behind.ignoresReplication = false;
+    int before = scenario.clients.succeeded;
+    fleet.advance(3_000);
+    assertWithMessage("statements served without server-c")
+        .that(scenario.clients.succeeded)
+        .isGreaterThan(before);
+    scenario.recover();
+    scenario.finish();
+  }
 }
