A group without confirming replicas does not wait for acknowledged commits

What callers would see: with sync_replicas 0, no primary for a minute after a crash whenever the replicas lag, as the home's own acknowledged commits are on the primary alone.

Change: the certain position counts only if a replica has to confirm commits.

Evidence: EmptyReplicaPromotionTest#testPrimaryIsNotAwaitedIfNoReplicaHasToConfirmCommits failed before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/HomeElection.java
@@ -545,8 +545,14 @@
     return highest;
   }
 
-  /** Returns a position that a commit which this instance acknowledged surely reached. */
+  /**
+   * Returns a position that a commit which this instance acknowledged surely reached; {@link
+   * LogPosition#ZERO} if no replica has to confirm commits, as a promotion may lose them then.
+   */
   LogPosition leastAcknowledged() {
+    if (confirmingReplicas() == 0) {
+      return LogPosition.ZERO;
+    }
     LogPosition least = leastAcknowledgedByStoppedPools;
     for (GroupPool p : pools()) {
       least = least.max(p.leastAcknowledged());
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/EmptyReplicaPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/EmptyReplicaPromotionTest.java
@@ -52,4 +52,12 @@
     assertThat(fleet.lines.stream().filter(l -> l.contains("acknowledged-commits-lost")))
         .isNotEmpty();
   }
+
+  // Guards against a failover that waits for commits which the group's declaration lets it lose.
+  @Test
+  void testPrimaryIsNotAwaitedIfNoReplicaHasToConfirmCommits() {
+    fleet.confirmingReplicas = 0;
+    loseReplicaAndPrimary();
+    assertThat(fleet.promotions).containsExactly(behind.id());
+  }
 }
--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ModelFleet.java
@@ -89,6 +89,11 @@
   /** What the deployment demands of client accounts. */
   AccountRules accountRules = AccountRules.NONE;
 
+  /**
+   * Number of replicas that the configuration has confirm each commit; the servers wait for one.
+   */
+  int confirmingReplicas = 1;
+
   /** Number of instances in each availability zone. */
   int zoneSize = 1;
 
@@ -303,7 +308,7 @@
     routes.put(BOUNDED, route(BOUNDED, Freshness.BOUNDED_AGE));
     routes.put(OWN, route(OWN, Freshness.OWN_WRITES));
     Map<String, GroupDeclaration> groups = new HashMap<>();
-    groups.put(GROUP, new GroupDeclaration(GROUP, 23, 1));
+    groups.put(GROUP, new GroupDeclaration(GROUP, 23, confirmingReplicas));
     groupsWithoutClients
         .keySet()
         .forEach(name -> groups.put(name, new GroupDeclaration(name, 23, 1)));
