--- a/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/proxy/ReplacedPrimaryPromotionTest.java
@@ -121,4 +121,21 @@
     scenario.recover();
     scenario.finish();
   }
+
+  // Guards against waiting for a crashed server that no instance saw lead, although the primary
+  // before it, a replica now, holds its log.
+  @Test
+  void testFormerPrimaryIsPromotedIfItAloneHoldsTheLogOfItsSuccessor() {
+    scenario.begin();
+    behind.ignoresReplication = true;
+    fleet.advance(1_000);
+    fleet.hosts().forEach(h -> h.unreachableServers.add(next.id()));
+    fleet.group.promote(next.id());
+    scenario.advanceUntil("server-a follows", 3_000, () -> !replaced.primary);
+    next.crash();
+    fleet.advance(3_000);
+    assertWithMessage("promotions").that(fleet.promotions).containsExactly(replaced.id());
+    scenario.recover();
+    scenario.finish();
+  }
 }
