After an inherited order, the wait for an acknowledged commit ends

What callers would see: no primary for ever, if the server that an earlier home had ordered has left for good and the others have lost a commit that this home acknowledged. Found by taking the part out by hand: no test had noticed it.

Change: once the ordered server is no member any more, the longest of the others is promoted, as after other waits for such commits.

Evidence: the new case of PromotionChoiceTest failed before.

--- a/chicorylane/src/main/java/org/chicorylane/internal/election/LogCoverage.java
+++ b/chicorylane/src/main/java/org/chicorylane/internal/election/LogCoverage.java
@@ -88,7 +88,8 @@
    * Returns the holder with the longest log among the servers other than {@code ordered}, which an
    * earlier home may have used as the primary: a commit of its term is on one of the others, which
    * may be the recorded primary. Returns null if one of them has not reported, or if all replicas
-   * end before the recorded primary's log or a commit that this instance acknowledged.
+   * end before the recorded primary's log or, unless {@code ordered} has left for good, before a
+   * commit that this instance acknowledged.
    */
   @Nullable Holder findExcept(String ordered) {
     List<BackendServer> others =
@@ -100,8 +101,9 @@
     if (longest == null || !allReported) {
       return null;
     }
-    LogPosition required =
-        others.stream().map(this::endOf).reduce(basis.leastAcknowledged(), LogPosition::max);
+    boolean hasLeft = others.size() == basis.servers().size() && basis.missing().isEmpty();
+    LogPosition least = hasLeft ? LogPosition.ZERO : basis.leastAcknowledged();
+    LogPosition required = others.stream().map(this::endOf).reduce(least, LogPosition::max);
     return endOf(longest).compareTo(required) < 0 ? null : holder(longest);
   }
 
--- a/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
+++ b/chicorylane/src/test/java/org/chicorylane/internal/election/PromotionChoiceTest.java
@@ -391,4 +391,20 @@
     setReplicaStatus("c", 1, 120);
     assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
   }
+
+  // Guards against losing a commit that this home acknowledged, and against waiting for it for
+  // ever.
+  @Test
+  void testAfterInheritedOrderExpiredAcknowledgedCommitIsAwaitedUntilTheOrderedServerHasLeft() {
+    leastAcknowledged = new LogPosition(1, 100);
+    order = new PromotionOrders.State("b", true, false, true, false);
+    setReplicaStatus("a", 1, 0);
+    setReplicaStatus("c", 1, 60);
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+    servers = List.of(server("a"), server("c"));
+    missing.add("b");
+    assertThat(choose(null)).isInstanceOf(PromotionChoice.Wait.class);
+    missing.clear();
+    assertThat(promotedId(choose(null))).isEqualTo("c");
+  }
 }
